--- /dev/null
+++ b/crates/dotterelrudder_config/src/fault.rs
@@ -0,0 +1,31 @@
+//! A fault in a declaration file.
+
+use serde::Serialize;
+
+/// One fault, with all that an operator needs to mend it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Fault {
+    /// The file's name as it was given.
+    pub file: String,
+    /// The line, counted from 1; 0 when the fault belongs to the whole file.
+    pub line: usize,
+    /// The key, or the table's name.
+    pub key: String,
+    /// What is wrong.
+    pub what: String,
+    /// What is allowed instead.
+    pub allowed: String,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            file,
+            line,
+            key,
+            what,
+            allowed,
+        } = self;
+        write!(f, "{file}:{line}: key \"{key}\" {what}; allowed: {allowed}")
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_config/src/lib.rs
@@ -0,0 +1,28 @@
+//! Declarations of services and client accounts: parse, check, collect, compare.
+//!
+//! Operators keep short TOML files beside each service's code; [`collect`] turns them into one
+//! [`Configuration`] or a list of every [`Fault`]. See docs/CONFIGURATION.md.
+
+mod account_declaration;
+mod change_set;
+mod collect;
+mod configuration;
+mod fault;
+mod objective;
+pub mod prelude;
+mod schema;
+mod service_declaration;
+mod service_kind;
+mod source_file;
+
+pub use account_declaration::AccountDeclaration;
+pub use change_set::ChangeSet;
+pub use collect::collect;
+pub use collect::collect_onto;
+pub use configuration::Configuration;
+pub use fault::Fault;
+pub use objective::Objective;
+pub use service_declaration::IslandChoice;
+pub use service_declaration::ServiceDeclaration;
+pub use service_kind::ServiceKind;
+pub use source_file::SourceFile;
--- /dev/null
+++ b/crates/dotterelrudder_control/src/lib.rs
@@ -0,0 +1,33 @@
+//! The replicated log, its state machine and the control role.
+//!
+//! [`ControlCore`] is the whole role without input or output: it takes an [`Input`] with the time
+//! and fills an outbox with [`Output`]s. The log is described in docs/design/replicated-log.md.
+
+mod control_core;
+mod input;
+mod journal;
+mod order_planner;
+mod output;
+pub mod prelude;
+mod proposals;
+mod raft;
+mod state;
+mod status;
+mod subscribers;
+
+pub use control_core::ControlCore;
+pub use control_core::ControlSettings;
+pub use input::Input;
+pub use input::Origin;
+pub use journal::read_journal;
+pub use journal::Damage;
+pub use journal::Record;
+pub use journal::Recovered;
+pub use output::Output;
+pub use raft::Raft;
+pub use raft::RaftOutput;
+pub use raft::RaftTiming;
+pub use state::AuditRow;
+pub use state::ReplicatedState;
+pub use status::ControlStatus;
+pub use status::InstanceStatus;
--- /dev/null
+++ b/crates/dotterelrudder_control/src/order_planner.rs
@@ -0,0 +1,45 @@
+//! Plans which side's engine loads which weight version next.
+
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::WeightVersion;
+
+use crate::subscribers::Subscribers;
+use crate::ReplicatedState;
+
+/// Engines that load from the weight store at once; more than two slow each other down.
+const MAX_LOADS_AT_ONCE: usize = 2;
+/// An order without effect for this long is issued again, under a new fencing number.
+const REISSUE_AFTER_MS: u64 = 5_000;
+
+/// Returns the next orders to issue, in the order of the sides' names.
+pub(crate) fn plan_orders(
+    state: &ReplicatedState,
+    subscribers: &Subscribers,
+    now_ms: u64,
+) -> Vec<(InstanceName, WeightVersion)> {
+    let mut loading = 0;
+    let mut wanted = Vec::new();
+    for (side, subscriber) in subscribers.by_name.iter().filter(|(_, s)| s.connected) {
+        let Some(load) = &subscriber.load else {
+            continue;
+        };
+        let Some(service) = state.configuration().services.get(&load.service) else {
+            continue;
+        };
+        let declared = &service.weight_version;
+        if declared.as_str().is_empty() || load.version == *declared {
+            continue;
+        }
+        let issued = state.orders().get(side);
+        let pending = issued.is_some_and(|order| {
+            order.version == *declared && now_ms < order.at_ms + REISSUE_AFTER_MS
+        });
+        if pending {
+            loading += 1;
+        } else {
+            wanted.push((side.clone(), declared.clone()));
+        }
+    }
+    wanted.truncate(MAX_LOADS_AT_ONCE.saturating_sub(loading));
+    wanted
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The names that drivers of the control role import.
+
+pub use crate::ControlCore;
+pub use crate::Input;
+pub use crate::Origin;
+pub use crate::Output;
+pub use crate::Record;
+pub use crate::Recovered;
--- /dev/null
+++ b/crates/dotterelrudder_control/src/proposals.rs
@@ -0,0 +1,100 @@
+//! Commands on their way through the log, and who waits for each.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dotterelrudder_types::InstanceName;
+
+use crate::Origin;
+
+/// How long a result is waited for before the outcome is told as unknown.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(3);
+
+#[derive(Debug)]
+struct Logged {
+    term: u64,
+    origin: Origin,
+    due: Duration,
+}
+
+#[derive(Debug)]
+struct Forwarded {
+    leader: InstanceName,
+    origin: Origin,
+    due: Duration,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Proposals {
+    logged: BTreeMap<u64, Logged>,
+    forwarded: BTreeMap<u64, Forwarded>,
+    next_tag: u64,
+}
+
+impl Proposals {
+    pub(crate) fn log(&mut self, place: (u64, u64), origin: Origin, now: Duration) {
+        let (term, index) = place;
+        let due = now + PROPOSAL_TIMEOUT;
+        self.logged.insert(index, Logged { term, origin, due });
+    }
+
+    /// Takes who waits for the entry; the flag tells whether it is the entry that was proposed.
+    pub(crate) fn applied(&mut self, term: u64, index: u64) -> Option<(Origin, bool)> {
+        let logged = self.logged.remove(&index)?;
+        Some((logged.origin, logged.term == term))
+    }
+
+    pub(crate) fn forward(&mut self, leader: &InstanceName, origin: Origin, now: Duration) -> u64 {
+        self.next_tag += 1;
+        let due = now + PROPOSAL_TIMEOUT;
+        self.forwarded.insert(
+            self.next_tag,
+            Forwarded {
+                leader: leader.clone(),
+                origin,
+                due,
+            },
+        );
+        self.next_tag
+    }
+
+    pub(crate) fn answered(&mut self, tag: u64) -> Option<Origin> {
+        self.forwarded.remove(&tag).map(|f| f.origin)
+    }
+
+    /// Takes those whose leader can't answer any more.
+    pub(crate) fn lost_leader(&mut self, leader: &InstanceName) -> Vec<Origin> {
+        let lost: Vec<u64> = self
+            .forwarded
+            .iter()
+            .filter(|(_, f)| f.leader == *leader)
+            .map(|(t, _)| *t)
+            .collect();
+        lost.into_iter()
+            .filter_map(|tag| self.answered(tag))
+            .collect()
+    }
+
+    /// Takes those that waited too long.
+    pub(crate) fn overdue(&mut self, now: Duration) -> Vec<Origin> {
+        let logged: Vec<u64> = self
+            .logged
+            .iter()
+            .filter(|(_, l)| l.due <= now)
+            .map(|(i, _)| *i)
+            .collect();
+        let forwarded: Vec<u64> = self
+            .forwarded
+            .iter()
+            .filter(|(_, f)| f.due <= now)
+            .map(|(t, _)| *t)
+            .collect();
+        let logged = logged
+            .into_iter()
+            .filter_map(|i| self.logged.remove(&i))
+            .map(|l| l.origin);
+        let mut all: Vec<Origin> = logged.collect();
+        all.extend(forwarded.into_iter().filter_map(|tag| self.answered(tag)));
+        all
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/raft/boot.rs
@@ -0,0 +1,110 @@
+//! The check at a start that the disk is the newest that this identity had; see
+//! docs/design/disk-identity.md.
+
+use std::time::Duration;
+
+use dotterelrudder_wire::RaftMessage;
+
+use super::Raft;
+use super::RaftOutput;
+use super::RaftRole;
+use crate::Record;
+
+/// How often an unanswered question is repeated.
+const BOOT_RESEND: Duration = Duration::from_millis(200);
+
+impl Raft {
+    /// A replica without voting peers has nobody to ask.
+    pub(super) fn confirm_if_alone(&mut self) {
+        if self.members.is_empty() || !self.other_voters().is_empty() {
+            return;
+        }
+        self.confirmed = true;
+    }
+
+    /// A learner that holds no members yet was never acknowledged and may follow at once.
+    pub fn confirm_as_new(&mut self) {
+        if self.members.is_empty() {
+            self.confirmed = true;
+        }
+    }
+
+    pub(super) fn tick_boot(&mut self, now: Duration) {
+        if self.confirmed || self.boot_sent_at.is_some_and(|at| now < at + BOOT_RESEND) {
+            return;
+        }
+        self.boot_sent_at = Some(now);
+        let (boot, nonce, last_index) = (self.boot, self.boot_nonce, self.log.last_index());
+        for to in self.other_voters() {
+            self.send_synced(
+                to,
+                RaftMessage::Boot {
+                    boot,
+                    nonce,
+                    last_index,
+                },
+            );
+        }
+    }
+
+    pub(super) fn on_boot(&mut self, from: u64, boot: u64, nonce: u64, last_index: u64) {
+        let known = self.peer_boots.get(&from).copied().unwrap_or((0, 0));
+        let asked_before = known == (boot, nonce);
+        let known_boot = if asked_before { boot - 1 } else { known.0 };
+        let known_index = match &self.role {
+            RaftRole::Leader { progress, .. } => progress.get(&from).map_or(0, |p| p.matched),
+            _ => 0,
+        };
+        if boot > known_boot && last_index >= known_index {
+            self.peer_boots.insert(from, (boot, nonce));
+            self.persist(Record::PeerBoot {
+                id: from,
+                boot,
+                nonce,
+            });
+        }
+        let member = self.members.iter().any(|m| m.id == from);
+        self.send_synced(
+            from,
+            RaftMessage::BootReply {
+                boot,
+                known_boot,
+                known_index,
+                member,
+            },
+        );
+    }
+
+    pub(super) fn on_boot_reply(
+        &mut self,
+        from: u64,
+        boot: u64,
+        known_boot: u64,
+        known_index: u64,
+        member: bool,
+    ) {
+        if self.confirmed || boot != self.boot || !self.is_voter(from) {
+            return;
+        }
+        let rolled_back = known_boot >= boot || known_index > self.log.last_index();
+        if rolled_back {
+            self.out.push(RaftOutput::IdentityLost);
+            return;
+        }
+        let answers = if member {
+            &mut self.boot_votes
+        } else {
+            &mut self.boot_rejections
+        };
+        answers.insert(from);
+        let others = self.other_voters().len();
+        if self.boot_rejections.len() > others / 2 {
+            self.out.push(RaftOutput::IdentityLost);
+            return;
+        }
+        let mut voters = self.boot_votes.clone();
+        voters.insert(self.id);
+        // A learner needs a quorum of the voters alone, which `is_quorum` counts.
+        self.confirmed = self.is_quorum(&voters);
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/raft/election.rs
@@ -0,0 +1,179 @@
+//! Elections: pre-vote, votes, planned transfer.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use dotterelrudder_wire::Command;
+use dotterelrudder_wire::RaftMessage;
+
+use super::Progress;
+use super::Raft;
+use super::RaftRole;
+
+impl Raft {
+    pub(super) fn start_pre_vote(&mut self, now: Duration) {
+        self.schedule_election(now);
+        if !self.confirmed || !self.is_voter(self.id) {
+            return;
+        }
+        self.leader = None;
+        self.role = RaftRole::PreCandidate {
+            votes: BTreeSet::from([self.id]),
+        };
+        self.request_votes(true, false);
+        self.count_votes(now);
+    }
+
+    pub(super) fn start_election(&mut self, transfer: bool, now: Duration) {
+        self.term += 1;
+        self.voted_for = self.id;
+        self.persist_hard_state();
+        self.leader = None;
+        self.schedule_election(now);
+        self.role = RaftRole::Candidate {
+            votes: BTreeSet::from([self.id]),
+        };
+        self.request_votes(false, transfer);
+        self.count_votes(now);
+    }
+
+    fn request_votes(&mut self, pre: bool, transfer: bool) {
+        let term = if pre { self.term + 1 } else { self.term };
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        for to in self.other_voters() {
+            let message = RaftMessage::Vote {
+                term,
+                pre,
+                last_index,
+                last_term,
+                transfer,
+            };
+            self.send_synced(to, message);
+        }
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        from: u64,
+        term: u64,
+        pre: bool,
+        last: (u64, u64),
+        transfer: bool,
+        now: Duration,
+    ) {
+        let leader_alive = self.is_leader() && self.is_fresh(now)
+            || self.leader_heard.is_some_and(|at| {
+                self.leader.is_some() && now.saturating_sub(at) < self.timing.election
+            });
+        let up_to_date = last >= (self.log.last_term(), self.log.last_index());
+        if leader_alive && !transfer {
+            let reply = RaftMessage::VoteReply {
+                term: self.term,
+                pre,
+                granted: false,
+            };
+            self.send(from, reply);
+            return;
+        }
+        if pre {
+            let granted = term > self.term && up_to_date;
+            let term = if granted { term } else { self.term };
+            self.send(from, RaftMessage::VoteReply { term, pre, granted });
+            return;
+        }
+        if term > self.term {
+            self.become_follower(term, None, now);
+        }
+        let free = self.voted_for == 0 || self.voted_for == from;
+        let granted = term == self.term && free && up_to_date;
+        if granted && self.voted_for == 0 {
+            self.voted_for = from;
+            self.persist_hard_state();
+            self.schedule_election(now);
+        }
+        let reply = RaftMessage::VoteReply {
+            term: self.term,
+            pre,
+            granted,
+        };
+        self.send_synced(from, reply);
+    }
+
+    pub(super) fn on_vote_reply(
+        &mut self,
+        from: u64,
+        term: u64,
+        pre: bool,
+        granted: bool,
+        now: Duration,
+    ) {
+        if !granted {
+            if term > self.term {
+                self.become_follower(term, None, now);
+            }
+            return;
+        }
+        match &mut self.role {
+            RaftRole::PreCandidate { votes } if pre && term == self.term + 1 => {
+                votes.insert(from);
+            }
+            RaftRole::Candidate { votes } if !pre && term == self.term => {
+                votes.insert(from);
+            }
+            _ => return,
+        }
+        self.count_votes(now);
+    }
+
+    fn count_votes(&mut self, now: Duration) {
+        match &self.role {
+            RaftRole::PreCandidate { votes } if self.is_quorum(votes) => {
+                self.start_election(false, now);
+            }
+            RaftRole::Candidate { votes } if self.is_quorum(votes) => self.become_leader(now),
+            _ => {}
+        }
+    }
+
+    fn become_leader(&mut self, now: Duration) {
+        let next = self.log.last_index() + 1;
+        let others = self.members.iter().filter(|m| m.id != self.id);
+        let progress: BTreeMap<_, _> = others.map(|m| (m.id, Progress::new(next, now))).collect();
+        self.role = RaftRole::Leader {
+            progress,
+            round: 0,
+            heartbeat_at: now,
+        };
+        self.leader = Some(self.id);
+        self.round_times.clear();
+        // An entry of the own term lets everything before it commit (section 5.4.2 of the paper).
+        self.propose(Command::Noop, now);
+        self.tick_leader(now);
+    }
+
+    /// Accepts a leader's message; false when it comes from an earlier term.
+    pub(super) fn follow(&mut self, from: u64, term: u64, now: Duration) -> bool {
+        if term < self.term {
+            return false;
+        }
+        self.become_follower(term, Some(from), now);
+        self.leader_heard = Some(now);
+        true
+    }
+
+    /// Hands leadership to the follower with the most entries, before a planned stop. Returns
+    /// whether one was asked.
+    pub fn transfer_leadership(&mut self) -> bool {
+        let RaftRole::Leader { progress, .. } = &self.role else {
+            return false;
+        };
+        let voters = progress.iter().filter(|(id, _)| self.is_voter(**id));
+        let Some((to, _)) = voters.max_by_key(|(_, p)| p.matched) else {
+            return false;
+        };
+        let (to, term) = (*to, self.term);
+        self.send(to, RaftMessage::TimeoutNow { term });
+        true
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/raft/log.rs
@@ -0,0 +1,93 @@
+//! The entries of the log in memory, after the last snapshot.
+
+use dotterelrudder_wire::LogEntry;
+
+#[derive(Debug)]
+pub(super) struct Log {
+    snapshot_index: u64,
+    snapshot_term: u64,
+    snapshot_data: Vec<u8>,
+    entries: Vec<LogEntry>,
+}
+
+impl Log {
+    pub(super) fn new(index: u64, term: u64, data: Vec<u8>, entries: Vec<LogEntry>) -> Self {
+        Self {
+            snapshot_index: index,
+            snapshot_term: term,
+            snapshot_data: data,
+            entries,
+        }
+    }
+
+    pub(super) fn snapshot_index(&self) -> u64 {
+        self.snapshot_index
+    }
+
+    pub(super) fn snapshot_term(&self) -> u64 {
+        self.snapshot_term
+    }
+
+    pub(super) fn snapshot_data(&self) -> &[u8] {
+        &self.snapshot_data
+    }
+
+    pub(super) fn last_index(&self) -> u64 {
+        self.snapshot_index + self.entries.len() as u64
+    }
+
+    pub(super) fn last_term(&self) -> u64 {
+        self.entries.last().map_or(self.snapshot_term, |e| e.term)
+    }
+
+    pub(super) fn entry(&self, index: u64) -> Option<&LogEntry> {
+        let place = index.checked_sub(self.snapshot_index + 1)?;
+        self.entries.get(place as usize)
+    }
+
+    /// Returns the term of an entry; `None` when it is absent or covered by the snapshot.
+    pub(super) fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.snapshot_index {
+            return Some(self.snapshot_term);
+        }
+        self.entry(index).map(|e| e.term)
+    }
+
+    pub(super) fn entries(&self) -> &[LogEntry] {
+        &self.entries
+    }
+
+    pub(super) fn entries_from(&self, index: u64, most: usize) -> Vec<LogEntry> {
+        let Some(place) = index.checked_sub(self.snapshot_index + 1) else {
+            return Vec::new();
+        };
+        self.entries
+            .iter()
+            .skip(place as usize)
+            .take(most)
+            .cloned()
+            .collect()
+    }
+
+    pub(super) fn append(&mut self, entry: LogEntry) {
+        self.entries.push(entry);
+    }
+
+    pub(super) fn truncate_from(&mut self, index: u64) {
+        self.entries.retain(|e| e.index < index);
+    }
+
+    /// Drops the entries up to `index`, which the snapshot `data` covers.
+    pub(super) fn compact(&mut self, index: u64, term: u64, data: Vec<u8>) {
+        self.entries.retain(|e| e.index > index);
+        self.snapshot_index = index;
+        self.snapshot_term = term;
+        self.snapshot_data = data;
+    }
+
+    /// Replaces everything by a snapshot from the leader.
+    pub(super) fn replace(&mut self, index: u64, term: u64, data: Vec<u8>) {
+        self.entries.clear();
+        self.compact(index, term, data);
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -0,0 +1,128 @@
+//! Members of the log: quorums, learners, repair after a lost disk.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use dotterelrudder_wire::Command;
+use dotterelrudder_wire::Member;
+
+use super::Progress;
+use super::Raft;
+use super::RaftRole;
+
+impl Raft {
+    pub(super) fn is_voter(&self, id: u64) -> bool {
+        self.members.iter().any(|m| m.id == id && m.voter)
+    }
+
+    pub(super) fn other_voters(&self) -> Vec<u64> {
+        let voters = self.members.iter().filter(|m| m.voter && m.id != self.id);
+        voters.map(|m| m.id).collect()
+    }
+
+    pub(super) fn is_quorum(&self, ids: &BTreeSet<u64>) -> bool {
+        let voters = self.members.iter().filter(|m| m.voter).count();
+        let given = ids.iter().filter(|id| self.is_voter(**id)).count();
+        voters > 0 && given > voters / 2
+    }
+
+    /// Returns the newest time at which a quorum was in contact with this leader.
+    pub(super) fn quorum_contact(&self, now: Duration) -> Duration {
+        let RaftRole::Leader { progress, .. } = &self.role else {
+            return Duration::ZERO;
+        };
+        let voters = self.members.iter().filter(|m| m.voter);
+        let mut contacts: Vec<Duration> = voters
+            .map(|m| {
+                if m.id == self.id {
+                    now
+                } else {
+                    progress.get(&m.id).map_or(Duration::ZERO, |p| p.contact)
+                }
+            })
+            .collect();
+        contacts.sort_unstable_by(|a, b| b.cmp(a));
+        contacts.get(contacts.len() / 2).copied().unwrap_or(now)
+    }
+
+    pub(super) fn members_at(&self, index: u64) -> Vec<Member> {
+        let entries = self.log.entries().iter().rev().filter(|e| e.index <= index);
+        let newest = entries.filter_map(|e| match &e.command {
+            Command::Members { members } => Some(members.clone()),
+            _ => None,
+        });
+        newest
+            .into_iter()
+            .next()
+            .unwrap_or_else(|| self.base_members.clone())
+    }
+
+    /// A change of members counts from the moment it is in the log, committed or not.
+    pub(super) fn recompute_members(&mut self) {
+        self.members = self.members_at(self.log.last_index());
+        let next = self.log.last_index() + 1;
+        let RaftRole::Leader { progress, .. } = &mut self.role else {
+            return;
+        };
+        progress.retain(|id, _| self.members.iter().any(|m| m.id == *id));
+        let at = self
+            .round_times
+            .back()
+            .map_or(Duration::ZERO, |(_, at)| *at);
+        for member in self.members.iter().filter(|m| m.id != self.id) {
+            progress
+                .entry(member.id)
+                .or_insert_with(|| Progress::new(next, at));
+        }
+    }
+
+    fn change_in_flight(&self) -> bool {
+        let uncommitted = self.log.entries().iter().filter(|e| e.index > self.commit);
+        let own_term_committed = self.log.term_at(self.commit) == Some(self.term);
+        !own_term_committed
+            || uncommitted
+                .into_iter()
+                .any(|e| matches!(e.command, Command::Members { .. }))
+    }
+
+    pub(super) fn on_join(&mut self, member: Member, now: Duration) {
+        let known = self.members.iter().any(|m| m.id == member.id);
+        if !self.is_leader() || known || self.change_in_flight() {
+            return;
+        }
+        let mut members = self.members.clone();
+        members.push(Member {
+            voter: false,
+            ..member
+        });
+        self.propose(Command::Members { members }, now);
+    }
+
+    /// Takes the next step of a repair: the lost identity of an instance leaves once the new one
+    /// has synced everything committed, and only then does the new one vote.
+    pub(super) fn tick_membership(&mut self, now: Duration) {
+        if self.change_in_flight() {
+            return;
+        }
+        let RaftRole::Leader { progress, .. } = &self.role else {
+            return;
+        };
+        let caught_up = self.members.iter().find(|m| {
+            let matched = progress.get(&m.id).map_or(0, |p| p.matched);
+            !m.voter && matched >= self.commit
+        });
+        let Some(learner) = caught_up.cloned() else {
+            return;
+        };
+        let same_instance = |m: &Member| m.instance == learner.instance && m.id != learner.id;
+        let mut members = self.members.clone();
+        if members.iter().any(same_instance) {
+            members.retain(|m| !same_instance(m));
+        } else {
+            for member in members.iter_mut().filter(|m| m.id == learner.id) {
+                member.voter = true;
+            }
+        }
+        self.propose(Command::Members { members }, now);
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -0,0 +1,430 @@
+//! Raft as published by Ongaro and Ousterhout (2014), with pre-vote, check-quorum, leader lease,
+//! learners, disk identity and group sync.
+
+mod boot;
+mod election;
+mod log;
+mod membership;
+mod progress;
+mod replication;
+mod timing;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use dotterelrudder_wire::Command;
+use dotterelrudder_wire::LogEntry;
+use dotterelrudder_wire::Member;
+use dotterelrudder_wire::RaftMessage;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::Record;
+use crate::Recovered;
+use log::Log;
+use progress::Progress;
+pub use timing::RaftTiming;
+
+/// What the replicated log asks of its surroundings.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RaftOutput {
+    /// Send a message to a replica.
+    Send {
+        /// The receiving replica.
+        to: u64,
+        /// The message.
+        message: RaftMessage,
+    },
+    /// Write a record; it may be synced together with others.
+    Persist(Record),
+    /// Apply a committed entry.
+    Apply(LogEntry),
+    /// Replace the state by a snapshot.
+    Restore(Vec<u8>),
+    /// The journal may be rewritten as these records.
+    Rewrite(Vec<Record>),
+    /// The disk was rolled back or replaced; the replica has to join anew.
+    IdentityLost,
+}
+
+#[derive(Debug)]
+enum RaftRole {
+    Follower,
+    PreCandidate {
+        votes: BTreeSet<u64>,
+    },
+    Candidate {
+        votes: BTreeSet<u64>,
+    },
+    Leader {
+        progress: BTreeMap<u64, Progress>,
+        round: u64,
+        heartbeat_at: Duration,
+    },
+}
+
+/// One replica of the log.
+#[derive(Debug)]
+pub struct Raft {
+    id: u64,
+    boot: u64,
+    boot_nonce: u64,
+    timing: RaftTiming,
+    rng: ChaCha8Rng,
+    term: u64,
+    voted_for: u64,
+    log: Log,
+    base_members: Vec<Member>,
+    members: Vec<Member>,
+    commit: u64,
+    applied: u64,
+    role: RaftRole,
+    leader: Option<u64>,
+    leader_heard: Option<Duration>,
+    election_at: Duration,
+    persist_sequence: u64,
+    synced_sequence: u64,
+    unsynced_entries: VecDeque<(u64, u64)>,
+    synced_index: u64,
+    held: VecDeque<(u64, u64, RaftMessage)>,
+    round_times: VecDeque<(u64, Duration)>,
+    confirmed: bool,
+    boot_votes: BTreeSet<u64>,
+    boot_rejections: BTreeSet<u64>,
+    boot_sent_at: Option<Duration>,
+    peer_boots: BTreeMap<u64, (u64, u64)>,
+    incoming_snapshot: Vec<u8>,
+    out: Vec<RaftOutput>,
+}
+
+impl Raft {
+    /// Starts a replica from what its disk holds. `recovered.id` must not be 0.
+    pub fn new(recovered: Recovered, timing: RaftTiming, seed: u64, now: Duration) -> Self {
+        let (index, term, members, data) = recovered.snapshot.unwrap_or_default();
+        let log = Log::new(index, term, data, recovered.entries);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut raft = Self {
+            id: recovered.id,
+            boot: recovered.boot + 1,
+            boot_nonce: rng.random(),
+            timing,
+            rng,
+            term: recovered.term,
+            voted_for: recovered.voted_for,
+            synced_index: log.last_index(),
+            log,
+            base_members: members.clone(),
+            members,
+            commit: index,
+            applied: index,
+            role: RaftRole::Follower,
+            leader: None,
+            leader_heard: None,
+            election_at: now,
+            persist_sequence: 0,
+            synced_sequence: 0,
+            unsynced_entries: VecDeque::new(),
+            held: VecDeque::new(),
+            round_times: VecDeque::new(),
+            confirmed: false,
+            boot_votes: BTreeSet::new(),
+            boot_rejections: BTreeSet::new(),
+            boot_sent_at: None,
+            peer_boots: recovered.peer_boots,
+            incoming_snapshot: Vec::new(),
+            out: Vec::new(),
+        };
+        raft.recompute_members();
+        raft.schedule_election(now);
+        raft.persist(Record::Identity {
+            id: raft.id,
+            boot: raft.boot,
+        });
+        if index > 0 {
+            raft.out
+                .push(RaftOutput::Restore(raft.log.snapshot_data().to_vec()));
+        }
+        raft.confirm_if_alone();
+        raft
+    }
+
+    /// Makes this replica the only member; only for the first start of a deployment.
+    pub fn bootstrap(&mut self, member: Member, now: Duration) {
+        self.term += 1;
+        self.persist_hard_state();
+        let entry = LogEntry {
+            term: self.term,
+            index: self.log.last_index() + 1,
+            command: Command::Members {
+                members: vec![member],
+            },
+        };
+        self.append_entry(entry);
+        self.confirm_if_alone();
+        self.election_at = now;
+    }
+
+    /// Returns the replica's identity.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// Returns the term.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Returns the highest index known to be committed.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// Returns the last index of the log.
+    pub fn last_index(&self) -> u64 {
+        self.log.last_index()
+    }
+
+    /// Returns the entry at an index, unless a snapshot covers it.
+    pub fn entry(&self, index: u64) -> Option<&LogEntry> {
+        self.log.entry(index)
+    }
+
+    /// Returns the members, learners included.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns the leader, as far as this replica knows one.
+    pub fn leader(&self) -> Option<u64> {
+        self.leader
+    }
+
+    /// Returns whether this replica leads.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, RaftRole::Leader { .. })
+    }
+
+    /// Returns whether this replica's peers confirmed that its disk is the newest it had.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
+    /// Returns whether this replica is in fresh contact with a quorum, directly or by its leader.
+    pub fn is_fresh(&self, now: Duration) -> bool {
+        if self.is_leader() {
+            return now.saturating_sub(self.quorum_contact(now)) < self.timing.lease;
+        }
+        let heard = self.leader_heard.map(|at| now.saturating_sub(at));
+        self.leader.is_some() && heard.is_some_and(|ago| ago < self.timing.lease)
+    }
+
+    /// Takes the outputs gathered since the last call.
+    pub fn take_outputs(&mut self) -> Vec<RaftOutput> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns the number of the last record handed out, which [`Raft::synced`] refers to.
+    pub fn persist_sequence(&self) -> u64 {
+        self.persist_sequence
+    }
+
+    /// Numbers records on from those of a replica that ran in this process before.
+    pub(crate) fn continue_sequence(&mut self, sequence: u64) {
+        self.persist_sequence += sequence;
+        self.synced_sequence = sequence;
+    }
+
+    /// Logs a command when this replica leads; returns its term and index.
+    pub fn propose(&mut self, command: Command, now: Duration) -> Option<(u64, u64)> {
+        if !self.is_leader() {
+            return None;
+        }
+        let entry = LogEntry {
+            term: self.term,
+            index: self.log.last_index() + 1,
+            command,
+        };
+        let place = (entry.term, entry.index);
+        self.append_entry(entry);
+        self.replicate(now);
+        Some(place)
+    }
+
+    /// Advances time.
+    pub fn tick(&mut self, now: Duration) {
+        self.tick_boot(now);
+        if self.is_leader() {
+            self.tick_leader(now);
+        } else if now >= self.election_at {
+            self.start_pre_vote(now);
+        }
+    }
+
+    /// Learns that all records up to `sequence` are synced.
+    pub fn synced(&mut self, sequence: u64, now: Duration) {
+        self.synced_sequence = self.synced_sequence.max(sequence);
+        while let Some((at, index)) = self.unsynced_entries.front().copied() {
+            if at > self.synced_sequence {
+                break;
+            }
+            self.synced_index = self.synced_index.max(index);
+            self.unsynced_entries.pop_front();
+        }
+        while self
+            .held
+            .front()
+            .is_some_and(|(at, ..)| *at <= self.synced_sequence)
+        {
+            if let Some((_, to, message)) = self.held.pop_front() {
+                self.out.push(RaftOutput::Send { to, message });
+            }
+        }
+        self.advance_commit(now);
+    }
+
+    /// Takes a message from a replica.
+    pub fn receive(&mut self, from: u64, message: RaftMessage, now: Duration) {
+        match message {
+            RaftMessage::Boot {
+                boot,
+                nonce,
+                last_index,
+            } => {
+                self.on_boot(from, boot, nonce, last_index);
+            }
+            RaftMessage::BootReply {
+                boot,
+                known_boot,
+                known_index,
+                member,
+            } => {
+                self.on_boot_reply(from, boot, known_boot, known_index, member);
+            }
+            RaftMessage::Join { member } => {
+                let empty = self.members.is_empty();
+                self.send(from, RaftMessage::JoinReply { empty });
+                self.on_join(member, now);
+            }
+            // Founding a deployment is the owner's decision.
+            RaftMessage::JoinReply { .. } => {}
+            // Until its peers confirmed the disk, a replica takes no part in decisions.
+            _ if !self.confirmed => {}
+            RaftMessage::Vote {
+                term,
+                pre,
+                last_index,
+                last_term,
+                transfer,
+            } => {
+                self.on_vote(from, term, pre, (last_term, last_index), transfer, now);
+            }
+            RaftMessage::VoteReply { term, pre, granted } => {
+                self.on_vote_reply(from, term, pre, granted, now);
+            }
+            RaftMessage::Append {
+                term,
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+                round,
+            } => {
+                if self.follow(from, term, now) {
+                    self.on_append(from, (prev_index, prev_term), entries, commit, round);
+                } else {
+                    self.reject_append(from, round);
+                }
+            }
+            RaftMessage::AppendReply {
+                term,
+                matched,
+                index,
+                round,
+            } => {
+                self.on_append_reply(from, term, matched, index, round, now);
+            }
+            RaftMessage::Snapshot {
+                term,
+                index,
+                last_term,
+                offset,
+                total,
+                data,
+                round,
+            } => {
+                if self.follow(from, term, now) {
+                    self.on_snapshot(from, (index, last_term), (offset, total), data, round);
+                } else {
+                    self.reject_append(from, round);
+                }
+            }
+            RaftMessage::TimeoutNow { term } => {
+                if term == self.term && self.is_voter(self.id) {
+                    self.start_election(true, now);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, to: u64, message: RaftMessage) {
+        self.out.push(RaftOutput::Send { to, message });
+    }
+
+    /// Sends a message once everything persisted so far is synced.
+    fn send_synced(&mut self, to: u64, message: RaftMessage) {
+        if self.persist_sequence <= self.synced_sequence {
+            self.send(to, message);
+        } else {
+            self.held.push_back((self.persist_sequence, to, message));
+        }
+    }
+
+    fn persist(&mut self, record: Record) {
+        self.persist_sequence += 1;
+        self.out.push(RaftOutput::Persist(record));
+    }
+
+    fn persist_hard_state(&mut self) {
+        self.persist(Record::HardState {
+            term: self.term,
+            voted_for: self.voted_for,
+        });
+    }
+
+    fn append_entry(&mut self, entry: LogEntry) {
+        let index = entry.index;
+        if index <= self.log.last_index() {
+            self.log.truncate_from(index);
+            self.synced_index = self.synced_index.min(index - 1);
+            self.unsynced_entries.retain(|(_, i)| *i < index);
+        }
+        let changes_members = matches!(entry.command, Command::Members { .. });
+        self.persist(Record::Entry(entry.clone()));
+        self.unsynced_entries
+            .push_back((self.persist_sequence, index));
+        self.log.append(entry);
+        if changes_members {
+            self.recompute_members();
+        }
+    }
+
+    fn schedule_election(&mut self, now: Duration) {
+        let spread = self.timing.election.as_millis() as u64;
+        let extra = Duration::from_millis(self.rng.random_range(0..=spread));
+        self.election_at = now + self.timing.election + extra;
+    }
+
+    fn become_follower(&mut self, term: u64, leader: Option<u64>, now: Duration) {
+        if term > self.term {
+            self.term = term;
+            self.voted_for = 0;
+            self.persist_hard_state();
+        }
+        self.role = RaftRole::Follower;
+        self.leader = leader;
+        self.schedule_election(now);
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/raft/replication.rs
@@ -0,0 +1,395 @@
+//! Replication: appending, snapshots, commit.
+
+use std::time::Duration;
+
+use dotterelrudder_wire::LogEntry;
+use dotterelrudder_wire::RaftMessage;
+
+use super::Raft;
+use super::RaftOutput;
+use super::RaftRole;
+use crate::Record;
+
+/// Entries in one message at most.
+const MAX_ENTRIES: usize = 64;
+/// Bytes of a snapshot in one message at most.
+const SNAPSHOT_PART_BYTES: usize = 1024 * 1024;
+/// How long an unacknowledged snapshot isn't sent again.
+const SNAPSHOT_RESEND: Duration = Duration::from_secs(2);
+/// Heartbeats whose times are remembered.
+const MAX_ROUNDS: usize = 128;
+
+impl Raft {
+    pub(super) fn tick_leader(&mut self, now: Duration) {
+        if now.saturating_sub(self.quorum_contact(now)) > self.timing.election {
+            self.become_follower(self.term, None, now);
+            return;
+        }
+        let RaftRole::Leader {
+            round,
+            heartbeat_at,
+            ..
+        } = &mut self.role
+        else {
+            return;
+        };
+        if now < *heartbeat_at {
+            return;
+        }
+        *heartbeat_at = now + self.timing.heartbeat;
+        *round += 1;
+        let round = *round;
+        self.round_times.push_back((round, now));
+        if self.round_times.len() > MAX_ROUNDS {
+            self.round_times.pop_front();
+        }
+        self.send_appends(true, now);
+        self.tick_membership(now);
+    }
+
+    /// Sends what followers lack.
+    pub(super) fn replicate(&mut self, now: Duration) {
+        self.send_appends(false, now);
+        self.advance_commit(now);
+    }
+
+    /// Tells followers the commit index at once, instead of with the next heartbeat.
+    pub(crate) fn announce_commit(&mut self, now: Duration) {
+        self.send_appends(true, now);
+    }
+
+    fn send_appends(&mut self, heartbeat: bool, now: Duration) {
+        let RaftRole::Leader { progress, .. } = &self.role else {
+            return;
+        };
+        for id in progress.keys().copied().collect::<Vec<_>>() {
+            self.send_append(id, heartbeat, now);
+        }
+    }
+
+    fn send_append(&mut self, to: u64, heartbeat: bool, now: Duration) {
+        let (term, commit) = (self.term, self.commit);
+        let RaftRole::Leader {
+            progress, round, ..
+        } = &mut self.role
+        else {
+            return;
+        };
+        let round = *round;
+        let Some(peer) = progress.get_mut(&to) else {
+            return;
+        };
+        if peer.next <= self.log.snapshot_index() {
+            self.send_snapshot(to, round, now);
+            return;
+        }
+        let prev_index = peer.next - 1;
+        let Some(prev_term) = self.log.term_at(prev_index) else {
+            return;
+        };
+        let entries = self.log.entries_from(peer.next, MAX_ENTRIES);
+        if entries.is_empty() && !heartbeat {
+            return;
+        }
+        peer.next += entries.len() as u64;
+        let message = RaftMessage::Append {
+            term,
+            prev_index,
+            prev_term,
+            entries,
+            commit,
+            round,
+        };
+        self.send(to, message);
+    }
+
+    fn send_snapshot(&mut self, to: u64, round: u64, now: Duration) {
+        let RaftRole::Leader { progress, .. } = &mut self.role else {
+            return;
+        };
+        let Some(peer) = progress.get_mut(&to) else {
+            return;
+        };
+        if peer
+            .snapshot_sent
+            .is_some_and(|at| now < at + SNAPSHOT_RESEND)
+        {
+            return;
+        }
+        peer.snapshot_sent = Some(now);
+        let data = self.log.snapshot_data().to_vec();
+        let total = data.len() as u64;
+        let (index, last_term) = (self.log.snapshot_index(), self.log.snapshot_term());
+        let term = self.term;
+        let mut offset = 0;
+        for part in data.chunks(SNAPSHOT_PART_BYTES) {
+            let data = part.to_vec();
+            let message = RaftMessage::Snapshot {
+                term,
+                index,
+                last_term,
+                offset,
+                total,
+                data,
+                round,
+            };
+            offset += part.len() as u64;
+            self.send(to, message);
+        }
+    }
+
+    pub(super) fn reject_append(&mut self, from: u64, round: u64) {
+        let reply = RaftMessage::AppendReply {
+            term: self.term,
+            matched: false,
+            index: self.log.last_index(),
+            round,
+        };
+        self.send(from, reply);
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: u64,
+        prev: (u64, u64),
+        entries: Vec<LogEntry>,
+        commit: u64,
+        round: u64,
+    ) {
+        let (prev_index, prev_term) = prev;
+        let covered = prev_index < self.log.snapshot_index();
+        if !covered && self.log.term_at(prev_index) != Some(prev_term) {
+            let reply = RaftMessage::AppendReply {
+                term: self.term,
+                matched: false,
+                index: self.conflict_hint(prev_index),
+                round,
+            };
+            self.send(from, reply);
+            return;
+        }
+        let last = prev_index + entries.len() as u64;
+        let heartbeat = entries.is_empty();
+        for entry in entries {
+            let known = entry.index <= self.log.snapshot_index()
+                || self.log.term_at(entry.index) == Some(entry.term);
+            if !known {
+                self.append_entry(entry);
+            }
+        }
+        self.commit_to(commit.min(last));
+        let term = self.term;
+        if heartbeat {
+            // Answered at once, so that a slow disk doesn't look like a lost replica.
+            let index = last.min(self.synced_index);
+            self.send(
+                from,
+                RaftMessage::AppendReply {
+                    term,
+                    matched: true,
+                    index,
+                    round,
+                },
+            );
+        } else {
+            let reply = RaftMessage::AppendReply {
+                term,
+                matched: true,
+                index: last,
+                round,
+            };
+            self.send_synced(from, reply);
+        }
+    }
+
+    /// Returns the index that a leader should go back to: before the whole conflicting term.
+    fn conflict_hint(&self, prev_index: u64) -> u64 {
+        let last = self.log.last_index();
+        if prev_index > last {
+            return last;
+        }
+        let Some(term) = self.log.term_at(prev_index) else {
+            return self.log.snapshot_index();
+        };
+        let mut index = prev_index;
+        while index > self.log.snapshot_index() && self.log.term_at(index) == Some(term) {
+            index -= 1;
+        }
+        index
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        from: u64,
+        term: u64,
+        matched: bool,
+        index: u64,
+        round: u64,
+        now: Duration,
+    ) {
+        if term > self.term {
+            self.become_follower(term, None, now);
+            return;
+        }
+        let last = self.log.last_index();
+        let sent = self
+            .round_times
+            .iter()
+            .find(|(r, _)| *r == round)
+            .map(|(_, at)| *at);
+        let RaftRole::Leader { progress, .. } = &mut self.role else {
+            return;
+        };
+        let Some(peer) = progress.get_mut(&from) else {
+            return;
+        };
+        if term != self.term {
+            return;
+        }
+        if let Some(sent) = sent {
+            peer.contact = peer.contact.max(sent);
+        }
+        if matched {
+            peer.matched = peer.matched.max(index);
+            peer.next = peer.next.max(index + 1);
+            peer.snapshot_sent = None;
+        } else {
+            peer.next = (index + 1).clamp(peer.matched + 1, last + 1);
+        }
+        let behind = peer.next <= last;
+        self.advance_commit(now);
+        if behind {
+            self.send_append(from, false, now);
+        }
+    }
+
+    pub(super) fn on_snapshot(
+        &mut self,
+        from: u64,
+        place: (u64, u64),
+        part: (u64, u64),
+        data: Vec<u8>,
+        round: u64,
+    ) {
+        let (index, last_term) = place;
+        let (offset, total) = part;
+        if offset == 0 {
+            self.incoming_snapshot.clear();
+        }
+        if offset != self.incoming_snapshot.len() as u64 {
+            return;
+        }
+        self.incoming_snapshot.extend_from_slice(&data);
+        if (self.incoming_snapshot.len() as u64) < total {
+            return;
+        }
+        let data = std::mem::take(&mut self.incoming_snapshot);
+        if index > self.commit {
+            self.install_snapshot(index, last_term, data);
+        }
+        let index = index.max(self.commit).min(self.log.last_index());
+        let reply = RaftMessage::AppendReply {
+            term: self.term,
+            matched: true,
+            index,
+            round,
+        };
+        self.send_synced(from, reply);
+    }
+
+    fn install_snapshot(&mut self, index: u64, last_term: u64, data: Vec<u8>) {
+        self.base_members = crate::state::members_of_snapshot(&data);
+        self.log.replace(index, last_term, data.clone());
+        self.commit = index;
+        self.applied = index;
+        self.unsynced_entries.clear();
+        self.synced_index = 0;
+        self.recompute_members();
+        self.persist(Record::Snapshot {
+            index,
+            term: last_term,
+            members: self.base_members.clone(),
+            data: data.clone(),
+        });
+        self.unsynced_entries
+            .push_back((self.persist_sequence, index));
+        self.out.push(RaftOutput::Restore(data));
+    }
+
+    pub(super) fn advance_commit(&mut self, _now: Duration) {
+        let RaftRole::Leader { progress, .. } = &self.role else {
+            return;
+        };
+        let voters = self.members.iter().filter(|m| m.voter);
+        let mut synced: Vec<u64> = voters
+            .map(|m| {
+                if m.id == self.id {
+                    self.synced_index
+                } else {
+                    progress.get(&m.id).map_or(0, |p| p.matched)
+                }
+            })
+            .collect();
+        synced.sort_unstable();
+        let Some(index) = synced.len().checked_sub(1).map(|n| synced[n / 2]) else {
+            return;
+        };
+        // Only an entry of the own term is committed by counting (section 5.4.2 of the paper).
+        if index > self.commit && self.log.term_at(index) == Some(self.term) {
+            self.commit_to(index);
+        }
+    }
+
+    fn commit_to(&mut self, index: u64) {
+        self.commit = self.commit.max(index.min(self.log.last_index()));
+        while self.applied < self.commit {
+            let Some(entry) = self.log.entry(self.applied + 1) else {
+                return;
+            };
+            let entry = entry.clone();
+            self.applied += 1;
+            self.out.push(RaftOutput::Apply(entry));
+        }
+    }
+
+    /// Returns whether enough entries were applied for a snapshot to replace them.
+    pub fn wants_snapshot(&self) -> bool {
+        let applied = self.applied - self.log.snapshot_index();
+        applied as usize >= self.timing.snapshot_entries
+    }
+
+    /// Replaces the applied entries by `data`, the state at the last applied index.
+    pub fn compact(&mut self, data: Vec<u8>) {
+        let index = self.applied;
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        self.base_members = self.members_at(index);
+        self.log.compact(index, term, data);
+        let mut records = vec![
+            Record::Identity {
+                id: self.id,
+                boot: self.boot,
+            },
+            Record::HardState {
+                term: self.term,
+                voted_for: self.voted_for,
+            },
+            Record::Snapshot {
+                index,
+                term,
+                members: self.base_members.clone(),
+                data: self.log.snapshot_data().to_vec(),
+            },
+        ];
+        let boots = self.peer_boots.iter();
+        records.extend(boots.map(|(id, (boot, nonce))| Record::PeerBoot {
+            id: *id,
+            boot: *boot,
+            nonce: *nonce,
+        }));
+        records.extend(self.log.entries().iter().cloned().map(Record::Entry));
+        self.persist_sequence += 1;
+        self.out.push(RaftOutput::Rewrite(records));
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/state/mod.rs
@@ -0,0 +1,219 @@
+//! The replicated state: what the log's entries lead to, alike at each replica.
+
+mod audit;
+mod claims;
+mod publishing;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use dotterelrudder_config::Configuration;
+use dotterelrudder_types::AttemptId;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::WeightVersion;
+use dotterelrudder_wire::ClaimKey;
+use dotterelrudder_wire::Command;
+use dotterelrudder_wire::CommandResult;
+use dotterelrudder_wire::LogEntry;
+use dotterelrudder_wire::Member;
+use serde::Deserialize;
+use serde::Serialize;
+
+pub use audit::AuditRow;
+use audit::AuditTrail;
+use claims::Claims;
+use claims::KeptAnswer;
+use publishing::ChangeHistory;
+
+/// An order that was issued to a side.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct IssuedOrder {
+    pub(crate) fence: u64,
+    pub(crate) version: WeightVersion,
+    pub(crate) at_ms: u64,
+}
+
+/// Everything that the log holds, as of one index.
+///
+/// ```
+/// use dotterelrudder_control::ReplicatedState;
+/// assert_eq!(ReplicatedState::default().configuration().revision.0, 0);
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ReplicatedState {
+    index: u64,
+    configuration: Configuration,
+    history: ChangeHistory,
+    claims: Claims,
+    sides: BTreeMap<InstanceName, u64>,
+    orders: BTreeMap<InstanceName, IssuedOrder>,
+    draining: BTreeSet<InstanceName>,
+    members: Vec<Member>,
+    audit: AuditTrail,
+}
+
+impl ReplicatedState {
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// Returns the index of the last entry applied.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Returns the instances asked to drain.
+    pub fn draining(&self) -> Vec<InstanceName> {
+        self.draining.iter().cloned().collect()
+    }
+
+    /// Returns the audit trail, oldest row first.
+    pub fn audit(&self) -> &[AuditRow] {
+        self.audit.rows()
+    }
+
+    /// Returns the number of claims whose answers are kept.
+    pub fn claim_count(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns the claims that are held, with their holders.
+    pub(crate) fn held_claims(&self) -> Vec<(ClaimKey, InstanceName, AttemptId)> {
+        self.claims.held()
+    }
+
+    pub(crate) fn history(&self) -> &ChangeHistory {
+        &self.history
+    }
+
+    pub(crate) fn orders(&self) -> &BTreeMap<InstanceName, IssuedOrder> {
+        &self.orders
+    }
+
+    /// Applies the next entry.
+    pub fn apply(&mut self, entry: &LogEntry) -> CommandResult {
+        self.index = entry.index;
+        match &entry.command {
+            Command::Noop => CommandResult::Done,
+            Command::Publish {
+                change_id,
+                base,
+                author,
+                at_ms,
+                content,
+                change,
+            } => self.publish(change_id, *base, author, *at_ms, *content, change),
+            Command::Claim {
+                key,
+                holder,
+                incarnation,
+                attempt,
+                at_ms,
+            } => {
+                let holder = (holder.clone(), *incarnation, *attempt);
+                CommandResult::Claim(self.claims.open(key, holder, *at_ms))
+            }
+            Command::FinishClaim {
+                key,
+                attempt,
+                status,
+                content_type,
+                body,
+                usage,
+                at_ms,
+            } => {
+                let answer = KeptAnswer {
+                    status: *status,
+                    content_type: content_type.clone(),
+                    body: body.clone(),
+                    usage: *usage,
+                };
+                self.claims.finish(key, *attempt, answer, *at_ms);
+                CommandResult::Done
+            }
+            Command::ReleaseClaim { key, attempt } => {
+                self.claims.release(key, *attempt);
+                CommandResult::Done
+            }
+            Command::LoseClaim { key, attempt } => {
+                self.claims.lose(key, *attempt);
+                CommandResult::Done
+            }
+            Command::RegisterSide { side, incarnation } => {
+                self.sides.insert(side.clone(), *incarnation);
+                self.claims.lose_other_incarnations(side, *incarnation);
+                CommandResult::Fence(self.orders.get(side).map_or(0, |o| o.fence))
+            }
+            Command::IssueOrder {
+                side,
+                version,
+                at_ms,
+            } => {
+                let order = IssuedOrder {
+                    fence: entry.index,
+                    version: version.clone(),
+                    at_ms: *at_ms,
+                };
+                self.orders.insert(side.clone(), order);
+                CommandResult::Fence(entry.index)
+            }
+            Command::Drain {
+                instance,
+                on,
+                author,
+                at_ms,
+            } => self.drain(instance, *on, author, *at_ms),
+            Command::Members { members } => {
+                self.members = members.clone();
+                CommandResult::Done
+            }
+        }
+    }
+
+    fn drain(
+        &mut self,
+        instance: &InstanceName,
+        on: bool,
+        author: &str,
+        at_ms: u64,
+    ) -> CommandResult {
+        if on {
+            self.draining.insert(instance.clone());
+        } else {
+            self.draining.remove(instance);
+        }
+        self.audit.push(AuditRow {
+            index: self.index,
+            at_ms,
+            author: author.into(),
+            change_id: "".into(),
+            base: self.configuration.revision,
+            outcome: "accepted".into(),
+            lines: vec![format!(
+                "drain \"{instance}\" {}",
+                if on { "on" } else { "off" }
+            )],
+        });
+        CommandResult::Done
+    }
+
+    /// Encodes the state for a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        bincode::serde::encode_to_vec(self, bincode::config::standard())
+            .expect("the state holds only types that bincode can write")
+    }
+
+    /// Reads a snapshot; `None` when it isn't one.
+    pub fn decode(data: &[u8]) -> Option<Self> {
+        let decoded = bincode::serde::decode_from_slice(data, bincode::config::standard());
+        decoded.ok().map(|(state, _)| state)
+    }
+}
+
+/// Returns the members that a snapshot holds.
+pub(crate) fn members_of_snapshot(data: &[u8]) -> Vec<Member> {
+    ReplicatedState::decode(data)
+        .map(|s| s.members)
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/subscribers.rs
@@ -0,0 +1,82 @@
+//! The processes that follow the configuration, and what each has in force.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Revision;
+use dotterelrudder_wire::LoadReport;
+use dotterelrudder_wire::Message;
+
+use crate::ReplicatedState;
+
+/// A process that closed its connection this long ago doesn't count as live any more.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+#[derive(Debug, Default)]
+pub(crate) struct Subscriber {
+    pub(crate) connected: bool,
+    pub(crate) closed_at: Option<Duration>,
+    pub(crate) follows: bool,
+    pub(crate) sent: Revision,
+    pub(crate) in_force: Revision,
+    pub(crate) load: Option<LoadReport>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Subscribers {
+    pub(crate) by_name: BTreeMap<InstanceName, Subscriber>,
+}
+
+impl Subscribers {
+    pub(crate) fn opened(&mut self, peer: &InstanceName) {
+        let subscriber = self.by_name.entry(peer.clone()).or_default();
+        subscriber.connected = true;
+        subscriber.closed_at = None;
+        subscriber.follows = false;
+    }
+
+    pub(crate) fn closed(&mut self, peer: &InstanceName, now: Duration) {
+        if let Some(subscriber) = self.by_name.get_mut(peer) {
+            subscriber.connected = false;
+            subscriber.follows = false;
+            subscriber.closed_at = Some(now);
+            subscriber.load = None;
+        }
+    }
+
+    pub(crate) fn forget_old(&mut self, now: Duration) {
+        self.by_name
+            .retain(|_, s| s.closed_at.is_none_or(|at| now < at + FORGET_AFTER));
+    }
+
+    pub(crate) fn get_mut(&mut self, peer: &InstanceName) -> &mut Subscriber {
+        self.by_name.entry(peer.clone()).or_default()
+    }
+
+    /// Counts live processes with `revision` in force, and all live ones.
+    pub(crate) fn count_in_force(&self, revision: Revision) -> (usize, usize) {
+        let live = self.by_name.values().filter(|s| s.connected);
+        let holding = live.clone().filter(|s| s.in_force >= revision).count();
+        (holding, live.count())
+    }
+}
+
+/// Builds what brings a process from the revision it holds to the newest.
+pub(crate) fn catch_up_message(state: &ReplicatedState, held: Revision) -> Message {
+    let cfg = state.configuration();
+    if held >= cfg.revision {
+        return Message::Confirmed {
+            revision: cfg.revision,
+            draining: state.draining(),
+        };
+    }
+    match state.history().delta_from(held) {
+        Some(change) if held.0 > 0 => Message::Delta {
+            from: held,
+            to: cfg.revision,
+            change: Box::new(change),
+        },
+        _ => Message::Update(Box::new(cfg.clone())),
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/entry/actor.rs
@@ -0,0 +1,207 @@
+//! The actor that owns an entry's core.
+
+use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use dotterelrudder_route::AnswerEvent;
+use dotterelrudder_route::EntryCore;
+use dotterelrudder_route::Input;
+use dotterelrudder_route::Output;
+use dotterelrudder_route::Target;
+use dotterelrudder_types::Clock;
+use ractor::Actor;
+use ractor::ActorProcessingErr;
+use ractor::ActorRef;
+use slog::info;
+use slog::Logger;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
+
+use crate::link::LinkEvent;
+use crate::link::LinkHub;
+use crate::metrics::Metrics;
+use crate::system_clock::SystemClock;
+
+/// A caller's request with the way back to it.
+#[derive(Debug)]
+pub(super) struct NewRequest {
+    pub(super) id: u64,
+    pub(super) key: Option<CompactString>,
+    pub(super) target: Target,
+    pub(super) time_limit: Duration,
+    pub(super) idempotency_key: Option<CompactString>,
+    pub(super) answers: UnboundedSender<AnswerEvent>,
+}
+
+/// What the actor is told.
+#[derive(Debug)]
+pub(super) enum EntryMessage {
+    /// Time passed.
+    Tick,
+    /// Something happened on a connection.
+    Link(LinkEvent),
+    /// A caller sent a request.
+    Request(Box<NewRequest>),
+    /// Another event for the core.
+    Input(Input),
+}
+
+/// What the actor owns.
+pub(super) struct EntryState {
+    pub(super) core: EntryCore,
+    pub(super) clock: SystemClock,
+    pub(super) hub: LinkHub,
+    pub(super) metrics: Metrics,
+    pub(super) log: Logger,
+    pub(super) ready: Arc<AtomicBool>,
+    pub(super) done: watch::Sender<bool>,
+    pub(super) callers: HashMap<u64, (UnboundedSender<AnswerEvent>, Duration, bool)>,
+}
+
+/// Runs an entry's core.
+pub(super) struct EntryActor;
+
+impl Actor for EntryActor {
+    type Msg = EntryMessage;
+    type State = EntryState;
+    type Arguments = EntryState;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        state: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        message: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        let input = match message {
+            EntryMessage::Tick => {
+                state.metrics.set_links(state.hub.open_links());
+                state.metrics.set_open(state.core.open_requests());
+                Input::Tick
+            }
+            EntryMessage::Input(input) => input,
+            EntryMessage::Link(event) => link_input(event),
+            EntryMessage::Request(req) => state.take_request(*req),
+        };
+        state.step(input);
+        Ok(())
+    }
+}
+
+fn link_input(event: LinkEvent) -> Input {
+    match event {
+        LinkEvent::Opened {
+            peer,
+            role,
+            incarnation,
+            ..
+        } => Input::Opened {
+            peer,
+            role,
+            incarnation,
+        },
+        LinkEvent::Closed { peer } => Input::Closed { peer },
+        LinkEvent::Message {
+            peer,
+            revision,
+            message,
+        } => Input::Message {
+            from: peer,
+            revision,
+            message,
+        },
+    }
+}
+
+impl EntryState {
+    fn take_request(&mut self, req: NewRequest) -> Input {
+        let NewRequest {
+            id,
+            key,
+            target,
+            time_limit,
+            idempotency_key,
+            answers,
+        } = req;
+        self.metrics.count_request();
+        self.callers.insert(id, (answers, self.clock.now(), false));
+        Input::Request {
+            id,
+            key,
+            target,
+            time_limit,
+            idempotency_key,
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        let now = self.clock.now();
+        let mut out = Vec::new();
+        self.core.handle(now, input, &mut out);
+        for output in out {
+            self.carry_out(output, now);
+        }
+        self.ready.store(self.core.is_ready(), Ordering::Relaxed);
+    }
+
+    fn carry_out(&mut self, output: Output, now: Duration) {
+        match output {
+            Output::Send { to, message } => self.hub.send(&to, message),
+            Output::Respond { id, event } => self.respond(id, event, now),
+            Output::Placed { id, attempt, side } => {
+                let revision = self.core.revision().0;
+                info!(self.log, "placed"; "request" => id, "attempt" => attempt.to_string(),
+                    "side" => side.as_str(), "revision" => revision);
+            }
+            Output::InForce { revision } => {
+                info!(self.log, "configuration in force"; "revision" => revision.0);
+                self.hub.set_revision(revision);
+                self.metrics.set_revision(revision.0);
+            }
+            Output::Exit => {
+                let _watched = self.done.send(true);
+            }
+        }
+    }
+
+    fn respond(&mut self, id: u64, event: AnswerEvent, now: Duration) {
+        let Some((tx, since, began)) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let mut last = false;
+        match &event {
+            AnswerEvent::Piece(_) if !*began => {
+                *began = true;
+                self.metrics
+                    .record_first_token(now.saturating_sub(*since).as_secs_f64());
+            }
+            AnswerEvent::Finished(usage) => {
+                last = true;
+                self.metrics.count_usage(*usage);
+            }
+            AnswerEvent::Refused(refusal) => {
+                last = true;
+                self.metrics.count_refusal(refusal.kind.row().code);
+                info!(self.log, "refused"; "request" => id, "kind" => refusal.kind.row().code,
+                    "outcome" => refusal.outcome.as_str(), "detail" => refusal.detail.as_str());
+            }
+            _ => {}
+        }
+        // A caller that went away is noted by its own event.
+        let _gone = tx.send(event).is_err();
+        if last {
+            self.callers.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/entry/callers.rs
@@ -0,0 +1,201 @@
+//! The HTTP interface to callers.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use dotterelrudder_route::Target;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::Refusal;
+use http::header::HeaderValue;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use ractor::ActorRef;
+
+use super::actor::EntryMessage;
+use super::actor::NewRequest;
+use super::answers;
+use super::answers::AnswerEvents;
+use super::answers::AnswerForm;
+use super::openai;
+use super::openai::Endpoint;
+use crate::http_server::read_body;
+use crate::http_server::refusal_answer;
+use crate::http_server::AnswerBody;
+
+/// The time for an answer when the caller gives none.
+const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(120);
+/// The longest time that a caller can give; sides remember attempts for longer.
+const MAX_TIME_LIMIT_MS: u64 = 600_000;
+/// The longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 128;
+
+/// Takes the requests of callers.
+#[derive(Clone)]
+pub(super) struct Callers {
+    pub(super) actor: ActorRef<EntryMessage>,
+    pub(super) next_id: Arc<AtomicU64>,
+    pub(super) stopping: Arc<AtomicBool>,
+}
+
+struct CallHeaders {
+    key: Option<CompactString>,
+    time_limit: Duration,
+    idempotency_key: Option<CompactString>,
+}
+
+impl Callers {
+    /// Answers one request. While the entry leaves, the connection isn't offered for another one.
+    pub(super) async fn handle(self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let stopping = self.stopping.clone();
+        let mut response = self.route(req).await;
+        if stopping.load(Ordering::Relaxed) {
+            let close = HeaderValue::from_static("close");
+            response
+                .headers_mut()
+                .insert(http::header::CONNECTION, close);
+        }
+        response
+    }
+
+    async fn route(self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let headers = match read_headers(req.headers()) {
+            Ok(headers) => headers,
+            Err(refusal) => return refusal_answer(&refusal),
+        };
+        let endpoint = match req.uri().path() {
+            "/v1/completions" => Some(Endpoint::Completions),
+            "/v1/chat/completions" => Some(Endpoint::Chat),
+            _ => None,
+        };
+        match endpoint {
+            Some(endpoint) if req.method() == http::Method::POST => {
+                self.completion(endpoint, req, headers).await
+            }
+            Some(_) => {
+                let detail = format!("method {} isn't allowed here; allowed: POST", req.method());
+                refusal_answer(&Refusal::new(ErrorKind::BadRequest, detail))
+            }
+            None => self.call(req, headers).await,
+        }
+    }
+
+    async fn completion(
+        self,
+        endpoint: Endpoint,
+        req: Request<Incoming>,
+        headers: CallHeaders,
+    ) -> Response<AnswerBody> {
+        let body = match read_body(req.into_body()).await {
+            Ok(body) => body,
+            Err(refusal) => return refusal_answer(&refusal),
+        };
+        let read = match openai::read(endpoint, &body) {
+            Ok(read) => read,
+            Err(refusal) => return refusal_answer(&refusal),
+        };
+        let (model, stream) = (read.model.to_string(), read.stream);
+        let target = Target::Completion {
+            model: read.model,
+            prompt: read.prompt,
+            max_tokens: read.max_tokens,
+        };
+        let events = self.submit(target, headers);
+        let form = AnswerForm {
+            endpoint,
+            id: format!("cmpl-{}", events.id),
+            model,
+        };
+        answers::completion(events, form, stream).await
+    }
+
+    async fn call(self, req: Request<Incoming>, headers: CallHeaders) -> Response<AnswerBody> {
+        let method = CompactString::from(req.method().as_str());
+        let path = req
+            .uri()
+            .path_and_query()
+            .map_or("/", |p| p.as_str())
+            .into();
+        let content_type = header(req.headers(), "content-type").unwrap_or_default();
+        let body = match read_body(req.into_body()).await {
+            Ok(body) => body,
+            Err(refusal) => return refusal_answer(&refusal),
+        };
+        let target = Target::Call {
+            method,
+            path,
+            content_type,
+            body,
+        };
+        answers::call(self.submit(target, headers)).await
+    }
+
+    fn submit(self, target: Target, headers: CallHeaders) -> AnswerEvents {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = tokio::sync::mpsc::unbounded_channel();
+        let CallHeaders {
+            key,
+            time_limit,
+            idempotency_key,
+        } = headers;
+        let req = NewRequest {
+            id,
+            key,
+            target,
+            time_limit,
+            idempotency_key,
+            answers: tx,
+        };
+        // When the actor is gone, the closed channel becomes the answer.
+        let _stopped = self
+            .actor
+            .send_message(EntryMessage::Request(Box::new(req)))
+            .is_err();
+        AnswerEvents {
+            id,
+            rx,
+            actor: self.actor,
+            ended: false,
+        }
+    }
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<CompactString> {
+    headers
+        .get(name)
+        .and_then(|v| v.to_str().ok())
+        .map(CompactString::from)
+}
+
+fn read_headers(headers: &HeaderMap) -> Result<CallHeaders, Refusal> {
+    let key = header(headers, "authorization")
+        .and_then(|value| value.strip_prefix("Bearer ").map(CompactString::from));
+    let time_limit = match header(headers, "x-time-limit-ms") {
+        None => DEFAULT_TIME_LIMIT,
+        Some(text) => match text.parse::<u64>() {
+            Ok(ms) => Duration::from_millis(ms.min(MAX_TIME_LIMIT_MS)),
+            Err(_) => {
+                let detail = format!("x-time-limit-ms can't be \"{text}\"; allowed: milliseconds");
+                return Err(Refusal::new(ErrorKind::BadRequest, detail));
+            }
+        },
+    };
+    let idempotency_key = header(headers, "idempotency-key");
+    if idempotency_key
+        .as_ref()
+        .is_some_and(|k| k.is_empty() || k.len() > MAX_KEY_BYTES)
+    {
+        let detail = format!("idempotency-key has to have from 1 to {MAX_KEY_BYTES} bytes");
+        return Err(Refusal::new(ErrorKind::BadRequest, detail));
+    }
+    Ok(CallHeaders {
+        key,
+        time_limit,
+        idempotency_key,
+    })
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/entry/daemon.rs
@@ -0,0 +1,175 @@
+//! Starts an entry and stops it without cutting off a request.
+
+use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelrudder_route::EntryCore;
+use dotterelrudder_route::EntrySettings;
+use dotterelrudder_route::Input;
+use dotterelrudder_route::Policy;
+use dotterelrudder_types::Revision;
+use dotterelrudder_types::Role;
+use dotterelrudder_wire::Hello;
+use dotterelrudder_wire::PROTOCOL_VERSION;
+use ractor::Actor;
+use ractor::ActorRef;
+use slog::info;
+use tokio::sync::watch;
+
+use super::actor::EntryActor;
+use super::actor::EntryMessage;
+use super::actor::EntryState;
+use super::callers::Callers;
+use crate::http_server;
+use crate::instance_list;
+use crate::instance_list::ListedInstance;
+use crate::link::LinkHub;
+use crate::logging;
+use crate::metrics::Metrics;
+use crate::settings::read_secret;
+use crate::settings::EntryFile;
+use crate::start::stop_signal;
+use crate::system_clock::SystemClock;
+
+/// How often the core is told the time.
+const TICK: Duration = Duration::from_millis(20);
+/// How long the last answers may take on their way out after the last request ended.
+const FLUSH: Duration = Duration::from_millis(200);
+
+/// Runs an entry until it was asked to stop and all its requests have their answers.
+///
+/// # Errors
+///
+/// Returns what the system refused at the start.
+pub async fn run(file: EntryFile) -> Result<(), String> {
+    let policy = match file.policy.as_str() {
+        "" => Policy::default(),
+        name => Policy::from_name(name).ok_or_else(|| {
+            let allowed: Vec<_> = Policy::NAMES.iter().map(|(name, _)| *name).collect();
+            format!(
+                "policy can't be \"{name}\"; allowed: {}",
+                allowed.join(", ")
+            )
+        })?,
+    };
+    let log = logging::logger(Role::Entry.as_str(), file.common.name.as_str());
+    let incarnation = rand::random();
+    let hello = Hello {
+        protocol: PROTOCOL_VERSION,
+        secret: read_secret(&file.common.secret_file)?,
+        name: file.common.name.clone(),
+        role: Role::Entry,
+        data_centre: file.common.data_centre.clone(),
+        incarnation,
+        revision: Revision::default(),
+    };
+    let slot: Arc<std::sync::OnceLock<ActorRef<EntryMessage>>> = Arc::default();
+    let sink = slot.clone();
+    let hub = LinkHub::new(hello, log.clone(), move |event| {
+        if let Some(actor) = sink.get() {
+            let _stopped = actor.send_message(EntryMessage::Link(event)).is_err();
+        }
+    });
+    let (done, mut finished) = watch::channel(false);
+    let ready = Arc::new(AtomicBool::new(false));
+    let metrics = Metrics::new()?;
+    let core = EntryCore::new(EntrySettings {
+        name: file.common.name.clone(),
+        controls: file
+            .common
+            .controls
+            .iter()
+            .map(|c| c.name.clone())
+            .collect(),
+        incarnation,
+        policy,
+    });
+    let state = EntryState {
+        core,
+        clock: SystemClock::default(),
+        hub: hub.clone(),
+        metrics: metrics.clone(),
+        log: log.clone(),
+        ready: ready.clone(),
+        done,
+        callers: HashMap::new(),
+    };
+    let spawned = Actor::spawn(None, EntryActor, state).await;
+    let (actor, _handle) = spawned.map_err(|e| e.to_string())?;
+    slot.get_or_init(|| actor.clone());
+    let stopping = Arc::new(AtomicBool::new(false));
+    let (is_ready, is_stopping) = (ready, stopping.clone());
+    http_server::serve_admin(file.common.admin, metrics, move || {
+        is_ready.load(Ordering::Relaxed) && !is_stopping.load(Ordering::Relaxed)
+    })
+    .await?;
+    let (stop, stopped) = watch::channel(false);
+    let callers = Callers {
+        actor: actor.clone(),
+        next_id: Arc::new(AtomicU64::new(1)),
+        stopping: stopping.clone(),
+    };
+    let connections =
+        http_server::serve(file.listen, stopped, move |req| callers.clone().handle(req)).await?;
+    tokio::spawn(follow_list(file.clone(), hub, actor.clone(), log.clone()));
+    tokio::spawn(tick(actor.clone()));
+    info!(log, "started"; "listen" => %file.listen);
+
+    stop_signal().await?;
+    info!(log, "stopping");
+    stopping.store(true, Ordering::Relaxed);
+    // The balancer needs a moment to see that this entry isn't ready any more.
+    tokio::time::sleep(Duration::from_millis(file.drain_grace_ms)).await;
+    let _watched = stop.send(true);
+    connections.closed().await;
+    let _stopped = actor
+        .send_message(EntryMessage::Input(Input::Stop))
+        .is_err();
+    let _ended = finished.wait_for(|done| *done).await;
+    tokio::time::sleep(FLUSH).await;
+    info!(log, "stopped");
+    Ok(())
+}
+
+async fn tick(actor: ActorRef<EntryMessage>) {
+    while actor.send_message(EntryMessage::Tick).is_ok() {
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+async fn follow_list(
+    file: EntryFile,
+    hub: LinkHub,
+    actor: ActorRef<EntryMessage>,
+    log: slog::Logger,
+) {
+    let controls = file
+        .common
+        .controls
+        .iter()
+        .map(|c| (c.name.clone(), c.address));
+    let controls: Vec<_> = controls.collect();
+    hub.set_targets(&controls);
+    let take = move |rows: Vec<ListedInstance>| {
+        let sides = rows.iter().filter(|row| row.role == Role::Side.as_str());
+        let leaving = sides
+            .clone()
+            .filter(|row| row.is_leaving())
+            .map(|row| row.name.clone());
+        let entries = rows.iter().filter(|row| row.role == Role::Entry.as_str());
+        let entries = entries.filter(|row| !row.is_leaving()).count() as u32;
+        let listed = Input::Listed {
+            entries,
+            leaving: leaving.collect(),
+        };
+        let mut targets = controls.clone();
+        targets.extend(sides.map(|row| (row.name.clone(), row.address)));
+        hub.set_targets(&targets);
+        let _stopped = actor.send_message(EntryMessage::Input(listed)).is_err();
+    };
+    instance_list::poll(file.instance_list, log, take).await;
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/entry/mod.rs
@@ -0,0 +1,9 @@
+//! The entry daemon.
+
+mod actor;
+mod answers;
+mod callers;
+mod daemon;
+mod openai;
+
+pub use daemon::run;
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/entry/openai.rs
@@ -0,0 +1,147 @@
+//! The OpenAI-style endpoints: reading requests, writing answers.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::Refusal;
+use dotterelrudder_wire::Usage;
+use serde::Deserialize;
+use serde_json::json;
+use serde_json::Value;
+
+/// Tokens generated when the caller doesn't say how many.
+const DEFAULT_MAX_TOKENS: u32 = 64;
+/// Tokens that can be asked for at most.
+const MAX_MAX_TOKENS: u32 = 32_768;
+
+/// Which endpoint was called.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum Endpoint {
+    Completions,
+    Chat,
+}
+
+/// A request to either endpoint, in one form.
+#[derive(Debug)]
+pub(super) struct CompletionRequest {
+    pub(super) model: CompactString,
+    pub(super) prompt: Bytes,
+    pub(super) max_tokens: u32,
+    pub(super) stream: bool,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    model: CompactString,
+    prompt: Option<String>,
+    messages: Option<Vec<ChatMessage>>,
+    #[serde(alias = "max_completion_tokens")]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    role: String,
+    content: String,
+}
+
+/// Reads a request's body.
+pub(super) fn read(endpoint: Endpoint, body: &[u8]) -> Result<CompletionRequest, Refusal> {
+    let bad = |detail: String| Refusal::new(ErrorKind::BadRequest, detail);
+    let body: Body = serde_json::from_slice(body).map_err(|e| bad(format!("body: {e}")))?;
+    let max_tokens = body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    if !(1..=MAX_MAX_TOKENS).contains(&max_tokens) {
+        let allowed = format!("from 1 to {MAX_MAX_TOKENS}");
+        return Err(bad(format!(
+            "max_tokens can't be {max_tokens}; allowed: {allowed}"
+        )));
+    }
+    let prompt = match (endpoint, body.prompt, body.messages) {
+        (Endpoint::Completions, Some(prompt), None) => prompt,
+        (Endpoint::Chat, None, Some(messages)) => render_chat(&messages),
+        (Endpoint::Completions, ..) => return Err(bad("completions need \"prompt\" alone".into())),
+        (Endpoint::Chat, ..) => return Err(bad("chat needs \"messages\" alone".into())),
+    };
+    if prompt.is_empty() {
+        return Err(bad("the prompt is empty".into()));
+    }
+    let prompt = Bytes::from(prompt);
+    Ok(CompletionRequest {
+        model: body.model,
+        prompt,
+        max_tokens,
+        stream: body.stream,
+    })
+}
+
+/// Renders a conversation so that a later turn begins with the whole text of an earlier one.
+fn render_chat(messages: &[ChatMessage]) -> String {
+    let mut prompt = String::new();
+    for message in messages {
+        let ChatMessage { role, content } = message;
+        prompt.push_str(&format!("<|{role}|>{content}\n"));
+    }
+    prompt.push_str("<|assistant|>");
+    prompt
+}
+
+fn usage_json(usage: Usage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
+    })
+}
+
+/// Writes a whole answer.
+pub(super) fn whole(endpoint: Endpoint, id: &str, model: &str, text: &str, usage: Usage) -> String {
+    let (object, choice) = match endpoint {
+        Endpoint::Completions => (
+            "text_completion",
+            json!({"index": 0, "text": text, "finish_reason": "length"}),
+        ),
+        Endpoint::Chat => (
+            "chat.completion",
+            json!({
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": "length",
+            }),
+        ),
+    };
+    json!({
+        "id": id,
+        "object": object,
+        "model": model,
+        "choices": [choice],
+        "usage": usage_json(usage),
+    })
+    .to_string()
+}
+
+/// Writes one event of a streamed answer.
+pub(super) fn piece(endpoint: Endpoint, id: &str, model: &str, text: &str) -> Bytes {
+    let (object, choice) = match endpoint {
+        Endpoint::Completions => ("text_completion", json!({"index": 0, "text": text})),
+        Endpoint::Chat => (
+            "chat.completion.chunk",
+            json!({"index": 0, "delta": {"content": text}}),
+        ),
+    };
+    let event = json!({"id": id, "object": object, "model": model, "choices": [choice]});
+    format!("data: {event}\n\n").into()
+}
+
+/// Writes the end of a streamed answer.
+pub(super) fn end(id: &str, model: &str, usage: Usage) -> Bytes {
+    let event = json!({"id": id, "model": model, "choices": [], "usage": usage_json(usage)});
+    format!("data: {event}\n\ndata: [DONE]\n\n").into()
+}
+
+/// Writes the end of a streamed answer that stays incomplete.
+pub(super) fn broken(refusal: &Refusal) -> Bytes {
+    format!("data: {}\n\n", crate::http_server::refusal_json(refusal)).into()
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/http_client.rs
@@ -0,0 +1,124 @@
+//! A small HTTP client with pooled connections.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+
+/// Bytes of an answer that is read whole at most.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// How long connecting may take.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Why a call gave no answer.
+#[derive(Debug, Clone)]
+pub struct CallError {
+    /// Whether any byte of the request can have reached the server.
+    pub sent: bool,
+    /// What went wrong.
+    pub detail: String,
+}
+
+/// Calls HTTP servers; clones share the connections.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_LIMIT));
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+}
+
+impl HttpClient {
+    /// Sends a request and returns the answer with its body unread.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request can have reached the server, and what went wrong.
+    pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
+        self.client.request(req).await.map_err(|e| CallError {
+            sent: !e.is_connect(),
+            detail: source_text(&e),
+        })
+    }
+
+    /// Sends a request and reads the whole answer, within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub async fn fetch(
+        &self,
+        req: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<(u16, Bytes), CallError> {
+        let whole = async {
+            let response = self.send(req).await?;
+            let status = response.status().as_u16();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+                .collect()
+                .await;
+            let body = body.map_err(|e| CallError {
+                sent: true,
+                detail: e.to_string(),
+            })?;
+            Ok((status, body.to_bytes()))
+        };
+        let late = CallError {
+            sent: true,
+            detail: "no answer in time".into(),
+        };
+        tokio::time::timeout(limit, whole)
+            .await
+            .unwrap_or(Err(late))
+    }
+
+    /// Fetches a document by GET.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong; an answer that isn't a success counts as well.
+    pub async fn get(&self, url: &str, limit: Duration) -> Result<Bytes, CallError> {
+        let req = Request::get(url).body(Full::default());
+        let req = req.map_err(|e| CallError {
+            sent: false,
+            detail: e.to_string(),
+        })?;
+        match self.fetch(req, limit).await? {
+            (200..=299, body) => Ok(body),
+            (status, _) => Err(CallError {
+                sent: true,
+                detail: format!("GET {url}: status {status}"),
+            }),
+        }
+    }
+}
+
+/// Writes an error with its causes, which hyper keeps apart.
+fn source_text<E>(error: &E) -> String
+where
+    E: std::error::Error,
+{
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/http_server.rs
@@ -0,0 +1,222 @@
+//! HTTP servers with limits, and the answers that several of them give.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::Refusal;
+use http::header::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::combinators::BoxBody;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::metrics::Metrics;
+
+/// The body of every answer.
+pub type AnswerBody = BoxBody<Bytes, Infallible>;
+
+/// How long a sender may take for its header.
+const HEADER_LIMIT: Duration = Duration::from_secs(10);
+/// How long a sender may take for its body.
+const BODY_LIMIT: Duration = Duration::from_secs(20);
+/// Bytes of a header at most.
+const MAX_HEADER_BYTES: usize = 64 * 1024;
+/// Bytes of a body at most.
+pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// How long to pause after the system refused a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The open connections of a server.
+#[derive(Debug)]
+pub struct Connections {
+    open: mpsc::Receiver<()>,
+}
+
+impl Connections {
+    /// Waits until the server stopped and every connection has ended.
+    pub async fn closed(mut self) {
+        while self.open.recv().await.is_some() {}
+    }
+}
+
+/// Serves HTTP until `stop` turns true, then finishes the requests in work on each connection.
+///
+/// # Errors
+///
+/// Returns what the system says when the address can't be listened at.
+pub async fn serve<H, F>(
+    address: SocketAddr,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) -> Result<Connections, String>
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|e| format!("listen {address}: {e}"))?;
+    let handler = Arc::new(handler);
+    let (alive, open) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let mut stopped = stop.clone();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((tcp, _)) => {
+                        let _nodelay = tcp.set_nodelay(true);
+                        let io = TokioIo::new(tcp);
+                        let (stop, handler, alive) = (stop.clone(), handler.clone(), alive.clone());
+                        tokio::spawn(async move {
+                            serve_connection(io, stop, handler).await;
+                            drop(alive);
+                        });
+                    }
+                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+                },
+                () = wait_for_stop(&mut stopped) => return,
+            }
+        }
+    });
+    Ok(Connections { open })
+}
+
+/// Waits until the server shall stop, or forever when nobody can stop it any more.
+async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
+    if stop.wait_for(|stop| *stop).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn serve_connection<H, F>(
+    io: TokioIo<tokio::net::TcpStream>,
+    mut stop: watch::Receiver<bool>,
+    handler: Arc<H>,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let service = hyper::service::service_fn(move |req| {
+        let answer = handler(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_LIMIT)
+        .max_buf_size(MAX_HEADER_BYTES)
+        .serve_connection(io, service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = wait_for_stop(&mut stop) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ended = connection.await;
+}
+
+/// Reads a whole body within the limits.
+///
+/// # Errors
+///
+/// Returns the refusal for a body that is too large, too slow or broken.
+pub async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, MAX_BODY_BYTES).collect();
+    match tokio::time::timeout(BODY_LIMIT, limited).await {
+        Err(_) => Err(Refusal::new(
+            ErrorKind::SlowSender,
+            "the body took too long",
+        )),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            let detail = format!("the body exceeds {MAX_BODY_BYTES} bytes");
+            Err(Refusal::new(ErrorKind::TooLarge, detail))
+        }
+        Ok(Err(_)) => Err(Refusal::new(ErrorKind::BadRequest, "the body broke off")),
+    }
+}
+
+/// Builds an answer from a status, a media type and a body.
+pub fn answer<B>(status: u16, content_type: &str, body: B) -> Response<AnswerBody>
+where
+    B: Into<Bytes>,
+{
+    let mut response = Response::new(Full::new(body.into()).boxed());
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if let Ok(value) = HeaderValue::from_str(content_type) {
+        response
+            .headers_mut()
+            .insert(http::header::CONTENT_TYPE, value);
+    }
+    response
+}
+
+/// Builds the JSON object that tells a refusal.
+pub fn refusal_json(refusal: &Refusal) -> serde_json::Value {
+    serde_json::json!({"error": {
+        "type": "dotterelrudder_error",
+        "code": refusal.kind.row().code,
+        "outcome": refusal.outcome.as_str(),
+        "message": refusal.detail.as_str(),
+        "retry_after_s": refusal.retry_after.map(|d| d.as_secs()),
+    }})
+}
+
+/// Builds the answer that tells a refusal, with Retry-After where waiting helps.
+pub fn refusal_answer(refusal: &Refusal) -> Response<AnswerBody> {
+    let body = refusal_json(refusal).to_string();
+    let mut response = answer(refusal.kind.row().status, "application/json", body);
+    if let Some(after) = refusal.retry_after {
+        let value = HeaderValue::from(after.as_secs());
+        response
+            .headers_mut()
+            .insert(http::header::RETRY_AFTER, value);
+    }
+    response
+}
+
+/// Serves `/healthz`, `/readyz` and `/metrics`.
+///
+/// # Errors
+///
+/// Returns what the system says when the address can't be listened at.
+pub async fn serve_admin<R>(
+    address: SocketAddr,
+    metrics: Metrics,
+    is_ready: R,
+) -> Result<(), String>
+where
+    R: Fn() -> bool + Send + Sync + 'static,
+{
+    let (_, stop) = watch::channel(false);
+    let is_ready = Arc::new(is_ready);
+    serve(address, stop, move |req| {
+        let (metrics, ready) = (metrics.clone(), is_ready());
+        async move {
+            match req.uri().path() {
+                "/healthz" => answer(200, "text/plain", "ok\n"),
+                "/readyz" if ready => answer(200, "text/plain", "ready\n"),
+                "/readyz" => answer(503, "text/plain", "not ready\n"),
+                "/metrics" => answer(200, "text/plain; version=0.0.4", metrics.render()),
+                path => {
+                    let detail = format!("path \"{path}\" isn't served here");
+                    refusal_answer(&Refusal::new(ErrorKind::NotFound, detail))
+                }
+            }
+        }
+    })
+    .await
+    .map(|_connections| ())
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/link/connection.rs
@@ -0,0 +1,210 @@
+//! One connection: hello, frames both ways, silence.
+
+use std::future::poll_fn;
+use std::sync::atomic::AtomicI32;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_wire::encode_frame;
+use dotterelrudder_wire::Envelope;
+use dotterelrudder_wire::FrameDecoder;
+use dotterelrudder_wire::Hello;
+use dotterelrudder_wire::Message;
+use dotterelrudder_wire::PROTOCOL_VERSION;
+use h2::PingPong;
+use h2::RecvStream;
+use h2::SendStream;
+use slog::info;
+use slog::warn;
+use subtle::ConstantTimeEq;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::timeout;
+
+use super::hub::LinkEvent;
+use super::hub::LinkHub;
+
+/// How long a peer may take for its hello.
+const HELLO_LIMIT: Duration = Duration::from_secs(2);
+/// How often a connection is tested while an exchange waits on it.
+const PING_BUSY: Duration = Duration::from_millis(400);
+/// How often a connection is tested while nothing waits.
+const PING_IDLE: Duration = Duration::from_secs(3);
+/// How long an answer to a test may take before the connection counts as silent.
+const PONG_LIMIT: Duration = Duration::from_millis(1_000);
+/// Messages written at once at most.
+const MAX_BATCH: usize = 256;
+/// The window of a stream, in bytes.
+pub(super) const STREAM_WINDOW: u32 = 4 * 1024 * 1024;
+/// The window of a connection, in bytes.
+pub(super) const CONNECTION_WINDOW: u32 = 8 * 1024 * 1024;
+
+/// The two halves of the stream and the connection's tests.
+pub(super) struct Channel {
+    pub(super) tx: SendStream<Bytes>,
+    pub(super) rx: RecvStream,
+    pub(super) decoder: FrameDecoder,
+    pub(super) ping: Option<PingPong>,
+}
+
+/// Writes all bytes as the peer's window allows.
+async fn write_all(tx: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), String> {
+    while !bytes.is_empty() {
+        tx.reserve_capacity(bytes.len());
+        let granted = poll_fn(|cx| tx.poll_capacity(cx)).await;
+        let granted = granted.ok_or("stream closed")?.map_err(|e| e.to_string())?;
+        let part = bytes.split_to(granted.min(bytes.len()));
+        tx.send_data(part, false).map_err(|e| e.to_string())?;
+    }
+    Ok(())
+}
+
+async fn read_some(channel_rx: &mut RecvStream, decoder: &mut FrameDecoder) -> Result<(), String> {
+    let data = channel_rx
+        .data()
+        .await
+        .ok_or("stream ended")?
+        .map_err(|e| e.to_string())?;
+    decoder.push(&data);
+    channel_rx
+        .flow_control()
+        .release_capacity(data.len())
+        .map_err(|e| e.to_string())
+}
+
+impl Channel {
+    /// Sends this process's hello.
+    pub(super) async fn send_hello(&mut self, hub: &LinkHub) -> Result<(), String> {
+        let mut buf = BytesMut::new();
+        encode_frame(&hub.hello(), &mut buf).map_err(|e| e.to_string())?;
+        write_all(&mut self.tx, buf.freeze()).await
+    }
+
+    /// Reads and checks the peer's hello.
+    pub(super) async fn receive_hello(&mut self, hub: &LinkHub) -> Result<Hello, String> {
+        let read = async {
+            loop {
+                if let Some(hello) = self
+                    .decoder
+                    .take_message::<Hello>()
+                    .map_err(|e| e.to_string())?
+                {
+                    return Ok::<Hello, String>(hello);
+                }
+                read_some(&mut self.rx, &mut self.decoder).await?;
+            }
+        };
+        let hello = timeout(HELLO_LIMIT, read)
+            .await
+            .map_err(|_| "no hello in time")??;
+        if hello.protocol != PROTOCOL_VERSION {
+            let (theirs, name) = (hello.protocol, &hello.name);
+            return Err(format!(
+                "\"{name}\" speaks protocol {theirs}, not {PROTOCOL_VERSION}"
+            ));
+        }
+        if !bool::from(hello.secret.as_bytes().ct_eq(hub.secret().as_bytes())) {
+            return Err(format!(
+                "\"{}\" doesn't present the deployment's secret",
+                hello.name
+            ));
+        }
+        Ok(hello)
+    }
+}
+
+/// Runs a connection whose hellos were exchanged until it ends.
+pub(super) async fn run(hub: &LinkHub, peer: Hello, channel: Channel) {
+    let waiting = Arc::new(AtomicI32::new(0));
+    let (number, messages) = hub.register(&peer, waiting.clone());
+    info!(hub.log(), "link opened"; "peer" => peer.name.as_str());
+    let Channel {
+        tx,
+        rx,
+        decoder,
+        ping,
+    } = channel;
+    let ended = tokio::select! {
+        e = write_messages(hub, tx, messages) => e,
+        e = read_messages(hub, &peer.name, number, rx, decoder, &waiting) => e,
+        e = test_silence(ping, &waiting) => e,
+    };
+    let reason = ended.err().unwrap_or_default();
+    warn!(hub.log(), "link closed"; "peer" => peer.name.as_str(), "reason" => reason);
+    hub.unregister(&peer.name, number);
+}
+
+async fn write_messages(
+    hub: &LinkHub,
+    mut tx: SendStream<Bytes>,
+    mut messages: UnboundedReceiver<Message>,
+) -> Result<(), String> {
+    let mut batch = Vec::with_capacity(MAX_BATCH);
+    let mut buf = BytesMut::new();
+    loop {
+        if messages.recv_many(&mut batch, MAX_BATCH).await == 0 {
+            return Err("replaced by a newer connection".into());
+        }
+        let revision = hub.revision();
+        for message in batch.drain(..) {
+            let envelope = Envelope { revision, message };
+            if let Err(e) = encode_frame(&envelope, &mut buf) {
+                warn!(hub.log(), "message not sent"; "error" => e.to_string());
+            }
+        }
+        write_all(&mut tx, buf.split().freeze()).await?;
+    }
+}
+
+async fn read_messages(
+    hub: &LinkHub,
+    peer: &InstanceName,
+    number: u64,
+    mut rx: RecvStream,
+    mut decoder: FrameDecoder,
+    waiting: &AtomicI32,
+) -> Result<(), String> {
+    loop {
+        while let Some(envelope) = decoder
+            .take_message::<Envelope>()
+            .map_err(|e| e.to_string())?
+        {
+            let Envelope { revision, message } = envelope;
+            let delta = message.waiting_delta();
+            if delta < 0 {
+                let fewer = |n: i32| Some((n + delta).max(0));
+                let _updated = waiting.fetch_update(Ordering::Relaxed, Ordering::Relaxed, fewer);
+            }
+            if !hub.is_current(peer, number) {
+                return Err("replaced by a newer connection".into());
+            }
+            hub.emit(LinkEvent::Message {
+                peer: peer.clone(),
+                revision,
+                message,
+            });
+        }
+        read_some(&mut rx, &mut decoder).await?;
+    }
+}
+
+/// Ends when the peer doesn't answer a test in time. More often while an exchange waits.
+async fn test_silence(ping: Option<PingPong>, waiting: &AtomicI32) -> Result<(), String> {
+    let Some(mut ping) = ping else {
+        return std::future::pending().await;
+    };
+    let mut idle = Duration::ZERO;
+    loop {
+        tokio::time::sleep(PING_BUSY).await;
+        idle += PING_BUSY;
+        if waiting.load(Ordering::Relaxed) <= 0 && idle < PING_IDLE {
+            continue;
+        }
+        idle = Duration::ZERO;
+        let pong = timeout(PONG_LIMIT, ping.ping(h2::Ping::opaque())).await;
+        pong.map_err(|_| "silent")?.map_err(|e| e.to_string())?;
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/link/dialer.rs
@@ -0,0 +1,82 @@
+//! Opens connections and opens them again after they end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_wire::FrameDecoder;
+use slog::debug;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::connection;
+use super::connection::Channel;
+use super::connection::CONNECTION_WINDOW;
+use super::connection::STREAM_WINDOW;
+use super::hub::LinkHub;
+
+/// How long connecting may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+/// The first pause before connecting again.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// The longest pause before connecting again.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Keeps a connection to one process for as long as the task lives.
+pub(super) async fn dial(hub: LinkHub, name: InstanceName, address: SocketAddr) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        match timeout(CONNECT_LIMIT * 3, connect(&hub, address)).await {
+            Ok(Ok((peer, channel))) if peer.name == name => {
+                pause = FIRST_PAUSE;
+                connection::run(&hub, peer, channel).await;
+            }
+            Ok(Ok((peer, _))) => {
+                debug!(hub.log(), "another process answers"; "at" => %address,
+                    "wanted" => name.as_str(), "found" => peer.name.as_str());
+            }
+            Ok(Err(e)) => {
+                debug!(hub.log(), "not connected"; "peer" => name.as_str(), "error" => e);
+            }
+            Err(_) => debug!(hub.log(), "connecting takes too long"; "peer" => name.as_str()),
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+async fn connect(
+    hub: &LinkHub,
+    address: SocketAddr,
+) -> Result<(dotterelrudder_wire::Hello, Channel), String> {
+    let tcp = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
+    let tcp = tcp
+        .map_err(|_| "no connection in time")?
+        .map_err(|e| e.to_string())?;
+    tcp.set_nodelay(true).map_err(|e| e.to_string())?;
+    let (sender, mut driver) = h2::client::Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .handshake::<_, bytes::Bytes>(tcp)
+        .await
+        .map_err(|e| e.to_string())?;
+    let ping = driver.ping_pong();
+    tokio::spawn(async move {
+        // Its error shows at the stream as well.
+        let _ended = driver.await;
+    });
+    let mut sender = sender.ready().await.map_err(|e| e.to_string())?;
+    let req = http::Request::post("http://dotterelrudder/link").body(());
+    let req = req.map_err(|e| e.to_string())?;
+    let (response, tx) = sender.send_request(req, false).map_err(|e| e.to_string())?;
+    let rx = response.await.map_err(|e| e.to_string())?.into_body();
+    let mut channel = Channel {
+        tx,
+        rx,
+        decoder: FrameDecoder::default(),
+        ping,
+    };
+    channel.send_hello(hub).await?;
+    let peer = channel.receive_hello(hub).await?;
+    Ok((peer, channel))
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/link/hub.rs
@@ -0,0 +1,224 @@
+//! All connections of one process, by the peer's name.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicI32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use dotterelrudder_types::DataCentre;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Revision;
+use dotterelrudder_types::Role;
+use dotterelrudder_wire::Hello;
+use dotterelrudder_wire::Message;
+use slog::Logger;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::dialer;
+use super::listener;
+
+/// What happens on connections.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// A connection to a peer is ready for messages.
+    Opened {
+        /// The peer.
+        peer: InstanceName,
+        /// Its role.
+        role: Role,
+        /// Its data centre.
+        data_centre: DataCentre,
+        /// The random number that it drew when it started.
+        incarnation: u64,
+    },
+    /// The connection closed or went silent.
+    Closed {
+        /// The peer.
+        peer: InstanceName,
+    },
+    /// The peer sent a message.
+    Message {
+        /// The peer.
+        peer: InstanceName,
+        /// The revision that it holds.
+        revision: Revision,
+        /// The message.
+        message: Message,
+    },
+}
+
+#[derive(Debug)]
+struct LinkHandle {
+    number: u64,
+    tx: UnboundedSender<Message>,
+    waiting: Arc<AtomicI32>,
+}
+
+type Sink = Box<dyn Fn(LinkEvent) + Send + Sync>;
+
+struct Shared {
+    hello: Hello,
+    revision: AtomicU64,
+    links: Mutex<HashMap<InstanceName, LinkHandle>>,
+    dialers: Mutex<HashMap<InstanceName, (SocketAddr, tokio::task::AbortHandle)>>,
+    next_number: AtomicU64,
+    sink: Sink,
+    log: Logger,
+}
+
+/// The connections of a process; clones share them.
+#[derive(Clone)]
+pub struct LinkHub {
+    shared: Arc<Shared>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl LinkHub {
+    /// Starts without connections; events go to `sink`.
+    pub fn new<S>(hello: Hello, log: Logger, sink: S) -> Self
+    where
+        S: Fn(LinkEvent) + Send + Sync + 'static,
+    {
+        let shared = Shared {
+            revision: AtomicU64::new(hello.revision.0),
+            hello,
+            links: Mutex::default(),
+            dialers: Mutex::default(),
+            next_number: AtomicU64::new(1),
+            sink: Box::new(sink),
+            log,
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Accepts connections from other processes.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system says when the address can't be listened at.
+    pub async fn listen(&self, address: SocketAddr) -> Result<(), String> {
+        listener::listen(self.clone(), address).await
+    }
+
+    /// Keeps connections to exactly these processes, beside those that others opened.
+    pub fn set_targets(&self, targets: &[(InstanceName, SocketAddr)]) {
+        let mut dialers = lock(&self.shared.dialers);
+        dialers.retain(|name, (address, task)| {
+            let wanted = targets.iter().any(|(n, a)| n == name && a == address);
+            // A listed address that vanished may come back; a live connection is left alone.
+            let keep = wanted || lock(&self.shared.links).contains_key(name);
+            if !keep {
+                task.abort();
+            }
+            keep
+        });
+        for (name, address) in targets.iter().filter(|(n, _)| *n != self.shared.hello.name) {
+            if !dialers.contains_key(name) {
+                let task = tokio::spawn(dialer::dial(self.clone(), name.clone(), *address));
+                dialers.insert(name.clone(), (*address, task.abort_handle()));
+            }
+        }
+    }
+
+    /// Sends a message if a connection to the peer is open; else it is dropped, and the core learns
+    /// of the closed connection.
+    pub fn send(&self, peer: &InstanceName, message: Message) {
+        let links = lock(&self.shared.links);
+        if let Some(link) = links.get(peer) {
+            let delta = message.waiting_delta();
+            if delta > 0 {
+                link.waiting.fetch_add(delta, Ordering::Relaxed);
+            }
+            // The receiver is gone only while the connection is being closed.
+            let _closing = link.tx.send(message).is_err();
+        }
+    }
+
+    /// Sets the revision that goes with every message.
+    pub fn set_revision(&self, revision: Revision) {
+        self.shared.revision.store(revision.0, Ordering::Relaxed);
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_links(&self) -> usize {
+        lock(&self.shared.links).len()
+    }
+
+    pub(super) fn revision(&self) -> Revision {
+        Revision(self.shared.revision.load(Ordering::Relaxed))
+    }
+
+    pub(super) fn hello(&self) -> Hello {
+        Hello {
+            revision: self.revision(),
+            ..self.shared.hello.clone()
+        }
+    }
+
+    pub(super) fn secret(&self) -> &str {
+        &self.shared.hello.secret
+    }
+
+    pub(super) fn log(&self) -> &Logger {
+        &self.shared.log
+    }
+
+    pub(super) fn emit(&self, event: LinkEvent) {
+        (self.shared.sink)(event);
+    }
+
+    /// Makes a connection the one in use for its peer; an older one ends.
+    pub(super) fn register(
+        &self,
+        peer: &Hello,
+        waiting: Arc<AtomicI32>,
+    ) -> (u64, UnboundedReceiver<Message>) {
+        let number = self.shared.next_number.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = tokio::sync::mpsc::unbounded_channel();
+        let handle = LinkHandle {
+            number,
+            tx,
+            waiting,
+        };
+        let replaced = lock(&self.shared.links).insert(peer.name.clone(), handle);
+        if replaced.is_some() {
+            self.emit(LinkEvent::Closed {
+                peer: peer.name.clone(),
+            });
+        }
+        self.emit(LinkEvent::Opened {
+            peer: peer.name.clone(),
+            role: peer.role,
+            data_centre: peer.data_centre.clone(),
+            incarnation: peer.incarnation,
+        });
+        (number, rx)
+    }
+
+    /// Ends a connection, unless a newer one took its place.
+    pub(super) fn unregister(&self, peer: &InstanceName, number: u64) {
+        let mut links = lock(&self.shared.links);
+        if links.get(peer).is_some_and(|link| link.number == number) {
+            links.remove(peer);
+            drop(links);
+            self.emit(LinkEvent::Closed { peer: peer.clone() });
+        }
+    }
+
+    /// Returns whether a connection is still the one in use.
+    pub(super) fn is_current(&self, peer: &InstanceName, number: u64) -> bool {
+        lock(&self.shared.links)
+            .get(peer)
+            .is_some_and(|link| link.number == number)
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/link/listener.rs
@@ -0,0 +1,92 @@
+//! Accepts connections of other processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelrudder_wire::FrameDecoder;
+use dotterelrudder_wire::Hello;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::connection;
+use super::connection::Channel;
+use super::connection::CONNECTION_WINDOW;
+use super::connection::STREAM_WINDOW;
+use super::hub::LinkHub;
+
+/// How long a peer may take until its stream is open.
+const OPEN_LIMIT: Duration = Duration::from_secs(2);
+/// How long to pause after the system refused a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Listens until the process ends.
+pub(super) async fn listen(hub: LinkHub, address: SocketAddr) -> Result<(), String> {
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|e| format!("listen {address}: {e}"))?;
+    tokio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((tcp, _)) => {
+                    tokio::spawn(accept(hub.clone(), tcp));
+                }
+                Err(e) => {
+                    warn!(hub.log(), "not accepted"; "error" => e.to_string());
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn accept(hub: LinkHub, tcp: TcpStream) {
+    if let Err(e) = serve(&hub, tcp).await {
+        warn!(hub.log(), "peer refused"; "error" => e);
+    }
+}
+
+async fn serve(hub: &LinkHub, tcp: TcpStream) -> Result<(), String> {
+    tcp.set_nodelay(true).map_err(|e| e.to_string())?;
+    let handshake = h2::server::Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_concurrent_streams(1)
+        .handshake::<_, bytes::Bytes>(tcp);
+    let driver = timeout(OPEN_LIMIT, handshake)
+        .await
+        .map_err(|_| "no handshake in time")?;
+    let mut driver = driver.map_err(|e| e.to_string())?;
+    let ping = driver.ping_pong();
+    let stream = timeout(OPEN_LIMIT, driver.accept())
+        .await
+        .map_err(|_| "no stream in time")?;
+    let (req, mut respond) = stream.ok_or("no stream")?.map_err(|e| e.to_string())?;
+    let tx = respond
+        .send_response(http::Response::new(()), false)
+        .map_err(|e| e.to_string())?;
+    let rx = req.into_body();
+    let mut channel = Channel {
+        tx,
+        rx,
+        decoder: FrameDecoder::default(),
+        ping,
+    };
+    // The driver has to be polled for the stream to move; further streams are refused by it.
+    let drive = tokio::spawn(async move { while driver.accept().await.is_some() {} });
+    let ended = talk(hub, &mut channel).await;
+    if let Ok(peer) = ended {
+        connection::run(hub, peer, channel).await;
+        drive.abort();
+        return Ok(());
+    }
+    drive.abort();
+    ended.map(|_| ())
+}
+
+async fn talk(hub: &LinkHub, channel: &mut Channel) -> Result<Hello, String> {
+    let peer = channel.receive_hello(hub).await?;
+    channel.send_hello(hub).await?;
+    Ok(peer)
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -0,0 +1,123 @@
+//! Metrics by OpenTelemetry, served for scraping.
+
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// The instruments of a daemon; docs/OPERATIONS.md explains each.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    tokens: Counter<u64>,
+    cached_tokens: Counter<u64>,
+    prompt_tokens: Counter<u64>,
+    links: Gauge<u64>,
+    revision: Gauge<u64>,
+    open: Gauge<u64>,
+    first_token: Histogram<f64>,
+    sync_seconds: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Builds the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the metrics library says when it can't register them.
+    pub fn new() -> Result<Self, String> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_scope_info()
+            .build()
+            .map_err(|e| e.to_string())?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("dotterelrudder");
+        let seconds = vec![
+            0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.63, 1.0, 2.0, 5.0, 20.0,
+        ];
+        Ok(Self {
+            registry,
+            requests: meter.u64_counter("dotterelrudder_requests").build(),
+            refusals: meter.u64_counter("dotterelrudder_refusals").build(),
+            tokens: meter
+                .u64_counter("dotterelrudder_completion_tokens")
+                .build(),
+            cached_tokens: meter.u64_counter("dotterelrudder_cached_tokens").build(),
+            prompt_tokens: meter.u64_counter("dotterelrudder_prompt_tokens").build(),
+            links: meter.u64_gauge("dotterelrudder_open_links").build(),
+            revision: meter.u64_gauge("dotterelrudder_revision").build(),
+            open: meter.u64_gauge("dotterelrudder_open_requests").build(),
+            first_token: meter
+                .f64_histogram("dotterelrudder_first_token_seconds")
+                .with_boundaries(seconds.clone())
+                .build(),
+            sync_seconds: meter
+                .f64_histogram("dotterelrudder_journal_sync_seconds")
+                .with_boundaries(seconds)
+                .build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request of a tier.
+    pub fn count_request(&self) {
+        self.requests.add(1, &[]);
+    }
+
+    /// Counts a refusal of a kind.
+    pub fn count_refusal(&self, kind: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts the tokens of a finished completion.
+    pub fn count_usage(&self, usage: dotterelrudder_wire::Usage) {
+        self.tokens.add(u64::from(usage.completion_tokens), &[]);
+        self.cached_tokens.add(u64::from(usage.cached_tokens), &[]);
+        self.prompt_tokens.add(u64::from(usage.prompt_tokens), &[]);
+    }
+
+    /// Records the time to a first token, in seconds.
+    pub fn record_first_token(&self, seconds: f64) {
+        self.first_token.record(seconds, &[]);
+    }
+
+    /// Records the time of a journal sync, in seconds.
+    pub fn record_sync(&self, seconds: f64) {
+        self.sync_seconds.record(seconds, &[]);
+    }
+
+    /// Sets the number of open connections between processes.
+    pub fn set_links(&self, links: usize) {
+        self.links.record(links as u64, &[]);
+    }
+
+    /// Sets the revision in force.
+    pub fn set_revision(&self, revision: u64) {
+        self.revision.record(revision, &[]);
+    }
+
+    /// Sets the number of requests or attempts in work.
+    pub fn set_open(&self, open: usize) {
+        self.open.record(open as u64, &[]);
+    }
+
+    /// Renders all instruments in the text format for scraping.
+    pub fn render(&self) -> String {
+        let mut buf = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
+        encoded.map_or_else(
+            |e| format!("# {e}\n"),
+            |()| String::from_utf8_lossy(&buf).into_owned(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/operator/client.rs
@@ -0,0 +1,101 @@
+//! Asks control instances, one after the other until one answers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dotterelrudder_types::ErrorKind;
+use http::Request;
+use http_body_util::Full;
+use serde_json::Value;
+
+use super::arguments::Options;
+use crate::http_client::HttpClient;
+
+/// How long one instance may take.
+const CALL_LIMIT: Duration = Duration::from_secs(8);
+/// Rounds over all instances.
+const ROUNDS: u32 = 20;
+/// How long to pause between two rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
+
+/// Why a command failed.
+#[derive(Debug)]
+pub(super) struct Failure {
+    pub(super) text: String,
+    pub(super) exit_code: u8,
+}
+
+impl Failure {
+    pub(super) fn usage<T>(text: T) -> Self
+    where
+        T: Into<String>,
+    {
+        Self {
+            text: text.into(),
+            exit_code: 64,
+        }
+    }
+}
+
+fn read_failure(status: u16, body: &[u8]) -> (Failure, bool) {
+    let value: Value = serde_json::from_slice(body).unwrap_or_default();
+    let error = &value["error"];
+    let code = error["code"].as_str().unwrap_or("");
+    let message = error["message"].as_str().unwrap_or("");
+    let kind = ErrorKind::from_code(code);
+    let exit_code = kind.map_or(70, |k| k.row().exit_code);
+    // Commands are idempotent, so that these can be asked of another instance.
+    let elsewhere = matches!(
+        kind,
+        Some(ErrorKind::NotFresh | ErrorKind::OutcomeUnknown | ErrorKind::Leaving) | None
+    );
+    let text = format!("{code} (status {status}): {message}");
+    (Failure { text, exit_code }, elsewhere)
+}
+
+/// Sends a request to the first instance that answers for a quorum.
+pub(super) async fn ask(
+    options: &Options,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Result<Value, Failure> {
+    if options.controls.is_empty() {
+        return Err(Failure::usage("--control HOST:PORT is missing"));
+    }
+    let client = HttpClient::default();
+    let mut last = Failure {
+        text: "no control instance answers".into(),
+        exit_code: 69,
+    };
+    for _ in 0..ROUNDS {
+        for control in &options.controls {
+            let req = Request::builder()
+                .method(method)
+                .uri(format!("http://{control}{path}"))
+                .header("authorization", format!("Bearer {}", options.token))
+                .body(Full::new(Bytes::from(body.to_owned())));
+            let req = req.map_err(|e| Failure::usage(format!("--control {control}: {e}")))?;
+            match client.fetch(req, CALL_LIMIT).await {
+                Ok((200, body)) => {
+                    return serde_json::from_slice(&body).map_err(|e| Failure {
+                        text: format!("{control} gave no JSON: {e}"),
+                        exit_code: 70,
+                    });
+                }
+                Ok((status, body)) => {
+                    let (failure, elsewhere) = read_failure(status, &body);
+                    if !elsewhere {
+                        return Err(failure);
+                    }
+                    last = failure;
+                }
+                Err(e) => {
+                    last.text = format!("{control}: {}", e.detail);
+                }
+            }
+        }
+        tokio::time::sleep(ROUND_PAUSE).await;
+    }
+    Err(last)
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/side/actor.rs
@@ -0,0 +1,202 @@
+//! The actor that owns a side's core.
+
+use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use dotterelrudder_side::Input;
+use dotterelrudder_side::Output;
+use dotterelrudder_side::SideCore;
+use dotterelrudder_types::Clock;
+use dotterelrudder_types::ServiceName;
+use dotterelrudder_wire::Work;
+use ractor::Actor;
+use ractor::ActorProcessingErr;
+use ractor::ActorRef;
+use slog::info;
+use slog::Logger;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+use super::engine::Engine;
+use super::plain;
+use super::store;
+use crate::http_client::HttpClient;
+use crate::link::LinkEvent;
+use crate::link::LinkHub;
+use crate::metrics::Metrics;
+use crate::system_clock::SystemClock;
+
+/// What the actor is told.
+#[derive(Debug)]
+pub(super) enum SideMessage {
+    /// Time passed.
+    Tick,
+    /// Something happened on a connection.
+    Link(LinkEvent),
+    /// Another event for the core.
+    Input(Input),
+}
+
+/// Posts events of the backend server to the actor.
+#[derive(Debug, Clone)]
+pub(super) struct Events {
+    pub(super) actor: ActorRef<SideMessage>,
+}
+
+impl Events {
+    pub(super) fn post(&self, input: Input) {
+        // The process is stopping when the actor is gone.
+        let _stopped = self.actor.send_message(SideMessage::Input(input)).is_err();
+    }
+}
+
+/// What the actor owns.
+pub(super) struct SideState {
+    pub(super) core: SideCore,
+    pub(super) clock: SystemClock,
+    pub(super) hub: LinkHub,
+    pub(super) metrics: Metrics,
+    pub(super) log: Logger,
+    pub(super) client: HttpClient,
+    pub(super) backend: String,
+    pub(super) ready: Arc<AtomicBool>,
+    pub(super) services_to_dial: Arc<Mutex<Vec<ServiceName>>>,
+    pub(super) done: watch::Sender<bool>,
+    pub(super) runs: HashMap<u64, AbortHandle>,
+}
+
+/// Runs a side's core.
+pub(super) struct SideActor;
+
+impl Actor for SideActor {
+    type Msg = SideMessage;
+    type State = SideState;
+    type Arguments = SideState;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        state: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Self::Msg>,
+        message: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        let input = match message {
+            SideMessage::Tick => {
+                state.metrics.set_links(state.hub.open_links());
+                state.metrics.set_open(state.core.active_attempts());
+                Input::Tick
+            }
+            SideMessage::Input(input) => input,
+            SideMessage::Link(LinkEvent::Opened { peer, role, .. }) => Input::Opened { peer, role },
+            SideMessage::Link(LinkEvent::Closed { peer }) => Input::Closed { peer },
+            SideMessage::Link(LinkEvent::Message {
+                peer,
+                revision,
+                message,
+            }) => Input::Message {
+                from: peer,
+                revision,
+                message,
+            },
+        };
+        state.step(input, &Events { actor: myself });
+        Ok(())
+    }
+}
+
+impl SideState {
+    fn step(&mut self, input: Input, events: &Events) {
+        if let Input::RunFinished { run, .. } | Input::RunFailed { run, .. } = &input {
+            self.runs.remove(run);
+        }
+        let now = self.clock.now();
+        let mut out = Vec::new();
+        self.core.handle(now, input, &mut out);
+        for output in out {
+            self.carry_out(output, events);
+        }
+        self.ready.store(self.core.is_ready(), Ordering::Relaxed);
+    }
+
+    fn engine(&self, events: &Events) -> Engine {
+        Engine {
+            client: self.client.clone(),
+            base: self.backend.clone(),
+            events: events.clone(),
+        }
+    }
+
+    fn carry_out(&mut self, output: Output, events: &Events) {
+        match output {
+            Output::Send { to, message } => self.hub.send(&to, message),
+            Output::Call { run, tier, start } => {
+                let revision = self.core.revision().0;
+                info!(self.log, "run"; "run" => run, "attempt" => start.attempt.to_string(),
+                    "tier" => tier.as_str(), "revision" => revision);
+                self.metrics.count_request();
+                let task = match &start.work {
+                    Work::Completion { .. } => {
+                        tokio::spawn(self.engine(events).complete(run, tier, start))
+                    }
+                    Work::Call { .. } => {
+                        let (client, base) = (self.client.clone(), self.backend.clone());
+                        tokio::spawn(plain::call(client, base, events.clone(), run, start))
+                    }
+                };
+                self.runs.insert(run, task.abort_handle());
+            }
+            Output::CancelRun { run } => {
+                if let Some(task) = self.runs.remove(&run) {
+                    task.abort();
+                }
+                tokio::spawn(self.engine(events).cancel(run));
+            }
+            Output::ImportBlock {
+                run,
+                key,
+                version,
+                data,
+            } => {
+                tokio::spawn(self.engine(events).import(run, key, version, data));
+            }
+            Output::ExportBlock { key } => {
+                tokio::spawn(self.engine(events).export(key));
+            }
+            Output::LoadVersion { fence, version } => {
+                info!(self.log, "order"; "fence" => fence, "version" => version.as_str());
+                tokio::spawn(self.engine(events).load(fence, version));
+            }
+            Output::WriteSlot { slot, data } => {
+                let (client, base) = (self.client.clone(), self.backend.clone());
+                tokio::spawn(store::write(client, base, events.clone(), slot, data));
+            }
+            Output::ReadSlot { slot } => {
+                let (client, base) = (self.client.clone(), self.backend.clone());
+                tokio::spawn(store::read(client, base, events.clone(), slot));
+            }
+            Output::InForce { revision } => {
+                info!(self.log, "configuration in force"; "revision" => revision.0);
+                self.hub.set_revision(revision);
+                self.metrics.set_revision(revision.0);
+                let mut services = self
+                    .services_to_dial
+                    .lock()
+                    .unwrap_or_else(|e| e.into_inner());
+                *services = self.core.services_to_dial();
+            }
+            Output::Exit => {
+                let _watched = self.done.send(true);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/side/daemon.rs
@@ -0,0 +1,184 @@
+//! Starts a side and stops it once its work is done.
+
+use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use dotterelrudder_config::ServiceKind;
+use dotterelrudder_side::Input;
+use dotterelrudder_side::SideCore;
+use dotterelrudder_side::SideSettings;
+use dotterelrudder_types::Revision;
+use dotterelrudder_types::Role;
+use dotterelrudder_types::ServiceName;
+use dotterelrudder_wire::Hello;
+use dotterelrudder_wire::PROTOCOL_VERSION;
+use ractor::Actor;
+use ractor::ActorRef;
+use slog::info;
+use tokio::sync::watch;
+
+use super::actor::Events;
+use super::actor::SideActor;
+use super::actor::SideMessage;
+use super::actor::SideState;
+use super::engine::Engine;
+use super::store;
+use crate::http_client::HttpClient;
+use crate::http_server;
+use crate::instance_list;
+use crate::instance_list::ListedInstance;
+use crate::link::LinkHub;
+use crate::logging;
+use crate::metrics::Metrics;
+use crate::settings::read_secret;
+use crate::settings::SideFile;
+use crate::start::stop_signal;
+use crate::system_clock::SystemClock;
+
+/// How often the core is told the time.
+const TICK: Duration = Duration::from_millis(20);
+/// How long the last messages may take on their way out after the last attempt ended.
+const FLUSH: Duration = Duration::from_millis(300);
+
+/// Runs a side until it was asked to stop and all its attempts have ended.
+///
+/// # Errors
+///
+/// Returns what the system refused at the start.
+pub async fn run(file: SideFile) -> Result<(), String> {
+    let log = logging::logger(Role::Side.as_str(), file.common.name.as_str());
+    let incarnation = rand::random();
+    let hello = Hello {
+        protocol: PROTOCOL_VERSION,
+        secret: read_secret(&file.common.secret_file)?,
+        name: file.common.name.clone(),
+        role: Role::Side,
+        data_centre: file.common.data_centre.clone(),
+        incarnation,
+        revision: Revision::default(),
+    };
+    let slot: Arc<OnceLock<ActorRef<SideMessage>>> = Arc::default();
+    let sink = slot.clone();
+    let hub = LinkHub::new(hello, log.clone(), move |event| {
+        if let Some(actor) = sink.get() {
+            let _stopped = actor.send_message(SideMessage::Link(event)).is_err();
+        }
+    });
+    let (done, mut finished) = watch::channel(false);
+    let ready = Arc::new(AtomicBool::new(false));
+    let metrics = Metrics::new()?;
+    let client = HttpClient::default();
+    let services_to_dial: Arc<Mutex<Vec<ServiceName>>> = Arc::default();
+    let core = SideCore::new(SideSettings {
+        name: file.common.name.clone(),
+        service: file.service.clone(),
+        kind: file.kind,
+        controls: file
+            .common
+            .controls
+            .iter()
+            .map(|c| c.name.clone())
+            .collect(),
+        incarnation,
+        slots: file.slots,
+    });
+    let state = SideState {
+        core,
+        clock: SystemClock::default(),
+        hub: hub.clone(),
+        metrics: metrics.clone(),
+        log: log.clone(),
+        client: client.clone(),
+        backend: file.backend.to_string(),
+        ready: ready.clone(),
+        services_to_dial: services_to_dial.clone(),
+        done,
+        runs: HashMap::new(),
+    };
+    let spawned = Actor::spawn(None, SideActor, state).await;
+    let (actor, _handle) = spawned.map_err(|e| e.to_string())?;
+    slot.get_or_init(|| actor.clone());
+    http_server::serve_admin(file.common.admin, metrics, move || {
+        ready.load(Ordering::Relaxed)
+    })
+    .await?;
+    hub.listen(file.listen).await?;
+    let events = Events {
+        actor: actor.clone(),
+    };
+    let base = file.backend.to_string();
+    match file.kind {
+        ServiceKind::Model => {
+            let engine = Engine {
+                client,
+                base,
+                events,
+            };
+            tokio::spawn(engine.watch());
+        }
+        ServiceKind::Store => {
+            tokio::spawn(store::watch(client, base, events));
+        }
+        ServiceKind::Plain => {}
+    }
+    tokio::spawn(follow_list(
+        file.clone(),
+        hub,
+        actor.clone(),
+        services_to_dial,
+        log.clone(),
+    ));
+    tokio::spawn(tick(actor.clone()));
+    info!(log, "started"; "listen" => %file.listen);
+
+    stop_signal().await?;
+    info!(log, "stopping");
+    let _stopped = actor.send_message(SideMessage::Input(Input::Stop)).is_err();
+    let _ended = finished.wait_for(|done| *done).await;
+    tokio::time::sleep(FLUSH).await;
+    info!(log, "stopped");
+    Ok(())
+}
+
+async fn tick(actor: ActorRef<SideMessage>) {
+    while actor.send_message(SideMessage::Tick).is_ok() {
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+async fn follow_list(
+    file: SideFile,
+    hub: LinkHub,
+    actor: ActorRef<SideMessage>,
+    services_to_dial: Arc<Mutex<Vec<ServiceName>>>,
+    log: slog::Logger,
+) {
+    let controls = file
+        .common
+        .controls
+        .iter()
+        .map(|c| (c.name.clone(), c.address));
+    let controls: Vec<_> = controls.collect();
+    hub.set_targets(&controls);
+    let own = file.common.name.clone();
+    let take = move |rows: Vec<ListedInstance>| {
+        let services = services_to_dial
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .clone();
+        let stores = rows.iter().filter(|row| services.contains(&row.service));
+        let mut targets = controls.clone();
+        targets.extend(stores.map(|row| (row.name.clone(), row.address)));
+        hub.set_targets(&targets);
+        if rows.iter().any(|row| row.name == own && row.is_leaving()) {
+            let leaving = SideMessage::Input(Input::ListedLeaving);
+            let _stopped = actor.send_message(leaving).is_err();
+        }
+    };
+    instance_list::poll(file.instance_list, log, take).await;
+}
--- /dev/null
+++ b/crates/dotterelrudder_follow/src/config_follower.rs
@@ -0,0 +1,215 @@
+//! Follows the configuration from control, and from peers while control is away.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelrudder_config::Configuration;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Revision;
+use dotterelrudder_wire::Message;
+
+/// How long an unanswered subscription is waited for before the next replica is asked.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long after the last confirmation the configuration still counts as fresh.
+const FRESH_FOR: Duration = Duration::from_secs(3);
+
+/// The configuration that a process holds, and how it stays up to date.
+///
+/// The revision never falls: a message that would lower it is ignored.
+#[derive(Debug)]
+pub struct ConfigFollower {
+    controls: Vec<InstanceName>,
+    connected: BTreeSet<InstanceName>,
+    source: Option<InstanceName>,
+    asked_at: Duration,
+    heard_at: Option<Duration>,
+    cfg: Arc<Configuration>,
+    draining: Vec<InstanceName>,
+}
+
+impl ConfigFollower {
+    /// Starts without any configuration; `controls` are the control instances' names.
+    pub fn new(controls: Vec<InstanceName>) -> Self {
+        Self {
+            controls,
+            connected: BTreeSet::new(),
+            source: None,
+            asked_at: Duration::ZERO,
+            heard_at: None,
+            cfg: Arc::default(),
+            draining: Vec::new(),
+        }
+    }
+
+    /// Returns the configuration held.
+    pub fn cfg(&self) -> &Arc<Configuration> {
+        &self.cfg
+    }
+
+    /// Returns the revision held.
+    pub fn revision(&self) -> Revision {
+        self.cfg.revision
+    }
+
+    /// Returns whether control ever confirmed the configuration held by this process.
+    pub fn is_confirmed(&self) -> bool {
+        self.heard_at.is_some()
+    }
+
+    /// Returns whether control confirmed the configuration lately.
+    pub fn is_fresh(&self, now: Duration) -> bool {
+        self.heard_at.is_some_and(|at| now < at + FRESH_FOR)
+    }
+
+    /// Returns whether operators asked `name` to drain.
+    pub fn is_draining(&self, name: &InstanceName) -> bool {
+        self.draining.contains(name)
+    }
+
+    /// Returns the connected control instances, the one followed first.
+    pub fn reachable_controls(&self) -> Vec<InstanceName> {
+        let source = self
+            .source
+            .iter()
+            .filter(|s| self.controls.contains(s))
+            .cloned();
+        let others = self
+            .connected
+            .iter()
+            .filter(|c| Some(*c) != self.source.as_ref())
+            .cloned();
+        source.chain(others).collect()
+    }
+
+    /// Notes a connection that opened.
+    pub fn opened(&mut self, peer: &InstanceName, out: &mut Vec<(InstanceName, Message)>) {
+        if !self.controls.contains(peer) {
+            return;
+        }
+        self.connected.insert(peer.clone());
+        if self.revision().0 > 0 {
+            out.push((
+                peer.clone(),
+                Message::InForce {
+                    revision: self.revision(),
+                },
+            ));
+        }
+    }
+
+    /// Notes a connection that closed.
+    pub fn closed(&mut self, peer: &InstanceName) {
+        self.connected.remove(peer);
+        if self.source.as_ref() == Some(peer) {
+            self.source = None;
+        }
+    }
+
+    /// Asks for the configuration, from another replica when the last one doesn't answer.
+    pub fn tick(&mut self, now: Duration, out: &mut Vec<(InstanceName, Message)>) {
+        let heard = self.heard_at.unwrap_or(Duration::ZERO).max(self.asked_at);
+        if self.source.is_some() && now < heard + ANSWER_TIMEOUT {
+            return;
+        }
+        let last = self.source.take();
+        let after = last.and_then(|l| self.connected.range(l..).nth(1).cloned());
+        let Some(next) = after.or_else(|| self.connected.first().cloned()) else {
+            return;
+        };
+        self.asked_at = now;
+        self.source = Some(next.clone());
+        out.push((
+            next,
+            Message::Subscribe {
+                held: self.revision(),
+            },
+        ));
+    }
+
+    /// Pulls from a peer that is ahead while control doesn't bring news.
+    pub fn on_peer_revision(
+        &mut self,
+        peer: &InstanceName,
+        revision: Revision,
+        now: Duration,
+        out: &mut Vec<(InstanceName, Message)>,
+    ) {
+        let may_ask = now >= self.asked_at + ANSWER_TIMEOUT / 4 || self.asked_at.is_zero();
+        if revision > self.revision() && !self.controls.contains(peer) && may_ask {
+            self.asked_at = now;
+            out.push((
+                peer.clone(),
+                Message::Subscribe {
+                    held: self.revision(),
+                },
+            ));
+        }
+    }
+
+    /// Takes a message about the configuration; returns whether a newer one came into force.
+    pub fn on_message(
+        &mut self,
+        from: &InstanceName,
+        message: &Message,
+        now: Duration,
+        out: &mut Vec<(InstanceName, Message)>,
+    ) -> bool {
+        let from_control = self.controls.contains(from);
+        let before = self.revision();
+        match message {
+            Message::Update(cfg) => {
+                if cfg.revision > before {
+                    self.cfg = Arc::new((**cfg).clone());
+                }
+            }
+            Message::Delta {
+                from: base,
+                to,
+                change,
+            } => {
+                if *base == before && *to > before {
+                    let mut cfg = (*self.cfg).clone();
+                    cfg.apply(change, *to);
+                    self.cfg = Arc::new(cfg);
+                } else if *to > before {
+                    out.push((from.clone(), Message::Subscribe { held: before }));
+                    return false;
+                }
+            }
+            Message::Confirmed { revision, draining } if from_control => {
+                self.draining.clone_from(draining);
+                if *revision > before {
+                    out.push((from.clone(), Message::Subscribe { held: before }));
+                    return false;
+                }
+            }
+            Message::NotFresh => {
+                if self.source.as_ref() == Some(from) {
+                    self.asked_at = Duration::ZERO;
+                    self.heard_at = self
+                        .heard_at
+                        .map(|at| at.min(now.saturating_sub(ANSWER_TIMEOUT)));
+                }
+                return false;
+            }
+            Message::Subscribe { held } => {
+                if before > *held {
+                    out.push((from.clone(), Message::Update(Box::new((*self.cfg).clone()))));
+                }
+                return false;
+            }
+            _ => return false,
+        }
+        if from_control {
+            self.heard_at = Some(now);
+        }
+        let changed = self.revision() > before;
+        if changed {
+            let revision = self.revision();
+            let controls = self.connected.iter();
+            out.extend(controls.map(|c| (c.clone(), Message::InForce { revision })));
+        }
+        changed
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_follow/src/lib.rs
@@ -0,0 +1,9 @@
+//! How a process follows the configuration.
+//!
+//! Entries and sides both hold a [`ConfigFollower`]; see docs/design/dissemination.md.
+
+mod config_follower;
+mod control_client;
+
+pub use config_follower::ConfigFollower;
+pub use control_client::ControlClient;
--- /dev/null
+++ b/crates/dotterelrudder_route/src/lib.rs
@@ -0,0 +1,33 @@
+//! The entry role: admission, placement, retries.
+//!
+//! [`EntryCore`] is the whole role without input or output. docs/design/routing.md weighs the ways
+//! to choose a runner, docs/design/retries.md those to retry.
+
+mod account_limits;
+mod cost;
+mod entry_answers;
+mod entry_core;
+mod input;
+mod output;
+mod policy;
+pub mod prelude;
+mod request;
+mod retry_budget;
+mod runner_table;
+mod runner_view;
+
+pub use account_limits::AccountLimits;
+pub use cost::estimate;
+pub use cost::Estimate;
+pub use cost::PromptFacts;
+pub use entry_core::EntryCore;
+pub use entry_core::EntrySettings;
+pub use input::Input;
+pub use input::Target;
+pub use output::AnswerEvent;
+pub use output::Output;
+pub use policy::Policy;
+pub use retry_budget::RetryBudget;
+pub use runner_table::RunnerKey;
+pub use runner_table::RunnerTable;
+pub use runner_view::RunnerView;
--- /dev/null
+++ b/crates/dotterelrudder_route/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The names that drivers of the entry role import.
+
+pub use crate::AnswerEvent;
+pub use crate::EntryCore;
+pub use crate::EntrySettings;
+pub use crate::Input;
+pub use crate::Output;
+pub use crate::Target;
--- /dev/null
+++ b/crates/dotterelrudder_side/src/attempt_table.rs
@@ -0,0 +1,135 @@
+//! All attempts of a side, with tombstones for those that ended.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use dotterelrudder_types::AttemptId;
+use slotmap::new_key_type;
+use slotmap::SlotMap;
+
+use crate::attempt::AnyAttempt;
+
+new_key_type! {
+    /// Names an attempt in the table.
+    pub(crate) struct AttemptKey;
+}
+
+/// How long the pieces of an ended attempt are kept for a query.
+const KEEP_PIECES: Duration = Duration::from_secs(30);
+/// How long an ended or cancelled attempt's identity is remembered; longer than any deadline.
+const KEEP_IDENTITY: Duration = Duration::from_secs(900);
+
+#[derive(Debug, Default)]
+pub(crate) struct AttemptTable {
+    arena: SlotMap<AttemptKey, Option<AnyAttempt>>,
+    by_id: HashMap<AttemptId, AttemptKey>,
+    by_run: HashMap<u64, AttemptKey>,
+    ended: VecDeque<(Duration, AttemptKey)>,
+    tombstones: BTreeSet<AttemptId>,
+    tombstone_order: VecDeque<(Duration, AttemptId)>,
+}
+
+impl AttemptTable {
+    pub(crate) fn key_of(&self, id: AttemptId) -> Option<AttemptKey> {
+        self.by_id.get(&id).copied()
+    }
+
+    pub(crate) fn key_of_run(&self, run: u64) -> Option<AttemptKey> {
+        self.by_run.get(&run).copied()
+    }
+
+    pub(crate) fn get(&self, key: AttemptKey) -> Option<&AnyAttempt> {
+        self.arena.get(key)?.as_ref()
+    }
+
+    pub(crate) fn get_mut(&mut self, key: AttemptKey) -> Option<&mut AnyAttempt> {
+        self.arena.get_mut(key)?.as_mut()
+    }
+
+    pub(crate) fn is_tombstone(&self, id: AttemptId) -> bool {
+        self.tombstones.contains(&id)
+    }
+
+    /// Remembers that an attempt must not start any more.
+    pub(crate) fn bury(&mut self, id: AttemptId, now: Duration) {
+        if self.tombstones.insert(id) {
+            self.tombstone_order.push_back((now, id));
+        }
+    }
+
+    pub(crate) fn insert(&mut self, attempt: AnyAttempt) -> AttemptKey {
+        let id = attempt.start().attempt;
+        let key = self.arena.insert(Some(attempt));
+        self.by_id.insert(id, key);
+        key
+    }
+
+    /// Replaces an attempt by its next state. The closure gets the attempt by value, so that a
+    /// state can't be used after it was left.
+    pub(crate) fn advance<F>(&mut self, key: AttemptKey, next: F)
+    where
+        F: FnOnce(AnyAttempt) -> AnyAttempt,
+    {
+        let Some(place) = self.arena.get_mut(key) else {
+            return;
+        };
+        let Some(attempt) = place.take() else {
+            return;
+        };
+        if let Some(run) = attempt.run() {
+            self.by_run.remove(&run);
+        }
+        let id = attempt.start().attempt;
+        let attempt = next(attempt);
+        let run = attempt.run();
+        let ended_at = match &attempt {
+            AnyAttempt::Ended(ended) => Some(ended.state.at),
+            _ => None,
+        };
+        *place = Some(attempt);
+        if let Some(run) = run {
+            self.by_run.insert(run, key);
+        }
+        if let Some(at) = ended_at {
+            self.ended.push_back((at, key));
+            self.bury(id, at);
+        }
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (AttemptKey, &AnyAttempt)> {
+        self.arena
+            .iter()
+            .filter_map(|(k, a)| Some((k, a.as_ref()?)))
+    }
+
+    /// Returns attempts that haven't ended.
+    pub(crate) fn active(&self) -> impl Iterator<Item = (AttemptKey, &AnyAttempt)> {
+        self.iter().filter(|(_, a)| !a.is_ended())
+    }
+
+    /// Forgets what ended long ago.
+    pub(crate) fn forget_old(&mut self, now: Duration) {
+        while self
+            .ended
+            .front()
+            .is_some_and(|(at, _)| now >= *at + KEEP_PIECES)
+        {
+            if let Some((_, key)) = self.ended.pop_front() {
+                if let Some(attempt) = self.arena.remove(key).flatten() {
+                    self.by_id.remove(&attempt.start().attempt);
+                }
+            }
+        }
+        while self
+            .tombstone_order
+            .front()
+            .is_some_and(|(at, _)| now >= *at + KEEP_IDENTITY)
+        {
+            if let Some((_, id)) = self.tombstone_order.pop_front() {
+                self.tombstones.remove(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_side/src/block_table.rs
@@ -0,0 +1,269 @@
+//! The slots of one store: who writes, reads and frees which.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dotterelrudder_types::BlockKey;
+use dotterelrudder_types::Tier;
+
+use crate::open_block;
+
+/// How long a freed slot waits for its readers before it is reused all the same; their reads then
+/// fail by generation.
+const PIN_LIMIT: Duration = Duration::from_secs(2);
+
+/// One use of a slot; a slot that was freed and used again has another generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SlotRef {
+    /// The slot's number at the store.
+    pub slot: u32,
+    /// Which use of the slot.
+    pub generation: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum SlotState {
+    Free,
+    Writing,
+    Sealed,
+    Freeing { since: Duration },
+}
+
+#[derive(Debug, Clone)]
+struct Slot {
+    generation: u64,
+    state: SlotState,
+    key: BlockKey,
+    tier: Tier,
+    pins: u32,
+    used_at: Duration,
+}
+
+/// Which block stands in which slot of a store.
+///
+/// A block can be found only between [`BlockTable::seal`] and [`BlockTable::free`]; what a reader
+/// got counts only when [`BlockTable::verify`] says so.
+#[derive(Debug)]
+pub struct BlockTable {
+    slots: Vec<Slot>,
+    by_key: HashMap<BlockKey, u32>,
+    next_generation: u64,
+}
+
+impl BlockTable {
+    /// Starts with all slots free. `first_generation` must exceed every generation used before.
+    pub fn new(slots: u32, first_generation: u64) -> Self {
+        let free = Slot {
+            generation: 0,
+            state: SlotState::Free,
+            key: BlockKey([0; 16]),
+            tier: Tier::Trial,
+            pins: 0,
+            used_at: Duration::ZERO,
+        };
+        Self {
+            slots: vec![free; slots as usize],
+            by_key: HashMap::new(),
+            next_generation: first_generation,
+        }
+    }
+
+    /// Returns the number of slots.
+    pub fn capacity(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Returns whether a block can be read.
+    pub fn contains(&self, key: &BlockKey) -> bool {
+        self.by_key
+            .get(key)
+            .is_some_and(|i| self.slots[*i as usize].state == SlotState::Sealed)
+    }
+
+    /// Returns the keys of all blocks that can be read.
+    pub fn keys(&self) -> Vec<BlockKey> {
+        let sealed = self.slots.iter().filter(|s| s.state == SlotState::Sealed);
+        sealed.map(|s| s.key).collect()
+    }
+
+    /// Takes a block found in its slot after a start.
+    pub fn adopt(&mut self, slot: u32, key: BlockKey, generation: u64, tier: Tier) {
+        self.next_generation = self.next_generation.max(generation + 1);
+        let free = self
+            .slots
+            .get(slot as usize)
+            .is_some_and(|s| s.state == SlotState::Free);
+        if !free || self.by_key.contains_key(&key) {
+            return;
+        }
+        let state = SlotState::Sealed;
+        let used_at = Duration::ZERO;
+        self.slots[slot as usize] = Slot {
+            generation,
+            state,
+            key,
+            tier,
+            pins: 0,
+            used_at,
+        };
+        self.by_key.insert(key, slot);
+    }
+
+    /// Reserves a slot for a block. The second value is a block that gave way, if one did.
+    /// `None` means that the block is here already or that nothing may give way to it.
+    pub fn begin_write(
+        &mut self,
+        key: BlockKey,
+        tier: Tier,
+        trial_percent: u8,
+        now: Duration,
+    ) -> Option<(SlotRef, Option<BlockKey>)> {
+        self.release_overdue(now);
+        if self.by_key.contains_key(&key) {
+            return None;
+        }
+        let trial_slots = self.slots.len() * usize::from(trial_percent) / 100;
+        let trial_full = tier == Tier::Trial && self.count_trial() >= trial_slots;
+        let mut evicted = None;
+        let mut slot = if trial_full { None } else { self.find_free() };
+        if slot.is_none() {
+            let victim = self.find_victim(tier)?;
+            let victim_key = self.slots[victim as usize].key;
+            self.free(&victim_key, now);
+            evicted = Some(victim_key);
+            slot = self.find_free();
+        }
+        let Some(slot) = slot else {
+            // The victim is pinned; its slot comes free once the readers are done.
+            return None;
+        };
+        let generation = self.next_generation;
+        self.next_generation += 1;
+        let state = SlotState::Writing;
+        self.slots[slot as usize] = Slot {
+            generation,
+            state,
+            key,
+            tier,
+            pins: 0,
+            used_at: now,
+        };
+        self.by_key.insert(key, slot);
+        Some((SlotRef { slot, generation }, evicted))
+    }
+
+    /// Makes a wholly written block readable; false when the write was overtaken.
+    pub fn seal(&mut self, at: SlotRef) -> bool {
+        match self.slot_mut(at) {
+            Some(slot) if slot.state == SlotState::Writing => {
+                slot.state = SlotState::Sealed;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Gives up a write that failed.
+    pub fn abort(&mut self, at: SlotRef) {
+        if let Some(slot) = self.slot_mut(at) {
+            if slot.state == SlotState::Writing {
+                slot.state = SlotState::Free;
+                let key = slot.key;
+                self.by_key.remove(&key);
+            }
+        }
+    }
+
+    /// Finds a block and keeps its slot from being reused until [`BlockTable::unpin`].
+    pub fn pin(&mut self, key: &BlockKey, now: Duration) -> Option<SlotRef> {
+        let index = *self.by_key.get(key)?;
+        let slot = &mut self.slots[index as usize];
+        if slot.state != SlotState::Sealed {
+            return None;
+        }
+        slot.pins += 1;
+        slot.used_at = now;
+        Some(SlotRef {
+            slot: index,
+            generation: slot.generation,
+        })
+    }
+
+    /// Ends a read.
+    pub fn unpin(&mut self, at: SlotRef) {
+        if let Some(slot) = self.slot_mut(at) {
+            slot.pins = slot.pins.saturating_sub(1);
+            if slot.pins == 0 && matches!(slot.state, SlotState::Freeing { .. }) {
+                slot.state = SlotState::Free;
+            }
+        }
+    }
+
+    /// Returns a read block's payload if the bytes are whole, of this use of the slot and of the
+    /// block that was asked for.
+    pub fn verify(&self, at: SlotRef, key: &BlockKey, data: &Bytes) -> Option<Bytes> {
+        let (found, generation, _, payload) = open_block(data)?;
+        let same_use = generation == at.generation
+            && self
+                .slots
+                .get(at.slot as usize)
+                .is_some_and(|s| s.generation == generation);
+        (same_use && found == *key).then_some(payload)
+    }
+
+    /// Frees a block; its slot is reused once its readers are done.
+    pub fn free(&mut self, key: &BlockKey, now: Duration) -> bool {
+        let Some(index) = self.by_key.remove(key) else {
+            return false;
+        };
+        let slot = &mut self.slots[index as usize];
+        slot.state = if slot.pins == 0 && slot.state != SlotState::Writing {
+            SlotState::Free
+        } else {
+            SlotState::Freeing { since: now }
+        };
+        true
+    }
+
+    /// Reuses slots whose readers took too long.
+    pub fn release_overdue(&mut self, now: Duration) {
+        for slot in &mut self.slots {
+            if let SlotState::Freeing { since } = slot.state {
+                if now >= since + PIN_LIMIT {
+                    slot.state = SlotState::Free;
+                    slot.generation = 0;
+                    slot.pins = 0;
+                }
+            }
+        }
+    }
+
+    fn slot_mut(&mut self, at: SlotRef) -> Option<&mut Slot> {
+        let slot = self.slots.get_mut(at.slot as usize)?;
+        (slot.generation == at.generation).then_some(slot)
+    }
+
+    fn count_trial(&self) -> usize {
+        let used = self.slots.iter().filter(|s| s.state != SlotState::Free);
+        used.filter(|s| s.tier == Tier::Trial).count()
+    }
+
+    fn find_free(&self) -> Option<u32> {
+        let free = self.slots.iter().position(|s| s.state == SlotState::Free);
+        free.map(|i| i as u32)
+    }
+
+    /// Finds the least recently used block that may give way: trial blocks first, and only they to
+    /// trial work.
+    fn find_victim(&self, tier: Tier) -> Option<u32> {
+        let sealed = self
+            .slots
+            .iter()
+            .enumerate()
+            .filter(|(_, s)| s.state == SlotState::Sealed);
+        let allowed = sealed.filter(|(_, s)| s.tier == Tier::Trial || tier == Tier::Paying);
+        let order = |s: &Slot| (s.pins > 0, std::cmp::Reverse(s.tier), s.used_at);
+        allowed.min_by_key(|(_, s)| order(s)).map(|(i, _)| i as u32)
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_side/src/runner.rs
@@ -0,0 +1,577 @@
+//! The side of a model engine or a plain service: intake, queue, drain, load.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use dotterelrudder_config::ServiceKind;
+use dotterelrudder_follow::ControlClient;
+use dotterelrudder_types::AttemptId;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Outcome;
+use dotterelrudder_types::Refusal;
+use dotterelrudder_types::Role;
+use dotterelrudder_types::Tier;
+use dotterelrudder_types::WeightVersion;
+use dotterelrudder_wire::LoadReport;
+use dotterelrudder_wire::Message;
+use dotterelrudder_wire::Start;
+use dotterelrudder_wire::Work;
+
+use crate::attempt::AnyAttempt;
+use crate::attempt::Attempt;
+use crate::attempt::Running;
+use crate::attempt::Waiting;
+use crate::attempt_table::AttemptKey;
+use crate::attempt_table::AttemptTable;
+use crate::block_cache::BlockCache;
+use crate::exporter::Exporter;
+use crate::input::BackendLoad;
+use crate::orders::Orders;
+use crate::runner_claims::ControlAsk;
+use crate::side_core::Common;
+use crate::side_core::SideSettings;
+use crate::Input;
+use crate::Output;
+
+/// How often the load is reported while nothing changes.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+/// How soon a changed load is reported.
+const REPORT_CHANGE_AFTER: Duration = Duration::from_millis(50);
+/// How long an attempt outlives the connection of its entry.
+const ORPHAN_AFTER: Duration = Duration::from_secs(10);
+/// The weight of a new sample in moving averages.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// The hold time assumed before the first run, in seconds.
+const FIRST_HOLD_SECONDS: f64 = 0.1;
+/// The import rate assumed before the first import, in bytes a second.
+const FIRST_IMPORT_RATE: f64 = 50e6;
+
+/// Guards the calls to one backend server.
+#[derive(Debug)]
+pub(crate) struct Runner {
+    pub(crate) attempts: AttemptTable,
+    waiting: [VecDeque<AttemptKey>; 2],
+    pub(crate) load: BackendLoad,
+    pub(crate) cache: BlockCache,
+    pub(crate) orders: Orders,
+    pub(crate) control: ControlClient<ControlAsk>,
+    pub(crate) exporter: Exporter,
+    pub(crate) next_run: u64,
+    pub(crate) import_rate: f64,
+    hold_seconds: f64,
+    report_at: Duration,
+    reported: Option<LoadReport>,
+    entry_closed: Vec<(InstanceName, Duration)>,
+}
+
+fn queue_of(tier: Tier) -> usize {
+    usize::from(tier == Tier::Trial)
+}
+
+/// Moves an average towards a new sample.
+pub(crate) fn blend(average: &mut f64, sample: f64) {
+    *average += SAMPLE_WEIGHT * (sample - *average);
+}
+
+impl Runner {
+    pub(crate) fn new(settings: &SideSettings) -> Self {
+        let mut runner = Self {
+            attempts: AttemptTable::default(),
+            waiting: Default::default(),
+            load: BackendLoad {
+                version: WeightVersion::default(),
+                slots: settings.slots,
+                prefill_rate: 0.0,
+                block_bytes: 0,
+            },
+            cache: BlockCache::default(),
+            orders: Orders::default(),
+            control: ControlClient::default(),
+            exporter: Exporter::default(),
+            next_run: 1,
+            import_rate: FIRST_IMPORT_RATE,
+            hold_seconds: FIRST_HOLD_SECONDS,
+            report_at: Duration::ZERO,
+            reported: None,
+            entry_closed: Vec::new(),
+        };
+        runner.register(settings);
+        runner
+    }
+
+    pub(crate) fn active_attempts(&self) -> usize {
+        self.attempts.active().count()
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.active_attempts() == 0 && self.control.is_idle() && self.exporter.is_idle()
+    }
+
+    pub(crate) fn on_opened(
+        &mut self,
+        peer: &InstanceName,
+        role: Role,
+        common: &Common,
+        out: &mut Vec<Output>,
+    ) {
+        self.entry_closed.retain(|(name, _)| name != peer);
+        let load = Message::Load(self.load_report(common));
+        out.push(Output::Send {
+            to: peer.clone(),
+            message: load,
+        });
+        if role == Role::Entry {
+            out.push(Output::Send {
+                to: peer.clone(),
+                message: self.cache.whole(),
+            });
+        }
+    }
+
+    pub(crate) fn on_closed(
+        &mut self,
+        peer: &InstanceName,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        self.entry_closed.push((peer.clone(), now));
+        self.exporter.closed(peer);
+        self.give_up_imports_from(peer, common, now, out);
+    }
+
+    pub(crate) fn on_event(
+        &mut self,
+        input: Input,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        match input {
+            Input::Load(load) => self.load = load,
+            Input::CacheEvents {
+                whole,
+                added,
+                removed,
+            } => {
+                if let Some(message) = self.cache.change(whole, added, removed) {
+                    common.broadcast(Role::Entry, &message, out);
+                }
+            }
+            Input::Exported { key, data } => self.exporter.on_exported(key, data, out),
+            Input::Loaded {
+                fence,
+                version,
+                done,
+            } => {
+                self.on_loaded(fence, version, done, common, out);
+            }
+            other => self.on_run_event(other, common, now, out),
+        }
+        self.schedule(common, now, out);
+    }
+
+    pub(crate) fn on_message(
+        &mut self,
+        from: InstanceName,
+        message: Message,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            Message::Start(start) => self.on_start(from, *start, common, now, out),
+            Message::Cancel { attempt } => self.on_cancel(attempt, now, out),
+            Message::Query {
+                attempt,
+                from: piece,
+            } => {
+                self.on_query(from, attempt, piece, now, out);
+            }
+            Message::Result { tag, result } => self.on_result(tag, *result, common, now, out),
+            Message::Block { key, data } => self.on_block(key, data, common, now, out),
+            Message::LacksBlocks { keys } => self.exporter.on_lacking(&from, &keys, out),
+            Message::ResyncBlocks => {
+                out.push(Output::Send {
+                    to: from,
+                    message: self.cache.whole(),
+                });
+            }
+            Message::Order { fence, version } => self.on_order(from, fence, version, out),
+            _ => {}
+        }
+        self.schedule(common, now, out);
+    }
+
+    pub(crate) fn tick(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
+        self.tick_deadlines(common, now, out);
+        self.tick_control(common, now, out);
+        self.cancel_orphans(now, out);
+        self.attempts.forget_old(now);
+        self.schedule(common, now, out);
+        self.report_load(common, now, out);
+    }
+
+    /// Refuses everything that waits, so that entries route it elsewhere at once.
+    pub(crate) fn refuse_waiting(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
+        let waiting: Vec<AttemptKey> = self.waiting.iter().flatten().copied().collect();
+        for key in waiting {
+            let resumed = self
+                .attempts
+                .get(key)
+                .is_some_and(|a| !a.repeat_from(0).is_empty());
+            let outcome = if resumed {
+                Outcome::Unknown
+            } else {
+                Outcome::NotRun
+            };
+            self.end(key, Err(leaving(common).with_outcome(outcome)), now, out);
+        }
+    }
+
+    fn on_start(
+        &mut self,
+        from: InstanceName,
+        mut start: Start,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let id = start.attempt;
+        if self.attempts.key_of(id).is_some() {
+            self.on_query(from, id, 0, now, out);
+            return;
+        }
+        if let Err(refusal) = self.admit(&mut start, common) {
+            out.push(Output::Send {
+                to: from,
+                message: Message::Refused {
+                    attempt: id,
+                    refusal,
+                },
+            });
+            return;
+        }
+        let deadline = now + Duration::from_millis(start.deadline_ms);
+        let tier = start.tier;
+        let attempt = Attempt {
+            start,
+            entry: from,
+            deadline,
+            head: None,
+            pieces: Vec::new(),
+            claimed: false,
+            state: Waiting,
+        };
+        let key = self.attempts.insert(AnyAttempt::Waiting(attempt));
+        self.waiting[queue_of(tier)].push_back(key);
+        self.displace_trial(common, now, out);
+    }
+
+    /// Checks everything that can refuse an attempt before the backend server is called.
+    fn admit(&self, start: &mut Start, common: &Common) -> Result<(), Refusal> {
+        if self.attempts.is_tombstone(start.attempt) {
+            let detail = format!("attempt {} was cancelled or has ended", start.attempt);
+            return Err(Refusal::new(ErrorKind::Cancelled, detail));
+        }
+        if common.leaving {
+            return Err(leaving(common));
+        }
+        if !common.follower.is_confirmed() {
+            let detail = format!("\"{}\" holds no configuration yet", common.settings.name);
+            return Err(Refusal::new(ErrorKind::NotReady, detail));
+        }
+        let cfg = common.follower.cfg();
+        let own = &common.settings.service;
+        let account = cfg.accounts.get(&start.account);
+        let account = account.filter(|a| a.services.contains(own) && start.service == *own);
+        let Some(account) = account else {
+            let detail = format!("client account may not use service \"{own}\"");
+            return Err(Refusal::new(ErrorKind::NotAllowed, detail));
+        };
+        start.tier = account.tier;
+        if start.deadline_ms == 0 {
+            return Err(Refusal::new(
+                ErrorKind::DeadlineExceeded,
+                "the deadline has passed",
+            ));
+        }
+        if let Work::Completion {
+            version: Some(version),
+            ..
+        } = &start.work
+        {
+            if *version != self.load.version {
+                let held = &self.load.version;
+                let detail = format!("weight version \"{version}\" isn't here, \"{held}\" is");
+                return Err(Refusal::new(ErrorKind::WrongWeightVersion, detail));
+            }
+        }
+        let limit = cfg.services.get(own).map_or(u32::MAX, |s| s.queue_limit) as usize;
+        let ahead = match start.tier {
+            Tier::Paying => self.waiting[0].len(),
+            Tier::Trial => self.waiting.iter().map(VecDeque::len).sum(),
+        };
+        if ahead >= limit {
+            let detail = format!("queue of service \"{own}\" is full");
+            return Err(Refusal::new(ErrorKind::Overloaded, detail));
+        }
+        Ok(())
+    }
+
+    /// Keeps the whole queue within its limit when paying work arrives on a queue of trial work.
+    fn displace_trial(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
+        let service = common.follower.cfg().services.get(&common.settings.service);
+        let limit = service.map_or(u32::MAX, |s| s.queue_limit) as usize;
+        let waiting: usize = self.waiting.iter().map(VecDeque::len).sum();
+        if waiting <= limit {
+            return;
+        }
+        if let Some(key) = self.waiting[1].back().copied() {
+            let resumed = self
+                .attempts
+                .get(key)
+                .is_some_and(|a| !a.repeat_from(0).is_empty());
+            let outcome = if resumed {
+                Outcome::Unknown
+            } else {
+                Outcome::NotRun
+            };
+            let refusal = Refusal::new(ErrorKind::Overloaded, "paying work took the place");
+            self.end(key, Err(refusal.with_outcome(outcome)), now, out);
+        }
+    }
+
+    fn slots_used(&self) -> u32 {
+        self.attempts
+            .active()
+            .filter(|(_, a)| a.holds_slot())
+            .count() as u32
+    }
+
+    /// Starts what may run now: paying work first, and in place of running trial work.
+    pub(crate) fn schedule(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
+        if self.orders.is_loading() || !self.is_loaded(common) {
+            return;
+        }
+        let mut used = self.slots_used();
+        while used < self.load.slots {
+            let Some(key) = self.waiting.iter_mut().find_map(VecDeque::pop_front) else {
+                return;
+            };
+            used += 1;
+            self.begin(key, common, now, out);
+        }
+        while !self.waiting[0].is_empty() && self.preempt_trial(out) {
+            if let Some(key) = self.waiting[0].pop_front() {
+                self.begin(key, common, now, out);
+            }
+        }
+    }
+
+    fn is_loaded(&self, common: &Common) -> bool {
+        common.settings.kind != ServiceKind::Model || !self.load.version.as_str().is_empty()
+    }
+
+    /// Takes the slot of the trial completion that began last; it resumes later without loss.
+    fn preempt_trial(&mut self, out: &mut Vec<Output>) -> bool {
+        let trial = self.attempts.active().filter_map(|(key, any)| match any {
+            AnyAttempt::Running(a) if is_preemptible(a) => Some((a.state.since, key, a.state.run)),
+            _ => None,
+        });
+        let Some((_, key, run)) = trial.max() else {
+            return false;
+        };
+        out.push(Output::CancelRun { run });
+        self.attempts.advance(key, |any| match any {
+            AnyAttempt::Running(a) => AnyAttempt::Waiting(a.into_state(Waiting)),
+            other => other,
+        });
+        self.waiting[1].push_front(key);
+        true
+    }
+
+    /// Ends an attempt and tells its entry.
+    pub(crate) fn end(
+        &mut self,
+        key: AttemptKey,
+        result: Result<dotterelrudder_wire::Usage, Refusal>,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        for queue in &mut self.waiting {
+            queue.retain(|k| *k != key);
+        }
+        if let Some(AnyAttempt::Running(a)) = self.attempts.get(key) {
+            blend(
+                &mut self.hold_seconds,
+                now.saturating_sub(a.state.since).as_secs_f64(),
+            );
+        }
+        self.attempts
+            .advance(key, |any| AnyAttempt::Ended(any.end(result, now)));
+        if let Some(AnyAttempt::Ended(ended)) = self.attempts.get(key) {
+            let (to, message) = (ended.entry.clone(), ended.end_message());
+            out.push(Output::Send { to, message });
+        }
+    }
+
+    fn on_query(
+        &mut self,
+        from: InstanceName,
+        attempt: AttemptId,
+        piece: u32,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let known = self
+            .attempts
+            .key_of(attempt)
+            .and_then(|key| self.attempts.get_mut(key));
+        if let Some(known) = known {
+            known.set_entry(&from);
+            let messages = known.repeat_from(piece).into_iter();
+            out.extend(messages.map(|message| Output::Send {
+                to: from.clone(),
+                message,
+            }));
+            return;
+        }
+        // Nothing is known of it, so it never started here; the tombstone keeps it so.
+        let detail = format!("attempt {attempt} isn't known here");
+        let mut refusal = Refusal::new(ErrorKind::NotFound, detail);
+        if self.attempts.is_tombstone(attempt) {
+            refusal = refusal.with_outcome(Outcome::Unknown);
+        }
+        self.attempts.bury(attempt, now);
+        out.push(Output::Send {
+            to: from,
+            message: Message::Refused { attempt, refusal },
+        });
+    }
+
+    fn on_cancel(&mut self, attempt: AttemptId, now: Duration, out: &mut Vec<Output>) {
+        let Some(key) = self.attempts.key_of(attempt) else {
+            self.attempts.bury(attempt, now);
+            return;
+        };
+        let Some(any) = self.attempts.get(key) else {
+            return;
+        };
+        // A run that may not be repeated goes on, so that its answer is kept for a resend.
+        if any.is_ended() || any.is_claimed() {
+            return;
+        }
+        let run = match any {
+            AnyAttempt::Running(a) => Some(a.state.run),
+            _ => None,
+        };
+        let outcome = if run.is_some() {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        out.extend(run.map(|run| Output::CancelRun { run }));
+        let refusal = Refusal::new(ErrorKind::Cancelled, "the caller cancelled");
+        self.end(key, Err(refusal.with_outcome(outcome)), now, out);
+    }
+
+    fn tick_deadlines(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
+        let overdue = self.attempts.active().filter(|(_, a)| {
+            now >= a.deadline() && !a.is_claimed() && !matches!(a, AnyAttempt::Storing(_))
+        });
+        for key in overdue.map(|(key, _)| key).collect::<Vec<_>>() {
+            let Some(any) = self.attempts.get(key) else {
+                continue;
+            };
+            let began = matches!(any, AnyAttempt::Running(_)) || !any.repeat_from(0).is_empty();
+            if let AnyAttempt::Running(a) = any {
+                out.push(Output::CancelRun { run: a.state.run });
+            }
+            let outcome = if began {
+                Outcome::Unknown
+            } else {
+                Outcome::NotRun
+            };
+            let refusal = Refusal::new(ErrorKind::DeadlineExceeded, "the deadline passed");
+            self.end(key, Err(refusal.with_outcome(outcome)), now, out);
+        }
+        self.tick_imports(common, now, out);
+        self.tick_storing(now, out);
+    }
+
+    /// Cancels what entries left behind that never came back.
+    fn cancel_orphans(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let gone = self
+            .entry_closed
+            .iter()
+            .filter(|(_, at)| now >= *at + ORPHAN_AFTER);
+        let gone: Vec<InstanceName> = gone.map(|(name, _)| name.clone()).collect();
+        if gone.is_empty() {
+            return;
+        }
+        self.entry_closed.retain(|(name, _)| !gone.contains(name));
+        let orphans = self
+            .attempts
+            .active()
+            .filter(|(_, a)| gone.contains(a.entry()));
+        let orphans: Vec<AttemptId> = orphans.map(|(_, a)| a.start().attempt).collect();
+        for attempt in orphans {
+            self.on_cancel(attempt, now, out);
+        }
+    }
+
+    fn load_report(&self, common: &Common) -> LoadReport {
+        let running = self.attempts.active().filter(|(_, a)| a.holds_slot());
+        let tiers: Vec<Tier> = running.map(|(_, a)| a.start().tier).collect();
+        let trial = tiers.iter().filter(|tier| **tier == Tier::Trial);
+        LoadReport {
+            service: common.settings.service.clone(),
+            version: self.load.version.clone(),
+            open: !common.leaving && !self.orders.is_loading() && self.is_loaded(common),
+            slots: self.load.slots,
+            running: tiers.len() as u32,
+            running_trial: trial.count() as u32,
+            waiting_paying: self.waiting[0].len() as u32,
+            waiting_trial: self.waiting[1].len() as u32,
+            prefill_rate: self.load.prefill_rate,
+            import_rate: self.import_rate,
+            block_bytes: self.load.block_bytes,
+            hold_seconds: self.hold_seconds,
+        }
+    }
+
+    fn report_load(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
+        let load = self.load_report(common);
+        let changed = self.reported.as_ref() != Some(&load);
+        if now < self.report_at
+            && !(changed && now + REPORT_EVERY >= self.report_at + REPORT_CHANGE_AFTER)
+        {
+            return;
+        }
+        let version_changed = self
+            .reported
+            .as_ref()
+            .is_none_or(|r| r.version != load.version);
+        let message = Message::Load(load.clone());
+        common.broadcast(Role::Entry, &message, out);
+        if now >= self.report_at || version_changed {
+            common.broadcast(Role::Control, &message, out);
+        }
+        self.report_at = now + REPORT_EVERY;
+        self.reported = Some(load);
+    }
+}
+
+fn is_preemptible(attempt: &Attempt<Running>) -> bool {
+    let completion = matches!(attempt.start.work, Work::Completion { .. });
+    attempt.start.tier == Tier::Trial && completion && !attempt.claimed
+}
+
+fn leaving(common: &Common) -> Refusal {
+    Refusal::new(
+        ErrorKind::Leaving,
+        format!("\"{}\" is leaving", common.settings.name),
+    )
+}
--- /dev/null
+++ b/crates/dotterelrudder_side/src/runner_claims.rs
@@ -0,0 +1,297 @@
+//! Claims of requests that may not be repeated, and the side's registration with control.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use dotterelrudder_types::AttemptId;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Outcome;
+use dotterelrudder_types::Refusal;
+use dotterelrudder_types::WeightVersion;
+use dotterelrudder_wire::ClaimKey;
+use dotterelrudder_wire::ClaimVerdict;
+use dotterelrudder_wire::Command;
+use dotterelrudder_wire::CommandResult;
+use dotterelrudder_wire::Message;
+use dotterelrudder_wire::Usage;
+
+use crate::attempt::AnswerHead;
+use crate::attempt::AnyAttempt;
+use crate::attempt::Claiming;
+use crate::attempt::Storing;
+use crate::attempt_table::AttemptKey;
+use crate::runner::Runner;
+use crate::side_core::Common;
+use crate::side_core::SideSettings;
+use crate::Output;
+
+/// How long an answer waits to be kept before the caller gets it all the same.
+const STORE_LIMIT: Duration = Duration::from_secs(2);
+
+/// What a proposal to control was for.
+#[derive(Debug)]
+pub(crate) enum ControlAsk {
+    /// Announce this start and learn the fencing number.
+    Register,
+    /// Claim a key for an attempt.
+    Claim(AttemptId, ClaimKey),
+    /// Keep the answer of an attempt.
+    Finish(AttemptId),
+    /// Give a claim back or up.
+    End,
+}
+
+impl Runner {
+    pub(crate) fn register(&mut self, settings: &SideSettings) {
+        let side = settings.name.clone();
+        let command = Command::RegisterSide {
+            side,
+            incarnation: settings.incarnation,
+        };
+        self.control.propose(ControlAsk::Register, command);
+    }
+
+    pub(crate) fn tick_control(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
+        let mut sends = Vec::new();
+        self.control
+            .tick(now, &common.follower.reachable_controls(), &mut sends);
+        out.extend(
+            sends
+                .into_iter()
+                .map(|(to, message)| Output::Send { to, message }),
+        );
+    }
+
+    /// Asks control whether the attempt may run.
+    pub(crate) fn claim(
+        &mut self,
+        key: AttemptKey,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(start) = self.attempts.get(key).map(|a| a.start().clone()) else {
+            return;
+        };
+        let Some(claim) = start.claim.clone() else {
+            return;
+        };
+        self.attempts.advance(key, |any| match any {
+            AnyAttempt::Waiting(a) => AnyAttempt::Claiming(a.into_state(Claiming)),
+            other => other,
+        });
+        let command = Command::Claim {
+            key: claim.clone(),
+            holder: common.settings.name.clone(),
+            incarnation: common.settings.incarnation,
+            attempt: start.attempt,
+            at_ms: 0,
+        };
+        self.control
+            .propose(ControlAsk::Claim(start.attempt, claim), command);
+        self.tick_control(common, now, out);
+    }
+
+    pub(crate) fn on_result(
+        &mut self,
+        tag: u64,
+        result: CommandResult,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        match self.control.on_result(tag, result, now) {
+            Some((ControlAsk::Register, CommandResult::Fence(fence))) => self.orders.learn(fence),
+            Some((ControlAsk::Claim(attempt, key), CommandResult::Claim(verdict))) => {
+                self.on_verdict(attempt, key, verdict, common, now, out);
+            }
+            Some((ControlAsk::Finish(attempt), _)) => {
+                if let Some(key) = self.attempts.key_of(attempt) {
+                    self.finish_stored(key, now, out);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn on_verdict(
+        &mut self,
+        attempt: AttemptId,
+        claim: ClaimKey,
+        verdict: ClaimVerdict,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let key = self
+            .attempts
+            .key_of(attempt)
+            .filter(|key| matches!(self.attempts.get(*key), Some(AnyAttempt::Claiming(_))));
+        let Some(key) = key else {
+            // The attempt ended while it waited and must not run any more.
+            if verdict == ClaimVerdict::Granted {
+                let command = Command::ReleaseClaim {
+                    key: claim,
+                    attempt,
+                };
+                self.control.propose(ControlAsk::End, command);
+            }
+            return;
+        };
+        let refusal = match verdict {
+            ClaimVerdict::Granted => {
+                if let Some(AnyAttempt::Claiming(a)) = self.attempts.get_mut(key) {
+                    a.claimed = true;
+                }
+                self.import_or_call(key, common, now, out);
+                return;
+            }
+            ClaimVerdict::Finished {
+                status,
+                content_type,
+                body,
+                usage,
+            } => {
+                let head = AnswerHead {
+                    version: WeightVersion::default(),
+                    status,
+                    content_type,
+                };
+                if let Some(AnyAttempt::Claiming(a)) = self.attempts.get_mut(key) {
+                    a.head = Some(head);
+                    a.pieces = vec![body];
+                    let messages = a.repeat_from(0).into_iter();
+                    let to = a.entry.clone();
+                    out.extend(messages.map(|message| Output::Send {
+                        to: to.clone(),
+                        message,
+                    }));
+                }
+                self.end(key, Ok(usage), now, out);
+                return;
+            }
+            ClaimVerdict::InProgress => {
+                Refusal::new(ErrorKind::InProgress, "a request with this key is running")
+            }
+            ClaimVerdict::Unknown => Refusal::new(
+                ErrorKind::OutcomeUnknown,
+                "whether this key's request ran is unknown",
+            ),
+            ClaimVerdict::KeyReused => Refusal::new(
+                ErrorKind::KeyReused,
+                "this key was used with another request",
+            ),
+            ClaimVerdict::Expired => Refusal::new(
+                ErrorKind::KeyExpired,
+                "the answer of this key's request isn't kept",
+            ),
+        };
+        self.end(key, Err(refusal), now, out);
+    }
+
+    /// Has control keep the answer before the entry is told that it is whole.
+    pub(crate) fn store_answer(&mut self, key: AttemptKey, usage: Usage, now: Duration) {
+        let Some(AnyAttempt::Running(a)) = self.attempts.get(key) else {
+            return;
+        };
+        let Some(claim) = a.start.claim.clone() else {
+            return;
+        };
+        let (status, content_type) = match &a.head {
+            Some(head) => (head.status, head.content_type.clone()),
+            None => (200, CompactString::default()),
+        };
+        let attempt = a.start.attempt;
+        let command = Command::FinishClaim {
+            key: claim,
+            attempt,
+            status,
+            content_type,
+            body: a.text().into(),
+            usage,
+            at_ms: 0,
+        };
+        self.control.propose(ControlAsk::Finish(attempt), command);
+        let due = now + STORE_LIMIT;
+        self.attempts.advance(key, |any| match any {
+            AnyAttempt::Running(a) => AnyAttempt::Storing(a.into_state(Storing { usage, due })),
+            other => other,
+        });
+    }
+
+    fn finish_stored(&mut self, key: AttemptKey, now: Duration, out: &mut Vec<Output>) {
+        if let Some(AnyAttempt::Storing(a)) = self.attempts.get(key) {
+            let usage = a.state.usage;
+            self.end(key, Ok(usage), now, out);
+        }
+    }
+
+    /// Gives answers to their callers whose keeping takes too long; the proposal goes on.
+    pub(crate) fn tick_storing(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let due = self.attempts.active().filter(|(_, any)| match any {
+            AnyAttempt::Storing(a) => now >= a.state.due,
+            _ => false,
+        });
+        for key in due.map(|(key, _)| key).collect::<Vec<_>>() {
+            self.finish_stored(key, now, out);
+        }
+    }
+
+    /// Tells control what became of a claim whose run gave no answer.
+    pub(crate) fn end_claim(&mut self, key: AttemptKey, outcome: Outcome) {
+        let Some(any) = self.attempts.get(key).filter(|a| a.is_claimed()) else {
+            return;
+        };
+        let attempt = any.start().attempt;
+        let Some(key) = any.start().claim.clone() else {
+            return;
+        };
+        let command = match outcome {
+            Outcome::NotRun => Command::ReleaseClaim { key, attempt },
+            Outcome::Unknown => Command::LoseClaim { key, attempt },
+        };
+        self.control.propose(ControlAsk::End, command);
+    }
+
+    pub(crate) fn on_order(
+        &mut self,
+        from: InstanceName,
+        fence: u64,
+        version: WeightVersion,
+        out: &mut Vec<Output>,
+    ) {
+        match self.orders.accept(fence) {
+            Ok(()) => out.push(Output::LoadVersion { fence, version }),
+            Err(refusal) => {
+                let version = self.load.version.clone();
+                let message = Message::OrderDone {
+                    fence,
+                    version,
+                    refusal: Some(refusal),
+                };
+                out.push(Output::Send { to: from, message });
+            }
+        }
+    }
+
+    pub(crate) fn on_loaded(
+        &mut self,
+        fence: u64,
+        version: WeightVersion,
+        done: bool,
+        common: &Common,
+        out: &mut Vec<Output>,
+    ) {
+        self.orders.finish(fence);
+        self.load.version = version.clone();
+        let detail = "the engine didn't load the version";
+        let refusal = (!done).then(|| Refusal::new(ErrorKind::BackendFailed, detail));
+        let message = Message::OrderDone {
+            fence,
+            version,
+            refusal,
+        };
+        common.broadcast(dotterelrudder_types::Role::Control, &message, out);
+    }
+}
