--- /dev/null
+++ b/crates/dotterelrudder_side/src/runner_imports.rs
@@ -0,0 +1,207 @@
+//! Imports of kept KV cache before a run.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dotterelrudder_types::BlockKey;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_wire::Message;
+use dotterelrudder_wire::Work;
+
+use crate::attempt::AnyAttempt;
+use crate::attempt::Importing;
+use crate::attempt_table::AttemptKey;
+use crate::runner::blend;
+use crate::runner::Runner;
+use crate::side_core::Common;
+use crate::Output;
+
+/// How long blocks are waited for before the engine recomputes what is missing.
+const IMPORT_LIMIT: Duration = Duration::from_secs(2);
+
+impl Runner {
+    /// Starts an attempt that got a slot.
+    pub(crate) fn begin(
+        &mut self,
+        key: AttemptKey,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(any) = self.attempts.get(key) else {
+            return;
+        };
+        if any.start().claim.is_some() && !any.is_claimed() {
+            self.claim(key, common, now, out);
+        } else {
+            self.import_or_call(key, common, now, out);
+        }
+    }
+
+    pub(crate) fn import_or_call(
+        &mut self,
+        key: AttemptKey,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let wanted = self.blocks_to_import(key, common);
+        if wanted.is_empty() {
+            self.call(key, now, out);
+            return;
+        }
+        let state = Importing {
+            missing: wanted.iter().map(|(key, _)| *key).collect::<BTreeSet<_>>(),
+            due: now + IMPORT_LIMIT,
+            run: self.next_run,
+            version: self.load.version.clone(),
+        };
+        self.next_run += 1;
+        self.attempts.advance(key, |any| match any {
+            AnyAttempt::Waiting(a) => AnyAttempt::Importing(a.into_state(state)),
+            AnyAttempt::Claiming(a) => AnyAttempt::Importing(a.into_state(state)),
+            other => other,
+        });
+        for (key, to) in wanted {
+            out.push(Output::Send {
+                to,
+                message: Message::GetBlock { key },
+            });
+        }
+    }
+
+    /// Returns the blocks that the entry advises to import, as far as they belong to this client
+    /// account, prompt and weight version and the engine lacks them.
+    fn blocks_to_import(&self, key: AttemptKey, common: &Common) -> Vec<(BlockKey, InstanceName)> {
+        let Some(start) = self.attempts.get(key).map(|a| a.start()) else {
+            return Vec::new();
+        };
+        let Work::Completion {
+            model,
+            prompt,
+            import,
+            ..
+        } = &start.work
+        else {
+            return Vec::new();
+        };
+        if import.is_empty() {
+            return Vec::new();
+        }
+        let own = BlockKey::chain(&start.account, model, &self.load.version, prompt);
+        let wanted = import.iter().filter(|(block, store)| {
+            own.contains(block) && !self.cache.contains(block) && common.peers.contains_key(store)
+        });
+        wanted.cloned().collect()
+    }
+
+    pub(crate) fn on_block(
+        &mut self,
+        key: BlockKey,
+        data: Option<Bytes>,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let waiting = self
+            .attempts
+            .active()
+            .filter_map(|(attempt, any)| match any {
+                AnyAttempt::Importing(a) if a.state.missing.contains(&key) => {
+                    let asked_at = a.state.due.saturating_sub(IMPORT_LIMIT);
+                    Some((attempt, a.state.run, a.state.version.clone(), asked_at))
+                }
+                _ => None,
+            });
+        for (attempt, run, version, asked_at) in waiting.collect::<Vec<_>>() {
+            match &data {
+                Some(data) => {
+                    let took = now.saturating_sub(asked_at).as_secs_f64().max(1e-4);
+                    blend(&mut self.import_rate, data.len() as f64 / took);
+                    let data = data.clone();
+                    out.push(Output::ImportBlock {
+                        run,
+                        key,
+                        version,
+                        data,
+                    });
+                }
+                None => self.block_settled(attempt, &key, common, now, out),
+            }
+        }
+    }
+
+    pub(crate) fn on_imported(
+        &mut self,
+        run: u64,
+        key: &BlockKey,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(attempt) = self.attempts.key_of_run(run) {
+            self.block_settled(attempt, key, common, now, out);
+        }
+    }
+
+    /// Notes that a block is in the engine or won't be, and calls the engine after the last one.
+    fn block_settled(
+        &mut self,
+        attempt: AttemptKey,
+        key: &BlockKey,
+        _common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(AnyAttempt::Importing(a)) = self.attempts.get_mut(attempt) else {
+            return;
+        };
+        a.state.missing.remove(key);
+        if a.state.missing.is_empty() {
+            self.call(attempt, now, out);
+        }
+    }
+
+    /// Calls the engine without the blocks that don't come.
+    pub(crate) fn tick_imports(&mut self, _common: &Common, now: Duration, out: &mut Vec<Output>) {
+        let due = self.attempts.active().filter(|(_, any)| match any {
+            AnyAttempt::Importing(a) => now >= a.state.due,
+            _ => false,
+        });
+        for key in due.map(|(key, _)| key).collect::<Vec<_>>() {
+            self.call(key, now, out);
+        }
+    }
+
+    /// Stops waiting for a store whose connection closed.
+    pub(crate) fn give_up_imports_from(
+        &mut self,
+        store: &InstanceName,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let hit = self
+            .attempts
+            .active()
+            .filter_map(|(attempt, any)| match any {
+                AnyAttempt::Importing(a) => {
+                    let Work::Completion { import, .. } = &a.start.work else {
+                        return None;
+                    };
+                    let lost = import
+                        .iter()
+                        .filter(|(_, from)| from == store)
+                        .map(|(key, _)| *key);
+                    Some((attempt, lost.collect::<Vec<_>>()))
+                }
+                _ => None,
+            });
+        for (attempt, keys) in hit.collect::<Vec<_>>() {
+            for key in keys {
+                self.block_settled(attempt, &key, common, now, out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_side/src/runner_runs.rs
@@ -0,0 +1,250 @@
+//! Runs at the backend server, from the call to the end of the answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use dotterelrudder_types::BlockKey;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::Outcome;
+use dotterelrudder_types::Refusal;
+use dotterelrudder_wire::Message;
+use dotterelrudder_wire::Piece;
+use dotterelrudder_wire::Start;
+use dotterelrudder_wire::Usage;
+use dotterelrudder_wire::Work;
+
+use crate::attempt::AnswerHead;
+use crate::attempt::AnyAttempt;
+use crate::attempt::Running;
+use crate::attempt_table::AttemptKey;
+use crate::runner::Runner;
+use crate::side_core::Common;
+use crate::Input;
+use crate::Output;
+
+impl Runner {
+    /// Calls the backend server; from here on the attempt can't be told as not run.
+    pub(crate) fn call(&mut self, key: AttemptKey, now: Duration, out: &mut Vec<Output>) {
+        let Some(any) = self.attempts.get(key) else {
+            return;
+        };
+        let run = any.run().unwrap_or(self.next_run);
+        self.next_run = self.next_run.max(run + 1);
+        let running = Running { run, since: now };
+        self.attempts.advance(key, |any| match any {
+            AnyAttempt::Waiting(a) => AnyAttempt::Running(a.into_state(running)),
+            AnyAttempt::Claiming(a) => AnyAttempt::Running(a.into_state(running)),
+            AnyAttempt::Importing(a) => AnyAttempt::Running(a.into_state(running)),
+            other => other,
+        });
+        if let Some(AnyAttempt::Running(a)) = self.attempts.get(key) {
+            let start = Box::new(resumed(&a.start, &a.pieces));
+            out.push(Output::Call {
+                run,
+                tier: a.start.tier,
+                start,
+            });
+        }
+    }
+
+    pub(crate) fn on_run_event(
+        &mut self,
+        input: Input,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        match input {
+            Input::Imported { run, key, .. } => self.on_imported(run, &key, common, now, out),
+            Input::RunStarted {
+                run,
+                version,
+                status,
+                content_type,
+            } => {
+                self.on_run_started(
+                    run,
+                    AnswerHead {
+                        version,
+                        status,
+                        content_type,
+                    },
+                    now,
+                    out,
+                );
+            }
+            Input::RunPiece { run, data } => self.on_run_piece(run, data, out),
+            Input::RunFinished { run, usage } => self.on_run_finished(run, usage, common, now, out),
+            Input::RunFailed {
+                run,
+                called,
+                detail,
+            } => {
+                self.on_run_failed(run, called, detail, now, out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Finds the attempt of a run; late events of cancelled runs find none.
+    fn running(&self, run: u64) -> Option<AttemptKey> {
+        let key = self.attempts.key_of_run(run)?;
+        matches!(self.attempts.get(key), Some(AnyAttempt::Running(_))).then_some(key)
+    }
+
+    fn on_run_started(&mut self, run: u64, head: AnswerHead, now: Duration, out: &mut Vec<Output>) {
+        let Some(key) = self.running(run) else {
+            return;
+        };
+        let Some(AnyAttempt::Running(a)) = self.attempts.get_mut(key) else {
+            return;
+        };
+        let expected = match (&a.head, &a.start.work) {
+            (Some(earlier), _) => Some(&earlier.version),
+            (None, Work::Completion { version, .. }) => version.as_ref(),
+            _ => None,
+        };
+        if expected.is_some_and(|version| *version != head.version) {
+            out.push(Output::CancelRun { run });
+            let detail = format!(
+                "the engine answers with weight version \"{}\"",
+                head.version
+            );
+            let refusal = Refusal::new(ErrorKind::WrongWeightVersion, detail);
+            self.end(key, Err(refusal.with_outcome(Outcome::Unknown)), now, out);
+            return;
+        }
+        if a.head.is_none() {
+            a.head = Some(head);
+            let to = a.entry.clone();
+            out.extend(
+                a.started_message()
+                    .map(|message| Output::Send { to, message }),
+            );
+        }
+    }
+
+    fn on_run_piece(&mut self, run: u64, data: Bytes, out: &mut Vec<Output>) {
+        let Some(key) = self.running(run) else {
+            return;
+        };
+        if let Some(AnyAttempt::Running(a)) = self.attempts.get_mut(key) {
+            let number = a.pieces.len() as u32;
+            let piece = Piece {
+                attempt: a.start.attempt,
+                number,
+                data: data.clone(),
+            };
+            a.pieces.push(data);
+            out.push(Output::Send {
+                to: a.entry.clone(),
+                message: Message::Piece(piece),
+            });
+        }
+    }
+
+    fn on_run_finished(
+        &mut self,
+        run: u64,
+        mut usage: Usage,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(key) = self.running(run) else {
+            return;
+        };
+        self.offer_blocks(key, common, out);
+        let Some(AnyAttempt::Running(a)) = self.attempts.get(key) else {
+            return;
+        };
+        if let Work::Completion { prompt, .. } = &a.start.work {
+            // A resumed run counts the text before it as prompt; the caller's usage does not.
+            let tokens = prompt.len().div_ceil(dotterelrudder_types::TOKEN_BYTES) as u32;
+            usage.prompt_tokens = tokens;
+            usage.cached_tokens = usage.cached_tokens.min(tokens);
+            usage.completion_tokens = a.pieces.len() as u32;
+        }
+        if a.claimed {
+            self.store_answer(key, usage, now);
+        } else {
+            self.end(key, Ok(usage), now, out);
+        }
+    }
+
+    fn on_run_failed(
+        &mut self,
+        run: u64,
+        called: bool,
+        detail: CompactString,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(key) = self.running(run) else {
+            return;
+        };
+        let Some(any) = self.attempts.get(key) else {
+            return;
+        };
+        let ran = called || !any.repeat_from(0).is_empty();
+        let (kind, outcome) = match (ran, any.is_claimed()) {
+            (false, _) => (ErrorKind::NoBackendServer, Outcome::NotRun),
+            (true, false) => (ErrorKind::BackendFailed, Outcome::Unknown),
+            (true, true) => (ErrorKind::OutcomeUnknown, Outcome::Unknown),
+        };
+        self.end_claim(key, outcome);
+        self.end(
+            key,
+            Err(Refusal::new(kind, detail).with_outcome(outcome)),
+            now,
+            out,
+        );
+    }
+
+    /// Offers the blocks of a finished completion to a store.
+    fn offer_blocks(&mut self, key: AttemptKey, common: &Common, out: &mut Vec<Output>) {
+        let Some(AnyAttempt::Running(a)) = self.attempts.get(key) else {
+            return;
+        };
+        let (Work::Completion { model, prompt, .. }, Some(head)) = (&a.start.work, &a.head) else {
+            return;
+        };
+        let mut text = prompt.to_vec();
+        text.extend(a.text());
+        let keys = BlockKey::chain(&a.start.account, model, &head.version, &text);
+        let service = common.follower.cfg().services.get(&a.start.service);
+        let (Some(first), Some(service)) = (keys.first(), service) else {
+            return;
+        };
+        let stores = common.peers.iter().filter(|(_, peer)| {
+            peer.service
+                .as_ref()
+                .is_some_and(|s| service.stores.contains(s))
+        });
+        let chosen = stores
+            .map(|(name, _)| name)
+            .max_by_key(|s| first.rendezvous_score(s.as_str()));
+        if let Some(store) = chosen.cloned() {
+            let (tier, percent) = (a.start.tier, service.trial_store_percent);
+            self.exporter.offer(&keys, store, tier, percent, out);
+        }
+    }
+}
+
+/// Returns what is left to run after the pieces that were answered before.
+fn resumed(start: &Start, pieces: &[Bytes]) -> Start {
+    let mut start = start.clone();
+    if let Work::Completion {
+        prompt, max_tokens, ..
+    } = &mut start.work
+    {
+        if !pieces.is_empty() {
+            let mut text = prompt.to_vec();
+            text.extend(pieces.concat());
+            *prompt = text.into();
+            *max_tokens = max_tokens.saturating_sub(pieces.len() as u32);
+        }
+    }
+    start
+}
--- /dev/null
+++ b/crates/dotterelrudder_side/src/store.rs
@@ -0,0 +1,268 @@
+//! The side of a KV cache store.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dotterelrudder_types::BlockKey;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Role;
+use dotterelrudder_types::Tier;
+use dotterelrudder_wire::LoadReport;
+use dotterelrudder_wire::Message;
+
+use crate::block_cache::BlockCache;
+use crate::open_block;
+use crate::seal_block;
+use crate::side_core::Common;
+use crate::BlockTable;
+use crate::Input;
+use crate::Output;
+use crate::SlotRef;
+
+/// Slots read at once while the table is rebuilt after a start.
+const SCAN_WINDOW: u32 = 8;
+/// The generation that marks a read of the rebuilding scan.
+const SCAN_GENERATION: u64 = 0;
+/// How often the load is reported.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
+/// Keeps blocks in the slots of one store.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    table: Option<BlockTable>,
+    cache: BlockCache,
+    readers: BTreeMap<SlotRef, Vec<(InstanceName, BlockKey)>>,
+    writes: BTreeMap<SlotRef, BlockKey>,
+    scan_next: u32,
+    scans_open: u32,
+    report_at: Duration,
+}
+
+impl Store {
+    pub(crate) fn is_idle(&self) -> bool {
+        self.readers.is_empty() && self.writes.is_empty()
+    }
+
+    pub(crate) fn on_opened(
+        &mut self,
+        peer: &InstanceName,
+        common: &Common,
+        out: &mut Vec<Output>,
+    ) {
+        let load = Message::Load(self.load_report(common));
+        out.push(Output::Send {
+            to: peer.clone(),
+            message: load,
+        });
+        out.push(Output::Send {
+            to: peer.clone(),
+            message: self.cache.whole(),
+        });
+    }
+
+    fn load_report(&self, common: &Common) -> LoadReport {
+        LoadReport {
+            service: common.settings.service.clone(),
+            open: !common.leaving,
+            running: self.readers.len() as u32,
+            ..LoadReport::default()
+        }
+    }
+
+    pub(crate) fn tick(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
+        if let Some(table) = &mut self.table {
+            table.release_overdue(now);
+        }
+        if now >= self.report_at {
+            self.report_at = now + REPORT_EVERY;
+            let load = Message::Load(self.load_report(common));
+            for role in [Role::Control, Role::Entry, Role::Side] {
+                common.broadcast(role, &load, out);
+            }
+        }
+    }
+
+    pub(crate) fn on_event(
+        &mut self,
+        input: Input,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        match input {
+            Input::Load(load) if self.table.is_none() => {
+                self.table = Some(BlockTable::new(load.slots, SCAN_GENERATION + 1));
+                self.scan(out);
+            }
+            Input::SlotWritten { slot, written } => self.on_written(slot, written, common, out),
+            Input::SlotRead { slot, data } if slot.generation == SCAN_GENERATION => {
+                self.on_scanned(slot, data, common, out);
+            }
+            Input::SlotRead { slot, data } => self.on_read(slot, data, common, now, out),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn on_message(
+        &mut self,
+        from: InstanceName,
+        message: Message,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            Message::PutBlock {
+                key,
+                tier,
+                trial_percent,
+                data,
+            } if !common.leaving => {
+                self.put(key, tier, trial_percent, &data, common, now, out);
+            }
+            Message::GetBlock { key } => self.get(from, key, now, out),
+            Message::HasBlocks { keys } => {
+                let held = |key: &BlockKey| self.table.as_ref().is_some_and(|t| t.contains(key));
+                let keys = keys.into_iter().filter(|key| !held(key)).collect();
+                out.push(Output::Send {
+                    to: from,
+                    message: Message::LacksBlocks { keys },
+                });
+            }
+            Message::ResyncBlocks => {
+                out.push(Output::Send {
+                    to: from,
+                    message: self.cache.whole(),
+                });
+            }
+            _ => {}
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn put(
+        &mut self,
+        key: BlockKey,
+        tier: Tier,
+        trial_percent: u8,
+        data: &Bytes,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(table) = &mut self.table else {
+            return;
+        };
+        let Some((slot, evicted)) = table.begin_write(key, tier, trial_percent, now) else {
+            return;
+        };
+        self.writes.insert(slot, key);
+        let data = seal_block(key, slot.generation, tier, data);
+        out.push(Output::WriteSlot { slot, data });
+        self.tell(Vec::new(), evicted.into_iter().collect(), common, out);
+    }
+
+    fn on_written(&mut self, slot: SlotRef, written: bool, common: &Common, out: &mut Vec<Output>) {
+        let (Some(table), Some(key)) = (&mut self.table, self.writes.remove(&slot)) else {
+            return;
+        };
+        if !written {
+            table.abort(slot);
+        } else if table.seal(slot) {
+            self.tell(vec![key], Vec::new(), common, out);
+        }
+    }
+
+    fn get(&mut self, from: InstanceName, key: BlockKey, now: Duration, out: &mut Vec<Output>) {
+        let pinned = self.table.as_mut().and_then(|t| t.pin(&key, now));
+        let Some(slot) = pinned else {
+            out.push(Output::Send {
+                to: from,
+                message: Message::Block { key, data: None },
+            });
+            return;
+        };
+        let readers = self.readers.entry(slot).or_default();
+        if readers.is_empty() {
+            out.push(Output::ReadSlot { slot });
+        }
+        readers.push((from, key));
+    }
+
+    fn on_read(
+        &mut self,
+        slot: SlotRef,
+        data: Option<Bytes>,
+        common: &Common,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let (Some(table), Some(readers)) = (&mut self.table, self.readers.remove(&slot)) else {
+            return;
+        };
+        let mut unreadable = None;
+        for (to, key) in readers {
+            let payload = data.as_ref().and_then(|d| table.verify(slot, &key, d));
+            if payload.is_none() {
+                unreadable = Some(key);
+            }
+            table.unpin(slot);
+            out.push(Output::Send {
+                to,
+                message: Message::Block { key, data: payload },
+            });
+        }
+        // A block whose slot doesn't hold it any more only costs time again and again.
+        if let Some(key) = unreadable {
+            if table.free(&key, now) {
+                self.tell(Vec::new(), vec![key], common, out);
+            }
+        }
+    }
+
+    fn scan(&mut self, out: &mut Vec<Output>) {
+        let slots = self.table.as_ref().map_or(0, |t| t.capacity() as u32);
+        while self.scans_open < SCAN_WINDOW && self.scan_next < slots {
+            let slot = SlotRef {
+                slot: self.scan_next,
+                generation: SCAN_GENERATION,
+            };
+            self.scan_next += 1;
+            self.scans_open += 1;
+            out.push(Output::ReadSlot { slot });
+        }
+    }
+
+    /// Takes a block back into the table that an earlier process of this side had sealed.
+    fn on_scanned(
+        &mut self,
+        slot: SlotRef,
+        data: Option<Bytes>,
+        common: &Common,
+        out: &mut Vec<Output>,
+    ) {
+        self.scans_open = self.scans_open.saturating_sub(1);
+        if let (Some(table), Some(data)) = (&mut self.table, data) {
+            if let Some((key, generation, tier, _)) = open_block(&data) {
+                table.adopt(slot.slot, key, generation, tier);
+                if table.contains(&key) {
+                    self.tell(vec![key], Vec::new(), common, out);
+                }
+            }
+        }
+        self.scan(out);
+    }
+
+    fn tell(
+        &mut self,
+        added: Vec<BlockKey>,
+        removed: Vec<BlockKey>,
+        common: &Common,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(message) = self.cache.change(false, added, removed) {
+            common.broadcast(Role::Entry, &message, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_standin/src/bin/load.rs
@@ -0,0 +1,221 @@
+//! `dotterelrudder-load`: drives entries as callers would and checks every answer.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use dotterelrudder_daemon::http_client::HttpClient;
+use dotterelrudder_standin::load::run_once;
+use dotterelrudder_standin::load::run_returning;
+use dotterelrudder_standin::load::run_steady;
+use dotterelrudder_standin::load::Caller;
+use dotterelrudder_standin::load::Report;
+use dotterelrudder_standin::load::ReturningPlan;
+use dotterelrudder_standin::load::SteadyPlan;
+use serde_json::json;
+use serde_json::Value;
+
+const HELP: &str = "\
+Usage: dotterelrudder-load COMMAND --option VALUE…
+
+  steady     --entries A,B --key K --model M --rate R --seconds S [--prompt-tokens N]
+             [--answer-tokens N] [--seed N] --out FILE
+  returning  --entries A,B --key K --model M --conversations N --sheet-tokens N
+             [--answer-tokens N] --engines E,F [--settle-ms N] [--seed N] --out FILE
+  once       --entries A,B --key K --path P --count N [--seed N] --out FILE
+  fetch      --url URL                 print what a stand-in tells
+  wait       --url URL [--seconds S]   wait until the URL answers with success
+  summary    --reports F,G --with F --without F --plain URL --weights URL --in-force-ms N
+             print one JSON line; exit 0 only if everything held
+";
+
+/// How long a short call may take.
+const SHORT_LIMIT: Duration = Duration::from_secs(5);
+
+struct Options(BTreeMap<String, String>);
+
+impl Options {
+    fn text(&self, name: &str) -> Result<&str, String> {
+        self.0
+            .get(name)
+            .map(String::as_str)
+            .ok_or(format!("--{name} is missing"))
+    }
+
+    fn list(&self, name: &str) -> Result<Vec<String>, String> {
+        Ok(self.text(name)?.split(',').map(str::to_owned).collect())
+    }
+
+    fn number<N>(&self, name: &str, default: Option<N>) -> Result<N, String>
+    where
+        N: std::str::FromStr,
+    {
+        match (self.0.get(name), default) {
+            (Some(text), _) => text
+                .parse()
+                .map_err(|_| format!("--{name} can't be \"{text}\"")),
+            (None, Some(default)) => Ok(default),
+            (None, None) => Err(format!("--{name} is missing")),
+        }
+    }
+}
+
+fn read_options() -> Result<(String, Options), String> {
+    use lexopt::prelude::*;
+    let mut parser = lexopt::Parser::from_env();
+    let mut command = String::new();
+    let mut options = BTreeMap::new();
+    let text = |e: lexopt::Error| e.to_string();
+    while let Some(arg) = parser.next().map_err(text)? {
+        match arg {
+            Long("help") => return Err(HELP.into()),
+            Long(name) => {
+                let name = name.to_owned();
+                let value = parser.value().map_err(text)?.string().map_err(text)?;
+                options.insert(name, value);
+            }
+            Value(value) if command.is_empty() => command = value.string().map_err(text)?,
+            other => return Err(other.unexpected().to_string()),
+        }
+    }
+    Ok((command, Options(options)))
+}
+
+fn write(options: &Options, report: &Report) -> Result<bool, String> {
+    let out = options.text("out")?;
+    let text = json!(report).to_string();
+    std::fs::write(out, text).map_err(|e| format!("{out}: {e}"))?;
+    report.notes.iter().for_each(|note| eprintln!("  {note}"));
+    eprintln!(
+        "  {} requests, {} wrong, {} cut off, {} refused, {} failed",
+        report.requests, report.wrong_answers, report.cut_off, report.refused, report.failed
+    );
+    Ok(true)
+}
+
+fn read(path: &str) -> Result<Report, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+    serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))
+}
+
+async fn fetch(url: &str) -> Result<Value, String> {
+    let body = HttpClient::default()
+        .get(url, SHORT_LIMIT)
+        .await
+        .map_err(|e| e.detail)?;
+    serde_json::from_slice(&body).map_err(|e| format!("{url}: {e}"))
+}
+
+async fn wait(options: &Options) -> Result<bool, String> {
+    let url = options.text("url")?;
+    let seconds: f64 = options.number("seconds", Some(20.0))?;
+    let client = HttpClient::default();
+    let looked = async {
+        while client.get(url, SHORT_LIMIT).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let limit = Duration::from_secs_f64(seconds);
+    tokio::time::timeout(limit, looked)
+        .await
+        .map_err(|_| format!("{url} isn't ready"))?;
+    Ok(true)
+}
+
+async fn summary(options: &Options) -> Result<bool, String> {
+    let mut whole = Report::default();
+    for path in options.list("reports")? {
+        whole.merge(read(&path)?);
+    }
+    let with = read(options.text("with")?)?;
+    let without = read(options.text("without")?)?;
+    let (share, share_without) = (with.recomputed_share(), without.recomputed_share());
+    whole.merge(with);
+    whole.merge(without);
+    let plain = fetch(options.text("plain")?).await?;
+    let weights = fetch(options.text("weights")?).await?;
+    let ran_twice = plain["ran_twice"].as_u64().unwrap_or(u64::MAX);
+    let most_loads = weights["most_at_once"].as_u64().unwrap_or(u64::MAX);
+    let in_force_ms: u64 = options.number("in-force-ms", None)?;
+    let ttft = |percent| Report::percentile(&whole.ttft_ms, percent);
+    let line = json!({
+        "requests": whole.requests,
+        "wrong_answers": whole.wrong_answers,
+        "cut_off": whole.cut_off,
+        "failed": whole.failed,
+        "refused": whole.refused,
+        "ran_twice": ran_twice,
+        "recomputed_share": share,
+        "recomputed_share_without_stores": share_without,
+        "ttft_p50_ms": ttft(50.0),
+        "ttft_p95_ms": ttft(95.0),
+        "config_in_force_ms": in_force_ms,
+        "loads_at_once": most_loads,
+    });
+    println!("{line}");
+    let sound = whole.wrong_answers + whole.cut_off + whole.failed + ran_twice == 0;
+    Ok(sound && most_loads <= 2 && share < share_without)
+}
+
+async fn run(command: &str, options: &Options) -> Result<bool, String> {
+    let seed = options.number("seed", Some(1))?;
+    let caller = || -> Result<Caller, String> {
+        Ok(Caller::new(&options.list("entries")?, options.text("key")?))
+    };
+    match command {
+        "steady" => {
+            let plan = SteadyPlan {
+                model: options.text("model")?.into(),
+                rate: options.number("rate", None)?,
+                seconds: options.number("seconds", None)?,
+                prompt_tokens: options.number("prompt-tokens", Some(400))?,
+                answer_tokens: options.number("answer-tokens", Some(40))?,
+                seed,
+            };
+            write(options, &run_steady(&caller()?, &plan).await)
+        }
+        "returning" => {
+            let plan = ReturningPlan {
+                model: options.text("model")?.into(),
+                conversations: options.number("conversations", None)?,
+                sheet_tokens: options.number("sheet-tokens", None)?,
+                answer_tokens: options.number("answer-tokens", Some(20))?,
+                engines: options.list("engines")?,
+                settle_ms: options.number("settle-ms", Some(1_000))?,
+                seed,
+            };
+            write(options, &run_returning(&caller()?, &plan).await)
+        }
+        "once" => {
+            let count = options.number("count", None)?;
+            let report = run_once(&caller()?, options.text("path")?, count, seed).await;
+            write(options, &report)
+        }
+        "fetch" => {
+            println!("{}", fetch(options.text("url")?).await?);
+            Ok(true)
+        }
+        "wait" => wait(options).await,
+        "summary" => summary(options).await,
+        other => Err(format!("command \"{other}\" is unknown\n{HELP}")),
+    }
+}
+
+fn main() -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let ended = match (read_options(), runtime) {
+        (Ok((command, options)), Ok(runtime)) => runtime.block_on(run(&command, &options)),
+        (Err(e), _) => Err(e),
+        (_, Err(e)) => Err(e.to_string()),
+    };
+    match ended {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("dotterelrudder-load: {e}");
+            ExitCode::from(64)
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_standin/src/load/mod.rs
@@ -0,0 +1,17 @@
+//! The load tool: drives real entries as callers would and checks every answer.
+
+mod caller;
+mod once;
+mod report;
+mod returning;
+mod steady;
+
+pub use caller::Caller;
+pub use caller::Completion;
+pub use caller::Outcome;
+pub use once::run_once;
+pub use report::Report;
+pub use returning::run_returning;
+pub use returning::ReturningPlan;
+pub use steady::run_steady;
+pub use steady::SteadyPlan;
--- /dev/null
+++ b/crates/dotterelrudder_types/src/error_kind.rs
@@ -0,0 +1,168 @@
+//! The closed list of error kinds and the table from kind to answer.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Outcome;
+
+/// Every kind of error that the system tells a caller, a peer or an operator.
+///
+/// The answer for each kind stands in one table, [`ErrorKind::row`], printed in docs/PROTOCOLS.md.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorKind {
+    /// The request isn't well formed.
+    BadRequest,
+    /// The key is missing or belongs to no client account.
+    UnknownKey,
+    /// The client account may not use the service.
+    NotAllowed,
+    /// No service serves the model or path.
+    UnknownModel,
+    /// A named size limit is exceeded.
+    TooLarge,
+    /// The sender took too long.
+    SlowSender,
+    /// The client account's limit is used up.
+    LimitReached,
+    /// More work is queued than can be served in time.
+    Overloaded,
+    /// The deadline passed, or can't be met.
+    DeadlineExceeded,
+    /// No live backend server serves the request.
+    NoBackendServer,
+    /// The instance is leaving.
+    Leaving,
+    /// The instance holds no confirmed configuration.
+    NotReady,
+    /// The backend server holds another weight version.
+    WrongWeightVersion,
+    /// A request with the same idempotency key is running.
+    InProgress,
+    /// The idempotency key was used with another request.
+    KeyReused,
+    /// The idempotency key is older than the retention.
+    KeyExpired,
+    /// Whether the request ran can't be told any more.
+    OutcomeUnknown,
+    /// The backend server failed during the run.
+    BackendFailed,
+    /// The caller went away.
+    Cancelled,
+    /// The change names a base revision that isn't the newest.
+    Conflict,
+    /// The change id was used with other content.
+    ChangeIdReused,
+    /// The declarations have faults.
+    InvalidDeclaration,
+    /// The replica has no fresh contact with a quorum.
+    NotFresh,
+    /// The order carries an old fencing number.
+    Fenced,
+    /// The peer or operator didn't present the secret.
+    Unauthorized,
+    /// Nothing is known of what was asked for.
+    NotFound,
+}
+
+/// The answer for one kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ErrorRow {
+    /// The machine-readable name.
+    pub code: &'static str,
+    /// The HTTP status.
+    pub status: u16,
+    /// What is known of the execution, unless the place that refuses knows better.
+    pub outcome: Outcome,
+    /// Seconds after which a retry makes sense.
+    pub retry_after_s: Option<u8>,
+    /// The exit code of the operators' command.
+    pub exit_code: u8,
+}
+
+const fn row(
+    code: &'static str,
+    status: u16,
+    outcome: Outcome,
+    retry_after_s: Option<u8>,
+    exit_code: u8,
+) -> ErrorRow {
+    ErrorRow {
+        code,
+        status,
+        outcome,
+        retry_after_s,
+        exit_code,
+    }
+}
+
+impl ErrorKind {
+    /// All kinds, in the order of the printed table.
+    pub const ALL: [Self; 26] = [
+        Self::BadRequest,
+        Self::UnknownKey,
+        Self::NotAllowed,
+        Self::UnknownModel,
+        Self::TooLarge,
+        Self::SlowSender,
+        Self::LimitReached,
+        Self::Overloaded,
+        Self::DeadlineExceeded,
+        Self::NoBackendServer,
+        Self::Leaving,
+        Self::NotReady,
+        Self::WrongWeightVersion,
+        Self::InProgress,
+        Self::KeyReused,
+        Self::KeyExpired,
+        Self::OutcomeUnknown,
+        Self::BackendFailed,
+        Self::Cancelled,
+        Self::Conflict,
+        Self::ChangeIdReused,
+        Self::InvalidDeclaration,
+        Self::NotFresh,
+        Self::Fenced,
+        Self::Unauthorized,
+        Self::NotFound,
+    ];
+
+    /// Returns the table's row for this kind.
+    pub const fn row(self) -> ErrorRow {
+        use Outcome::NotRun;
+        use Outcome::Unknown;
+        match self {
+            Self::BadRequest => row("bad_request", 400, NotRun, None, 64),
+            Self::UnknownKey => row("unknown_key", 401, NotRun, None, 77),
+            Self::NotAllowed => row("not_allowed", 403, NotRun, None, 77),
+            Self::UnknownModel => row("unknown_model", 404, NotRun, None, 64),
+            Self::TooLarge => row("too_large", 413, NotRun, None, 65),
+            Self::SlowSender => row("slow_sender", 408, NotRun, Some(1), 75),
+            Self::LimitReached => row("limit_reached", 429, NotRun, Some(1), 75),
+            Self::Overloaded => row("overloaded", 503, NotRun, Some(1), 75),
+            Self::DeadlineExceeded => row("deadline_exceeded", 504, NotRun, Some(1), 75),
+            Self::NoBackendServer => row("no_backend_server", 503, NotRun, Some(2), 69),
+            Self::Leaving => row("leaving", 503, NotRun, Some(1), 75),
+            Self::NotReady => row("not_ready", 503, NotRun, Some(1), 75),
+            Self::WrongWeightVersion => row("wrong_weight_version", 503, NotRun, Some(1), 75),
+            Self::InProgress => row("in_progress", 409, Unknown, Some(1), 75),
+            Self::KeyReused => row("key_reused", 422, NotRun, None, 65),
+            Self::KeyExpired => row("key_expired", 410, Unknown, None, 65),
+            Self::OutcomeUnknown => row("outcome_unknown", 502, Unknown, None, 70),
+            Self::BackendFailed => row("backend_failed", 502, Unknown, Some(1), 70),
+            Self::Cancelled => row("cancelled", 499, Unknown, None, 75),
+            Self::Conflict => row("conflict", 409, NotRun, None, 73),
+            Self::ChangeIdReused => row("change_id_reused", 422, NotRun, None, 65),
+            Self::InvalidDeclaration => row("invalid_declaration", 422, NotRun, None, 65),
+            Self::NotFresh => row("not_fresh", 503, NotRun, Some(1), 75),
+            Self::Fenced => row("fenced", 409, NotRun, None, 75),
+            Self::Unauthorized => row("unauthorized", 401, NotRun, None, 77),
+            Self::NotFound => row("not_found", 404, NotRun, None, 66),
+        }
+    }
+
+    /// Finds the kind with a machine-readable name.
+    pub fn from_code(code: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.row().code == code)
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_types/src/lib.rs
@@ -0,0 +1,34 @@
+//! Keys, names, error kinds and the clock shared by every crate.
+//!
+//! Nothing here does input or output, so that each core can be driven by a test harness. The words
+//! used for names follow docs/GLOSSARY.md.
+
+mod account_key_hash;
+mod attempt_id;
+mod block_key;
+mod clock;
+mod error_kind;
+mod names;
+mod outcome;
+pub mod prelude;
+mod refusal;
+mod revision;
+mod role;
+mod tier;
+
+pub use account_key_hash::AccountKeyHash;
+pub use attempt_id::AttemptId;
+pub use block_key::BlockKey;
+pub use block_key::BLOCK_BYTES;
+pub use block_key::BLOCK_TOKENS;
+pub use block_key::TOKEN_BYTES;
+pub use clock::Clock;
+pub use clock::ManualClock;
+pub use error_kind::ErrorKind;
+pub use error_kind::ErrorRow;
+pub use names::*;
+pub use outcome::Outcome;
+pub use refusal::Refusal;
+pub use revision::Revision;
+pub use role::Role;
+pub use tier::Tier;
--- /dev/null
+++ b/crates/dotterelrudder_wire/src/lib.rs
@@ -0,0 +1,37 @@
+//! Messages between the processes of the system and their frames.
+//!
+//! A frame is a length and a bincode body; docs/PROTOCOLS.md tells the hello, the size limit and
+//! which role sends what.
+
+mod answer;
+mod claim;
+mod command;
+mod command_result;
+mod frame;
+mod hello;
+mod load_report;
+mod message;
+pub mod prelude;
+mod raft_message;
+mod work;
+
+pub use answer::Piece;
+pub use answer::Usage;
+pub use claim::ClaimKey;
+pub use claim::ClaimVerdict;
+pub use command::Command;
+pub use command::Member;
+pub use command_result::CommandResult;
+pub use frame::encode_frame;
+pub use frame::FrameDecoder;
+pub use frame::FrameError;
+pub use frame::MAX_FRAME_BYTES;
+pub use hello::Envelope;
+pub use hello::Hello;
+pub use hello::PROTOCOL_VERSION;
+pub use load_report::LoadReport;
+pub use message::Message;
+pub use raft_message::LogEntry;
+pub use raft_message::RaftMessage;
+pub use work::Start;
+pub use work::Work;
--- /dev/null
+++ b/crates/dotterelrudder_wire/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The names that the cores import.
+
+pub use crate::Command;
+pub use crate::CommandResult;
+pub use crate::Message;
+pub use crate::Start;
+pub use crate::Work;
