--- a/crates/dotterelrudder_route/src/entry_answers.rs
+++ b/crates/dotterelrudder_route/src/entry_answers.rs
@@ -248,18 +248,13 @@
         let resumable = matches!(request.target, Target::Completion { .. });
         let may_run_again = (refusal.is_not_run() || request.is_repeatable())
             && (resumable || request.version.is_none());
-        let began = !request.text.is_empty();
+        request.may_have_run |= !refusal.is_not_run();
         let in_time = now < request.deadline && request.tries < MAX_TRIES;
         // Only what called a backend server costs from the budget; a leaving one sends its work
         // away without having run it.
         let free = refusal.is_not_run() || refusal.kind == ErrorKind::Leaving;
         let again = elsewhere && may_run_again && in_time;
-        if !again || !(free || self.budget.take()) {
-            let refusal = if began {
-                refusal.with_outcome(Outcome::Unknown)
-            } else {
-                refusal
-            };
+        if !again || !(free || self.budget.take(now)) {
             self.refuse(id, refusal, out);
             return;
         }
--- a/crates/dotterelrudder_route/src/entry_core.rs
+++ b/crates/dotterelrudder_route/src/entry_core.rs
@@ -15,6 +15,7 @@
 use dotterelrudder_types::BlockKey;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Outcome;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::Revision;
 use dotterelrudder_types::Role;
@@ -267,6 +268,7 @@
             text: Vec::new(),
             failed_on: Vec::new(),
             tries: 0,
+            may_have_run: false,
             current: None,
         };
         self.requests.insert(id, request);
@@ -438,7 +440,10 @@
     }
 
     /// Ends a request without an answer.
-    pub(crate) fn refuse(&mut self, id: u64, refusal: Refusal, out: &mut Vec<Output>) {
+    pub(crate) fn refuse(&mut self, id: u64, mut refusal: Refusal, out: &mut Vec<Output>) {
+        if self.requests.get(&id).is_some_and(|r| r.may_have_run) {
+            refusal = refusal.with_outcome(Outcome::Unknown);
+        }
         self.forget(id);
         out.push(Output::Respond {
             id,
--- a/crates/dotterelrudder_route/src/request.rs
+++ b/crates/dotterelrudder_route/src/request.rs
@@ -41,6 +41,8 @@
     pub(crate) text: Vec<Bytes>,
     pub(crate) failed_on: Vec<InstanceName>,
     pub(crate) tries: u32,
+    /// Whether any attempt can have run, so that no later refusal may say otherwise.
+    pub(crate) may_have_run: bool,
     pub(crate) current: Option<CurrentAttempt>,
 }
 
--- a/crates/dotterelrudder_route/src/retry_budget.rs
+++ b/crates/dotterelrudder_route/src/retry_budget.rs
@@ -1,23 +1,40 @@
 //! A budget for repeated calls of backend servers, so that retries can't multiply load.
 
+use std::time::Duration;
+
 /// The share of fresh requests that may be called again.
 const RETRIES_PER_REQUEST: f64 = 0.1;
+/// Retries a second that are granted however few requests there are.
+const RETRIES_PER_SECOND: f64 = 1.0;
 /// Retries that can be saved up.
 const MAX_SAVED: f64 = 20.0;
 
-/// Grants one retry for each ten fresh requests.
+/// Grants one retry for each ten fresh requests, and a few at a start and while little goes on, so
+/// that a lost runner doesn't break the few answers of a quiet entry.
 ///
 /// ```
 /// use dotterelrudder_route::RetryBudget;
+/// use std::time::Duration;
 /// let mut budget = RetryBudget::default();
-/// assert!(!budget.take());
+/// let granted = (0..100).filter(|_| budget.take(Duration::ZERO)).count();
+/// assert_eq!(granted, 20);
 /// (0..10).for_each(|_| budget.earn());
-/// assert!(budget.take());
-/// assert!(!budget.take());
+/// assert!(budget.take(Duration::ZERO));
+/// assert!(!budget.take(Duration::ZERO));
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RetryBudget {
     saved: f64,
+    filled_at: Duration,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            saved: MAX_SAVED,
+            filled_at: Duration::ZERO,
+        }
+    }
 }
 
 impl RetryBudget {
@@ -27,7 +44,10 @@
     }
 
     /// Takes one retry, if there is one.
-    pub fn take(&mut self) -> bool {
+    pub fn take(&mut self, now: Duration) -> bool {
+        let passed = now.saturating_sub(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        self.saved = (self.saved + passed * RETRIES_PER_SECOND).min(MAX_SAVED);
         // Ten earnings of a tenth sum to a little less than one in binary.
         let granted = self.saved > 1.0 - 1e-9;
         if granted {
--- a/crates/dotterelrudder_side/src/attempt.rs
+++ b/crates/dotterelrudder_side/src/attempt.rs
@@ -53,6 +53,14 @@
     pub(crate) due: Duration,
 }
 
+/// Was not run; control is asked to free its claim before the entry is told, so that the next
+/// attempt finds the key free.
+#[derive(Debug)]
+pub(crate) struct Releasing {
+    pub(crate) refusal: Refusal,
+    pub(crate) due: Duration,
+}
+
 /// Ended; kept for queries and as a tombstone against a late original.
 #[derive(Debug)]
 pub(crate) struct Ended {
@@ -151,6 +159,7 @@
     Importing(Attempt<Importing>),
     Running(Attempt<Running>),
     Storing(Attempt<Storing>),
+    Releasing(Attempt<Releasing>),
     Ended(Attempt<Ended>),
 }
 
@@ -162,6 +171,7 @@
             AnyAttempt::Importing($attempt) => $body,
             AnyAttempt::Running($attempt) => $body,
             AnyAttempt::Storing($attempt) => $body,
+            AnyAttempt::Releasing($attempt) => $body,
             AnyAttempt::Ended($attempt) => $body,
         }
     };
@@ -176,10 +186,6 @@
         each_state!(self, a => &a.entry)
     }
 
-    pub(crate) fn set_entry(&mut self, entry: &InstanceName) {
-        each_state!(self, a => a.entry = entry.clone());
-    }
-
     pub(crate) fn deadline(&self) -> Duration {
         each_state!(self, a => a.deadline)
     }
--- a/crates/dotterelrudder_side/src/runner.rs
+++ b/crates/dotterelrudder_side/src/runner.rs
@@ -428,9 +428,8 @@
         let known = self
             .attempts
             .key_of(attempt)
-            .and_then(|key| self.attempts.get_mut(key));
-        if let Some(known) = known {
-            known.set_entry(&from);
+            .and_then(|key| self.attempts.get(key));
+        if let Some(known) = known.filter(|known| *known.entry() == from) {
             let messages = known.repeat_from(piece).into_iter();
             out.extend(messages.map(|message| Output::Send {
                 to: from.clone(),
@@ -441,7 +440,8 @@
         // Nothing is known of it, so it never started here; the tombstone keeps it so.
         let detail = format!("attempt {attempt} isn't known here");
         let mut refusal = Refusal::new(ErrorKind::NotFound, detail);
-        if self.attempts.is_tombstone(attempt) {
+        // An attempt of another entry is none of the asker's business.
+        if known.is_some() || self.attempts.is_tombstone(attempt) {
             refusal = refusal.with_outcome(Outcome::Unknown);
         }
         self.attempts.bury(attempt, now);
@@ -478,9 +478,10 @@
     }
 
     fn tick_deadlines(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
-        let overdue = self.attempts.active().filter(|(_, a)| {
-            now >= a.deadline() && !a.is_claimed() && !matches!(a, AnyAttempt::Storing(_))
-        });
+        let overdue = self
+            .attempts
+            .active()
+            .filter(|(_, a)| now >= a.deadline() && !a.is_claimed());
         for key in overdue.map(|(key, _)| key).collect::<Vec<_>>() {
             let Some(any) = self.attempts.get(key) else {
                 continue;
@@ -498,7 +499,7 @@
             self.end(key, Err(refusal.with_outcome(outcome)), now, out);
         }
         self.tick_imports(common, now, out);
-        self.tick_storing(now, out);
+        self.tick_settling(now, out);
     }
 
     /// Cancels what entries left behind that never came back.
--- a/crates/dotterelrudder_side/src/runner_claims.rs
+++ b/crates/dotterelrudder_side/src/runner_claims.rs
@@ -19,6 +19,7 @@
 use crate::attempt::AnswerHead;
 use crate::attempt::AnyAttempt;
 use crate::attempt::Claiming;
+use crate::attempt::Releasing;
 use crate::attempt::Storing;
 use crate::attempt_table::AttemptKey;
 use crate::runner::Runner;
@@ -26,8 +27,8 @@
 use crate::side_core::SideSettings;
 use crate::Output;
 
-/// How long an answer waits to be kept before the caller gets it all the same.
-const STORE_LIMIT: Duration = Duration::from_secs(2);
+/// How long an attempt waits for control to settle its claim before its entry is told all the same.
+const SETTLE_LIMIT: Duration = Duration::from_secs(2);
 
 /// What a proposal to control was for.
 #[derive(Debug)]
@@ -38,7 +39,9 @@
     Claim(AttemptId, ClaimKey),
     /// Keep the answer of an attempt.
     Finish(AttemptId),
-    /// Give a claim back or up.
+    /// Give the claim of an attempt back.
+    Release(AttemptId),
+    /// Give a claim back or up without an attempt that waits for it.
     End,
 }
 
@@ -106,9 +109,9 @@
             Some((ControlAsk::Claim(attempt, key), CommandResult::Claim(verdict))) => {
                 self.on_verdict(attempt, key, verdict, common, now, out);
             }
-            Some((ControlAsk::Finish(attempt), _)) => {
+            Some((ControlAsk::Finish(attempt) | ControlAsk::Release(attempt), _)) => {
                 if let Some(key) = self.attempts.key_of(attempt) {
-                    self.finish_stored(key, now, out);
+                    self.finish_settled(key, now, out);
                 }
             }
             _ => {}
@@ -213,45 +216,75 @@
             at_ms: 0,
         };
         self.control.propose(ControlAsk::Finish(attempt), command);
-        let due = now + STORE_LIMIT;
+        let due = now + SETTLE_LIMIT;
         self.attempts.advance(key, |any| match any {
             AnyAttempt::Running(a) => AnyAttempt::Storing(a.into_state(Storing { usage, due })),
             other => other,
         });
     }
 
-    fn finish_stored(&mut self, key: AttemptKey, now: Duration, out: &mut Vec<Output>) {
-        if let Some(AnyAttempt::Storing(a)) = self.attempts.get(key) {
-            let usage = a.state.usage;
-            self.end(key, Ok(usage), now, out);
-        }
+    /// Ends an attempt whose claim is settled, or is waited for no longer.
+    fn finish_settled(&mut self, key: AttemptKey, now: Duration, out: &mut Vec<Output>) {
+        let result = match self.attempts.get(key) {
+            Some(AnyAttempt::Storing(a)) => Ok(a.state.usage),
+            Some(AnyAttempt::Releasing(a)) => Err(a.state.refusal.clone()),
+            _ => return,
+        };
+        self.end(key, result, now, out);
     }
 
-    /// Gives answers to their callers whose keeping takes too long; the proposal goes on.
-    pub(crate) fn tick_storing(&mut self, now: Duration, out: &mut Vec<Output>) {
+    /// Ends attempts whose claim takes too long to settle; the proposal goes on.
+    pub(crate) fn tick_settling(&mut self, now: Duration, out: &mut Vec<Output>) {
         let due = self.attempts.active().filter(|(_, any)| match any {
             AnyAttempt::Storing(a) => now >= a.state.due,
+            AnyAttempt::Releasing(a) => now >= a.state.due,
             _ => false,
         });
         for key in due.map(|(key, _)| key).collect::<Vec<_>>() {
-            self.finish_stored(key, now, out);
+            self.finish_settled(key, now, out);
         }
     }
 
-    /// Tells control what became of a claim whose run gave no answer.
-    pub(crate) fn end_claim(&mut self, key: AttemptKey, outcome: Outcome) {
-        let Some(any) = self.attempts.get(key).filter(|a| a.is_claimed()) else {
+    /// Ends an attempt whose run gave no answer, telling control what became of its claim. A
+    /// claim that is given back is free before the entry hears of it.
+    pub(crate) fn fail(
+        &mut self,
+        key: AttemptKey,
+        refusal: Refusal,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let any = self
+            .attempts
+            .get(key)
+            .filter(|a| a.is_claimed())
+            .map(|a| a.start());
+        let Some((attempt, claim)) = any.and_then(|s| Some((s.attempt, s.claim.clone()?))) else {
+            self.end(key, Err(refusal), now, out);
             return;
         };
-        let attempt = any.start().attempt;
-        let Some(key) = any.start().claim.clone() else {
+        if refusal.outcome == Outcome::Unknown {
+            let command = Command::LoseClaim {
+                key: claim,
+                attempt,
+            };
+            self.control.propose(ControlAsk::End, command);
+            self.end(key, Err(refusal), now, out);
             return;
+        }
+        let command = Command::ReleaseClaim {
+            key: claim,
+            attempt,
         };
-        let command = match outcome {
-            Outcome::NotRun => Command::ReleaseClaim { key, attempt },
-            Outcome::Unknown => Command::LoseClaim { key, attempt },
+        self.control.propose(ControlAsk::Release(attempt), command);
+        let state = Releasing {
+            refusal,
+            due: now + SETTLE_LIMIT,
         };
-        self.control.propose(ControlAsk::End, command);
+        self.attempts.advance(key, |any| match any {
+            AnyAttempt::Running(a) => AnyAttempt::Releasing(a.into_state(state)),
+            other => other,
+        });
     }
 
     pub(crate) fn on_order(
--- a/crates/dotterelrudder_side/src/runner_runs.rs
+++ b/crates/dotterelrudder_side/src/runner_runs.rs
@@ -193,10 +193,9 @@
             (true, false) => (ErrorKind::BackendFailed, Outcome::Unknown),
             (true, true) => (ErrorKind::OutcomeUnknown, Outcome::Unknown),
         };
-        self.end_claim(key, outcome);
-        self.end(
+        self.fail(
             key,
-            Err(Refusal::new(kind, detail).with_outcome(outcome)),
+            Refusal::new(kind, detail).with_outcome(outcome),
             now,
             out,
         );
