Never answer a starting process from a replica that lags, and run faults over real processes

The side's revision fell from 1 to 0.

Ruled out: the side's follower (it never lowers a revision it holds; this one had restarted) and the harness (a second cause of the same symptom, a closed connection told after its successor, was the harness's own and is mended there; the daemons order the two by construction).

Change: a follower is fresh only once it applied what its leader said was committed, and a process that holds nothing yet is answered only after an entry that was logged for its question. Cost: one log entry for each start of a process.

--- a/crates/dotterelrudder/tests/harness/case.rs
+++ b/crates/dotterelrudder/tests/harness/case.rs
@@ -439,8 +439,10 @@
 
 /// Returns the audit rows as the leader holds them.
 pub fn audit(world: &World) -> Vec<String> {
-    let leader = world.leader().expect("a leader");
-    let Some(Core::Control(core)) = &world.nodes[&leader].core else {
+    let leader = world
+        .leader()
+        .and_then(|leader| world.nodes[&leader].core.as_ref());
+    let Some(Core::Control(core)) = leader else {
         return Vec::new();
     };
     let rows = core
--- a/crates/dotterelrudder/tests/harness/world.rs
+++ b/crates/dotterelrudder/tests/harness/world.rs
@@ -77,6 +77,8 @@
     up: bool,
     silent: Vec<InstanceName>,
     cut: bool,
+    /// Ends that weren't told yet that the connection closed.
+    untold: Vec<InstanceName>,
     last: BTreeMap<InstanceName, Duration>,
 }
 
@@ -233,6 +235,7 @@
     fn drop_link(&mut self, ends: &Pair) {
         if let Some(link) = self.links.get_mut(ends).filter(|l| l.up) {
             link.up = false;
+            link.untold = vec![ends.0.clone(), ends.1.clone()];
             let delay = Duration::from_millis(1);
             self.schedule(
                 delay,
@@ -350,12 +353,29 @@
             link.connection += 1;
             link.silent.clear();
             link.last.clear();
+            // As in the daemons, each end hears of the old connection before the new one.
+            for end in std::mem::take(&mut link.untold) {
+                let peer = if end == ends.0 {
+                    ends.1.clone()
+                } else {
+                    ends.0.clone()
+                };
+                self.closed(&end, peer);
+            }
             self.open(&ends.0, &ends.1);
             self.open(&ends.1, &ends.0);
         }
         self.schedule(DIAL_EVERY, "".into(), Event::Dial);
     }
 
+    fn closed(&mut self, at: &InstanceName, peer: InstanceName) {
+        match self.nodes[at].role {
+            Role::Control => self.control(at, control::Input::Closed { peer }),
+            Role::Side => self.side(at, side::Input::Closed { peer }),
+            Role::Entry => self.entry(at, route::Input::Closed { peer }),
+        }
+    }
+
     fn open(&mut self, at: &InstanceName, peer: &InstanceName) {
         let (role, incarnation) = (self.nodes[peer].role, self.nodes[peer].incarnation);
         let peer = peer.clone();
@@ -512,11 +532,13 @@
                 }
                 Role::Entry => self.entry(&to, route::Input::Tick),
             },
-            Event::Closed { peer } => match role {
-                Role::Control => self.control(&to, control::Input::Closed { peer }),
-                Role::Side => self.side(&to, side::Input::Closed { peer }),
-                Role::Entry => self.entry(&to, route::Input::Closed { peer }),
-            },
+            Event::Closed { peer } => {
+                let link = self.links.entry(pair(&to, &peer)).or_default();
+                if link.untold.contains(&to) {
+                    link.untold.retain(|end| *end != to);
+                    self.closed(&to, peer);
+                }
+            }
             Event::Synced {
                 incarnation: started,
             } if started == incarnation => {
--- a/crates/dotterelrudder_control/src/control_core.rs
+++ b/crates/dotterelrudder_control/src/control_core.rs
@@ -69,6 +69,7 @@
     plan_at: Duration,
     orphaned_since: BTreeMap<AttemptId, Duration>,
     founding: Option<BTreeSet<InstanceName>>,
+    starting: Vec<(InstanceName, u64)>,
 }
 
 impl ControlCore {
@@ -118,6 +119,7 @@
             plan_at: now,
             orphaned_since: BTreeMap::new(),
             founding,
+            starting: Vec::new(),
         };
         core.found_if_agreed(now);
         core.drain_raft(now, out);
@@ -403,6 +405,15 @@
             });
             return;
         }
+        if held == Revision::default() {
+            // A process that just started may have held more before than this replica does yet.
+            self.propose(Origin::Subscriber(from), Command::Noop, now, out);
+            return;
+        }
+        self.follow(from, held, out);
+    }
+
+    fn follow(&mut self, from: InstanceName, held: Revision, out: &mut Vec<Output>) {
         let message = catch_up_message(&self.state, held);
         let subscriber = self.subscribers.get_mut(&from);
         subscriber.follows = true;
@@ -410,6 +421,18 @@
         out.push(Output::Send { to: from, message });
     }
 
+    /// Answers the processes that started before an entry which is applied here now.
+    fn answer_starting(&mut self, out: &mut Vec<Output>) {
+        let index = self.state.index();
+        let starting = std::mem::take(&mut self.starting);
+        let (due, later) = starting.into_iter().partition(|(_, at)| *at <= index);
+        self.starting = later;
+        let due: Vec<(InstanceName, u64)> = due;
+        for (name, _) in due {
+            self.follow(name, Revision::default(), out);
+        }
+    }
+
     fn update_subscribers(&mut self, now: Duration, confirm: bool, out: &mut Vec<Output>) {
         let fresh = self.is_fresh(now);
         let newest = self.state.configuration().revision;
@@ -484,8 +507,18 @@
         }
     }
 
-    fn answer(&self, origin: Origin, result: CommandResult, out: &mut Vec<Output>) {
+    fn answer(&mut self, origin: Origin, result: CommandResult, out: &mut Vec<Output>) {
         match origin {
+            Origin::Subscriber(name) => match result {
+                CommandResult::Passed(index) => {
+                    self.starting.push((name, index));
+                    self.answer_starting(out);
+                }
+                _ => out.push(Output::Send {
+                    to: name,
+                    message: Message::NotFresh,
+                }),
+            },
             Origin::Local(tag) => out.push(Output::Answer { tag, result }),
             Origin::Peer { name, tag } => {
                 let message = Message::Result {
@@ -569,6 +602,7 @@
             self.answer(origin, result, out);
         }
         self.note_revision(before, now, out);
+        self.answer_starting(out);
     }
 
     fn restore(&mut self, data: &[u8], now: Duration, out: &mut Vec<Output>) {
--- a/crates/dotterelrudder_control/src/input.rs
+++ b/crates/dotterelrudder_control/src/input.rs
@@ -17,6 +17,8 @@
         /// The tag to return.
         tag: u64,
     },
+    /// A process that starts and asks for the newest configuration.
+    Subscriber(InstanceName),
     /// The replica itself; nobody waits.
     Internal,
 }
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -84,6 +84,7 @@
     role: RaftRole,
     leader: Option<u64>,
     leader_heard: Option<Duration>,
+    leader_commit: u64,
     election_at: Duration,
     persist_sequence: u64,
     synced_sequence: u64,
@@ -123,6 +124,7 @@
             role: RaftRole::Follower,
             leader: None,
             leader_heard: None,
+            leader_commit: 0,
             election_at: now,
             persist_sequence: 0,
             synced_sequence: 0,
@@ -212,13 +214,15 @@
         self.confirmed
     }
 
-    /// Returns whether this replica is in fresh contact with a quorum, directly or by its leader.
+    /// Returns whether this replica is in fresh contact with a quorum, directly or by its leader,
+    /// and has applied what was committed by then.
     pub fn is_fresh(&self, now: Duration) -> bool {
         if self.is_leader() {
             return now.saturating_sub(self.quorum_contact(now)) < self.timing.lease;
         }
         let heard = self.leader_heard.map(|at| now.saturating_sub(at));
-        self.leader.is_some() && heard.is_some_and(|ago| ago < self.timing.lease)
+        let caught_up = self.leader_commit > 0 && self.applied >= self.leader_commit;
+        self.leader.is_some() && caught_up && heard.is_some_and(|ago| ago < self.timing.lease)
     }
 
     /// Takes the outputs gathered since the last call.
@@ -333,6 +337,7 @@
                 round,
             } => {
                 if self.follow(from, term, now) {
+                    self.leader_commit = self.leader_commit.max(commit);
                     self.on_append(from, (prev_index, prev_term), entries, commit, round);
                 } else {
                     self.reject_append(from, round);
--- a/crates/dotterelrudder_control/src/state/mod.rs
+++ b/crates/dotterelrudder_control/src/state/mod.rs
@@ -95,7 +95,7 @@
     pub fn apply(&mut self, entry: &LogEntry) -> CommandResult {
         self.index = entry.index;
         match &entry.command {
-            Command::Noop => CommandResult::Done,
+            Command::Noop => CommandResult::Passed(entry.index),
             Command::Publish {
                 change_id,
                 base,
--- a/crates/dotterelrudder_standin/src/bin/load.rs
+++ b/crates/dotterelrudder_standin/src/bin/load.rs
@@ -24,9 +24,12 @@
              [--answer-tokens N] --engines E,F [--settle-ms N] [--seed N] --out FILE
   once       --entries A,B --key K --path P --count N [--seed N] --out FILE
   fetch      --url URL                 print what a stand-in tells
+  post       --url URL [--body JSON]   switch a stand-in's fault
   wait       --url URL [--seconds S]   wait until the URL answers with success
   summary    --reports F,G --with F --without F --plain URL --weights URL --in-force-ms N
              print one JSON line; exit 0 only if everything held
+  verdict    --reports F,G --plain URL --engines E,F
+             print one JSON line; exit 0 only if no answer was wrong and nothing ran twice
 ";
 
 /// How long a short call may take.
@@ -106,6 +109,17 @@
     serde_json::from_slice(&body).map_err(|e| format!("{url}: {e}"))
 }
 
+async fn post(options: &Options) -> Result<bool, String> {
+    let body = options.number("body", Some("{}".to_owned()))?;
+    let req = http::Request::post(options.text("url")?).body(http_body_util::Full::from(body));
+    let req = req.map_err(|e| e.to_string())?;
+    let answer = HttpClient::default()
+        .fetch(req, SHORT_LIMIT)
+        .await
+        .map_err(|e| e.detail)?;
+    Ok(answer.0 == 200)
+}
+
 async fn wait(options: &Options) -> Result<bool, String> {
     let url = options.text("url")?;
     let seconds: f64 = options.number("seconds", Some(20.0))?;
@@ -157,6 +171,33 @@
     Ok(sound && most_loads <= 2 && share < share_without)
 }
 
+/// Judges a run with kills: callers may see refusals and broken connections, but never a wrong
+/// answer, a second run or another account's block.
+async fn verdict(options: &Options) -> Result<bool, String> {
+    let mut whole = Report::default();
+    for path in options.list("reports")? {
+        whole.merge(read(&path)?);
+    }
+    let plain = fetch(options.text("plain")?).await?;
+    let ran_twice = plain["ran_twice"].as_u64().unwrap_or(u64::MAX);
+    let mut foreign_reads = 0;
+    for engine in options.list("engines")? {
+        let stats = fetch(&format!("http://{engine}/stats")).await?;
+        foreign_reads += stats["foreign_reads"].as_u64().unwrap_or(1);
+    }
+    let line = json!({
+        "requests": whole.requests,
+        "wrong_answers": whole.wrong_answers,
+        "cut_off": whole.cut_off,
+        "failed": whole.failed,
+        "refused": whole.refused,
+        "ran_twice": ran_twice,
+        "foreign_reads": foreign_reads,
+    });
+    println!("{line}");
+    Ok(whole.requests > 0 && whole.wrong_answers + ran_twice + foreign_reads == 0)
+}
+
 async fn run(command: &str, options: &Options) -> Result<bool, String> {
     let seed = options.number("seed", Some(1))?;
     let caller = || -> Result<Caller, String> {
@@ -195,8 +236,10 @@
             println!("{}", fetch(options.text("url")?).await?);
             Ok(true)
         }
+        "post" => post(options).await,
         "wait" => wait(options).await,
         "summary" => summary(options).await,
+        "verdict" => verdict(options).await,
         other => Err(format!("command \"{other}\" is unknown\n{HELP}")),
     }
 }
--- a/crates/dotterelrudder_standin/src/bin/standin.rs
+++ b/crates/dotterelrudder_standin/src/bin/standin.rs
@@ -5,11 +5,12 @@
 use dotterelrudder_standin::engine;
 use dotterelrudder_standin::instance_list;
 use dotterelrudder_standin::plain;
+use dotterelrudder_standin::relay;
 use dotterelrudder_standin::store;
 use dotterelrudder_standin::weights;
 use serde::de::DeserializeOwned;
 
-const USAGE: &str = "Usage: dotterelrudder-standin engine|plain|store|weights|list FILE";
+const USAGE: &str = "Usage: dotterelrudder-standin engine|plain|store|weights|list|relay FILE";
 
 fn read<S>(path: &str) -> Result<S, String>
 where
@@ -25,6 +26,7 @@
         "plain" => plain::run(read(path)?).await,
         "store" => store::run(read(path)?).await,
         "weights" => weights::run(read(path)?).await,
+        "relay" => relay::run(read(path)?).await,
         "list" => instance_list::run(read(path)?).await,
         other => Err(format!("kind \"{other}\" is unknown; {USAGE}")),
     }
--- a/crates/dotterelrudder_standin/src/lib.rs
+++ b/crates/dotterelrudder_standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod plain;
 mod prefill_gate;
+pub mod relay;
 pub mod server;
 pub mod store;
 pub mod weights;
--- a/crates/dotterelrudder_wire/src/command_result.rs
+++ b/crates/dotterelrudder_wire/src/command_result.rs
@@ -13,6 +13,9 @@
 pub enum CommandResult {
     /// Done, nothing to tell.
     Done,
+    /// A [`crate::Command::Noop`] was applied as this entry; what was accepted before stands
+    /// before it.
+    Passed(u64),
     /// The change is accepted as this revision.
     Accepted(Revision),
     /// Another change came first.
