--- /dev/null
+++ b/crates/dotterelrudder_daemon/tests/bad_input.rs
@@ -0,0 +1,321 @@
+//! Bad input at the ports of real processes gets a clear error and harms nothing.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+struct Running {
+    child: Child,
+    folder: PathBuf,
+    port: u16,
+    admin: u16,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ended = (self.child.kill(), self.child.wait());
+        let _removed = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .expect("a free port")
+        .port()
+}
+
+fn start(program: &str, name: &str, more: &str) -> Running {
+    let folder = std::env::temp_dir().join(format!("dotterelrudder-{name}-{}", free_port()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    std::fs::write(folder.join("secret"), "right").expect("written");
+    let (port, admin) = (free_port(), free_port());
+    let settings = format!(
+        "name = \"{name}\"\ndata_centre = \"x\"\nadmin = \"127.0.0.1:{admin}\"\n\
+         listen = \"127.0.0.1:{port}\"\nsecret_file = \"{0}/secret\"\ncontrols = []\n{more}",
+        folder.display()
+    )
+    .replace("FOLDER", &folder.display().to_string());
+    let path = folder.join("settings.toml");
+    std::fs::write(&path, settings).expect("written");
+    let child = Command::new(program)
+        .arg("--settings")
+        .arg(&path)
+        .spawn()
+        .expect("it starts");
+    let running = Running {
+        child,
+        folder,
+        port,
+        admin,
+    };
+    while TcpStream::connect(("127.0.0.1", running.port)).is_err() {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    running
+}
+
+fn start_entry(name: &str) -> Running {
+    let more = "instance_list = \"http://127.0.0.1:1/instances\"\n";
+    start(env!("CARGO_BIN_EXE_dotterelrudder-entry"), name, more)
+}
+
+/// Sends bytes, closes the sending side and returns everything that comes back.
+fn exchange(port: u16, bytes: &[u8]) -> String {
+    let mut tcp = TcpStream::connect(("127.0.0.1", port)).expect("connected");
+    tcp.set_read_timeout(Some(Duration::from_secs(30)))
+        .expect("set");
+    // The server may answer and close before it has read everything.
+    let _sent = tcp.write_all(bytes);
+    let _closed = tcp.shutdown(std::net::Shutdown::Write);
+    let mut answer = Vec::new();
+    let _read = tcp.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn is_healthy(running: &Running) -> bool {
+    let asked = b"GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    exchange(running.admin, asked).starts_with("HTTP/1.1 200")
+}
+
+fn post(path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\
+         {headers}\r\n{body}"
+    )
+}
+
+#[test]
+fn callers_with_bad_requests_get_clear_errors() {
+    let entry = start_entry("entry-bad");
+    let completion = r#"{"model":"m","prompt":"p","max_tokens":3}"#;
+    let large = "x".repeat(5 * 1024 * 1024);
+    let many_tokens = completion.replace('3', "99999999");
+    let bad = "HTTP/1.1 400";
+    let cases = [
+        ("not HTTP", "\0\0garbage\r\n\r\n".to_owned(), bad, ""),
+        ("no JSON", post("/v1/completions", "", "{"), bad, "body:"),
+        (
+            "wrong type",
+            post("/v1/completions", "", r#"{"model":3}"#),
+            bad,
+            "body:",
+        ),
+        (
+            "no prompt",
+            post("/v1/completions", "", r#"{"model":"m"}"#),
+            bad,
+            "prompt",
+        ),
+        (
+            "chat body",
+            post("/v1/chat/completions", "", completion),
+            bad,
+            "messages",
+        ),
+        (
+            "max_tokens",
+            post("/v1/completions", "", &many_tokens),
+            bad,
+            "max_tokens can't be",
+        ),
+        (
+            "deadline",
+            post("/v1/completions", "x-time-limit-ms: soon\r\n", completion),
+            bad,
+            "soon",
+        ),
+        (
+            "key",
+            post("/v1/completions", "idempotency-key: \r\n", completion),
+            bad,
+            "idempotency",
+        ),
+        (
+            "large",
+            post("/v1/completions", "", &large),
+            "HTTP/1.1 413",
+            "4194304",
+        ),
+        (
+            "unready",
+            post("/v1/completions", "", completion),
+            "HTTP/1.1 503",
+            "not_ready",
+        ),
+    ];
+    for (name, request, status, detail) in cases {
+        let answer = exchange(entry.port, request.as_bytes());
+        assert!(answer.starts_with(status), "{name}: {answer}");
+        assert!(answer.contains(detail), "{name}: {answer}");
+    }
+    let unready = exchange(
+        entry.port,
+        post("/v1/completions", "", completion).as_bytes(),
+    );
+    assert!(unready.contains("\"outcome\":\"not_run\"") && unready.contains("retry-after: 1"));
+    assert!(is_healthy(&entry));
+}
+
+#[test]
+fn headers_of_any_bytes_do_no_harm() {
+    let entry = start_entry("entry-fuzz");
+    let config = Config {
+        cases: 10_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let name = proptest::sample::select(vec![
+        "authorization",
+        "idempotency-key",
+        "x-time-limit-ms",
+        "content-type",
+        "content-length",
+        "transfer-encoding",
+    ]);
+    let value = proptest::collection::vec(any::<u8>(), 0..40);
+    let run = runner.run(&(name, value), |(name, value)| {
+        let mut request = format!("GET /x HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{name}: ");
+        request.push_str("");
+        let bytes = [request.as_bytes(), &value, b"\r\n\r\n"].concat();
+        let answer = exchange(entry.port, &bytes);
+        prop_assert!(
+            answer.is_empty() || answer.starts_with("HTTP/1.1 "),
+            "{}",
+            answer
+        );
+        Ok(())
+    });
+    assert!(run.is_ok(), "{run:?}");
+    assert!(is_healthy(&entry));
+}
+
+#[test]
+fn a_peer_without_the_secret_is_refused() {
+    let zeros = "0".repeat(64);
+    let more = format!(
+        "operators = \"127.0.0.1:{}\"\noperator_token_hash = \"sha256:{zeros}\"\n\
+         data_folder = \"FOLDER/data\"\n",
+        free_port()
+    );
+    let control = start(
+        env!("CARGO_BIN_EXE_dotterelrudder-control"),
+        "control-bad",
+        &more,
+    );
+    let garbage: Vec<u8> = (0..4096).map(|i| (i * 7) as u8).collect();
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    for bytes in [
+        garbage.clone(),
+        preface.to_vec(),
+        [preface.to_vec(), garbage].concat(),
+    ] {
+        exchange(control.port, &bytes);
+    }
+    assert!(is_healthy(&control));
+    let hello = wrong_hello(control.port);
+    assert_eq!(hello, None, "a peer with a wrong secret got an answer");
+    assert!(is_healthy(&control));
+}
+
+/// Speaks the protocol with a wrong secret; returns what comes back on the stream.
+fn wrong_hello(port: u16) -> Option<usize> {
+    use dotterelrudder_types::Role;
+    use dotterelrudder_wire::Hello;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("built");
+    runtime.block_on(async move {
+        let tcp = tokio::net::TcpStream::connect(("127.0.0.1", port))
+            .await
+            .expect("connected");
+        let (sender, driver) = h2::client::handshake(tcp).await.expect("handshake");
+        tokio::spawn(driver);
+        let mut sender = sender.ready().await.expect("ready");
+        let req = http::Request::post("http://x/link")
+            .body(())
+            .expect("built");
+        let (response, mut tx) = sender.send_request(req, false).expect("sent");
+        let hello = Hello {
+            protocol: dotterelrudder_wire::PROTOCOL_VERSION,
+            secret: "wrong".into(),
+            name: "control-2".into(),
+            role: Role::Control,
+            data_centre: "x".into(),
+            incarnation: 1,
+            revision: Default::default(),
+        };
+        let mut buf = bytes::BytesMut::new();
+        dotterelrudder_wire::encode_frame(&hello, &mut buf).expect("small");
+        tx.send_data(buf.freeze(), false).expect("sent");
+        let mut rx = response.await.ok()?.into_body();
+        match rx.data().await {
+            Some(Ok(data)) => Some(data.len()),
+            _ => None,
+        }
+    })
+}
+
+#[test]
+fn settings_and_arguments_with_faults_are_refused() {
+    let folder = std::env::temp_dir().join(format!("dotterelrudder-settings-{}", free_port()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("s.toml");
+    let run = |program: &str, arguments: &[&str]| {
+        let output = Command::new(program)
+            .args(arguments)
+            .output()
+            .expect("it runs");
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        (
+            output.status.code(),
+            text + &String::from_utf8_lossy(&output.stdout),
+        )
+    };
+    let entry = env!("CARGO_BIN_EXE_dotterelrudder-entry");
+    let settings = path.to_str().expect("text");
+    std::fs::write(&path, "nam = \"x\"\n").expect("written");
+    let (code, text) = run(entry, &["--settings", settings]);
+    assert!(
+        code == Some(78) && text.contains("did you mean \"name\"?"),
+        "{text}"
+    );
+    let (code, text) = run(entry, &["--setings", settings]);
+    assert!(code == Some(64) && text.contains("--help"), "{text}");
+    for (program, example) in [
+        (entry, "entry"),
+        (env!("CARGO_BIN_EXE_dotterelrudder-side"), "side"),
+        (env!("CARGO_BIN_EXE_dotterelrudder-control"), "control"),
+    ] {
+        let root = env!("CARGO_MANIFEST_DIR");
+        let path = format!("{root}/../../examples/settings/{example}.toml");
+        let (code, text) = run(program, &["--settings", &path, "--check-settings"]);
+        assert_eq!(code, Some(0), "{text}");
+        assert_eq!(run(program, &["--help"]).0, Some(0));
+        assert_eq!(run(program, &["--version"]).0, Some(0));
+    }
+    let operate = env!("CARGO_BIN_EXE_dotterelrudder");
+    std::fs::write(&path, "[service]\nname = \"a\"\nkind = \"stor\"\n").expect("written");
+    let (code, text) = run(operate, &["check", settings]);
+    let expected = "s.toml:3: key \"service.kind\" can't be \"stor\"; allowed: model, plain, store";
+    assert!(code == Some(65) && text.contains(expected), "{text}");
+    assert_eq!(run(operate, &["publish", settings]).0, Some(64));
+    let unreachable = ["show", "--control", "127.0.0.1:1"];
+    assert_eq!(run(operate, &unreachable).0, Some(69));
+    let _removed = std::fs::remove_dir_all(&folder);
+}
