Relay no part of an answer before its beginning

Ruled out: a wrong text; every token was right, the version was missing. Change: an entry drops parts until it knows the beginning and asks for the answer again at its end. Conclusion: order between messages isn't relied on for the head.

--- a/crates/dotterelrudder_route/src/entry_answers.rs
+++ b/crates/dotterelrudder_route/src/entry_answers.rs
@@ -144,6 +144,10 @@
         let Some(current) = &mut request.current else {
             return;
         };
+        // The beginning tells the weight version and comes first; parts before it are asked for again.
+        if request.version.is_none() {
+            return;
+        }
         if piece.number > current.received {
             let message = Message::Query {
                 attempt: piece.attempt,
@@ -183,7 +187,7 @@
             return;
         };
         let received = request.current.as_ref().map_or(0, |c| c.received);
-        if received < pieces {
+        if received < pieces || request.version.is_none() {
             let message = Message::Query {
                 attempt,
                 from: received,
