--- a/crates/dotterelrudder_control/src/control_core.rs
+++ b/crates/dotterelrudder_control/src/control_core.rs
@@ -16,6 +16,7 @@
 use dotterelrudder_wire::Message;
 use dotterelrudder_wire::RaftMessage;
 
+use crate::demand::Demand;
 use crate::order_planner::plan_orders;
 use crate::proposals::Proposals;
 use crate::subscribers::catch_up_message;
@@ -70,6 +71,7 @@
     orphaned_since: BTreeMap<AttemptId, Duration>,
     founding: Option<BTreeSet<InstanceName>>,
     starting: Vec<(InstanceName, u64)>,
+    demand: Demand,
 }
 
 impl ControlCore {
@@ -120,6 +122,7 @@
             orphaned_since: BTreeMap::new(),
             founding,
             starting: Vec::new(),
+            demand: Demand::default(),
         };
         core.found_if_agreed(now);
         core.drain_raft(now, out);
@@ -373,6 +376,10 @@
             Message::InForce { revision } => {
                 self.subscribers.get_mut(&from).in_force = revision;
             }
+            Message::Demand(rows) => {
+                let message = Message::Shares(self.demand.report(&from, &rows, now));
+                out.push(Output::Send { to: from, message });
+            }
             Message::Load(load) => self.subscribers.get_mut(&from).load = Some(load),
             Message::OrderDone { version, .. } => {
                 if let Some(load) = &mut self.subscribers.get_mut(&from).load {
--- a/crates/dotterelrudder_control/src/lib.rs
+++ b/crates/dotterelrudder_control/src/lib.rs
@@ -4,6 +4,7 @@
 //! and fills an outbox with [`Output`]s. The log is described in docs/design/replicated-log.md.
 
 mod control_core;
+mod demand;
 mod input;
 mod journal;
 mod order_planner;
--- a/crates/dotterelrudder_route/src/entry_answers.rs
+++ b/crates/dotterelrudder_route/src/entry_answers.rs
@@ -73,6 +73,11 @@
             Message::Refused { attempt, refusal } => {
                 self.on_refused(&from, attempt, refusal, now, out);
             }
+            Message::Shares(rows) => {
+                for (account, share) in rows {
+                    self.limits.set_share(&account, f64::from(share), now);
+                }
+            }
             Message::Load(load) => self.on_load(&from, load),
             Message::Leaving => {
                 if let Some(view) = self.runners.named_mut(&from) {
--- a/crates/dotterelrudder_route/src/entry_core.rs
+++ b/crates/dotterelrudder_route/src/entry_core.rs
@@ -13,6 +13,7 @@
 use dotterelrudder_types::AccountKeyHash;
 use dotterelrudder_types::AttemptId;
 use dotterelrudder_types::BlockKey;
+use dotterelrudder_types::ClientAccount;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Outcome;
@@ -66,7 +67,7 @@
     pub(crate) requests: BTreeMap<u64, Request>,
     pub(crate) by_attempt: HashMap<AttemptId, u64>,
     pub(crate) budget: RetryBudget,
-    limits: AccountLimits,
+    pub(crate) limits: AccountLimits,
     next_sequence: u64,
     leaving: bool,
     exit_told: bool,
@@ -171,9 +172,33 @@
                 .into_iter()
                 .map(|(to, message)| Output::Send { to, message }),
         );
+        self.tell_demand(now, out);
         self.tick_requests(now, out);
     }
 
+    /// Tells each client account's demand to the control instance that hashing names for it, so
+    /// that all entries' words on one account meet there.
+    fn tell_demand(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let controls = self.follower.reachable_controls();
+        let mut by_control: BTreeMap<InstanceName, Vec<(ClientAccount, f32)>> = BTreeMap::new();
+        for (account, rate) in self.limits.demand(now) {
+            let home = controls
+                .iter()
+                .max_by_key(|c| hash_score(account.as_str(), c.as_str()));
+            if let Some(home) = home {
+                by_control
+                    .entry(home.clone())
+                    .or_default()
+                    .push((account, rate));
+            }
+        }
+        let told = by_control.into_iter();
+        out.extend(told.map(|(to, rows)| Output::Send {
+            to,
+            message: Message::Demand(rows),
+        }));
+    }
+
     fn on_opened(
         &mut self,
         peer: InstanceName,
@@ -261,6 +286,7 @@
             account: account.name.clone(),
             tier: account.tier,
             service: service.name.clone(),
+            repeatable: is_repeatable(service, &target),
             target,
             claim,
             deadline,
@@ -407,7 +433,7 @@
     /// Returns from 0 to 1 how far the runner is from being the one that hashing prefers.
     fn affinity(&self, runner: &RunnerView, request: &Request, chain: &[BlockKey]) -> f64 {
         let score = chain.first().map_or_else(
-            || account_score(request, runner),
+            || hash_score(request.account.as_str(), runner.name.as_str()),
             |first| first.rendezvous_score(runner.name.as_str()),
         );
         1.0 - score as f64 / u64::MAX as f64
@@ -461,10 +487,11 @@
     }
 }
 
-fn account_score(request: &Request, runner: &RunnerView) -> u64 {
+/// Scores a candidate for rendezvous hashing by name.
+fn hash_score(key: &str, candidate: &str) -> u64 {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(request.account.as_str().as_bytes());
-    hasher.update(runner.name.as_str().as_bytes());
+    hasher.update(key.as_bytes());
+    hasher.update(candidate.as_bytes());
     let mut first = [0; 8];
     first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
     u64::from_le_bytes(first)
@@ -503,6 +530,21 @@
     }
 }
 
+/// Returns whether the request may run again after it may have run.
+fn is_repeatable(service: &ServiceDeclaration, target: &Target) -> bool {
+    match target {
+        Target::Completion { .. } => true,
+        // RFC 9110, section 9.2.1: safe methods, unless the service declares otherwise.
+        Target::Call { method, path, .. } => {
+            let declared = service
+                .not_repeatable
+                .iter()
+                .any(|p| path.starts_with(p.as_str()));
+            matches!(method.as_str(), "GET" | "HEAD") && !declared
+        }
+    }
+}
+
 fn over_limit(account: &AccountDeclaration, wait: Duration) -> Refusal {
     let rate = account.requests_per_second;
     let detail = format!(
--- a/crates/dotterelrudder_route/src/request.rs
+++ b/crates/dotterelrudder_route/src/request.rs
@@ -35,6 +35,7 @@
     pub(crate) tier: Tier,
     pub(crate) service: ServiceName,
     pub(crate) target: Target,
+    pub(crate) repeatable: bool,
     pub(crate) claim: Option<ClaimKey>,
     pub(crate) deadline: Duration,
     pub(crate) version: Option<WeightVersion>,
@@ -49,12 +50,7 @@
 impl Request {
     /// Returns whether the request may run again after it may have run.
     pub(crate) fn is_repeatable(&self) -> bool {
-        let repeatable = match &self.target {
-            Target::Completion { .. } => true,
-            // RFC 9110, section 9.2.1: safe methods.
-            Target::Call { method, .. } => matches!(method.as_str(), "GET" | "HEAD"),
-        };
-        repeatable && self.claim.is_none()
+        self.repeatable && self.claim.is_none()
     }
 
     /// Returns the text that the engine has to continue: the prompt and what was answered.
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -6,6 +6,7 @@
 use dotterelrudder_config::Configuration;
 use dotterelrudder_types::AttemptId;
 use dotterelrudder_types::BlockKey;
+use dotterelrudder_types::ClientAccount;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::Revision;
 use dotterelrudder_types::Tier;
@@ -55,6 +56,11 @@
         revision: Revision,
     },
 
+    /// Tells how many requests of each client account came to an entry in the last second.
+    Demand(Vec<(ClientAccount, f32)>),
+    /// Answers [`Message::Demand`] with the share of each account's rate that the entry may use.
+    Shares(Vec<(ClientAccount, f32)>),
+
     /// Asks to run an attempt.
     Start(Box<Start>),
     /// Cancels an attempt, also one that hasn't arrived yet.
