Give accounts without recent demand their rate again

An entry whose demand was zero in the last report got a share of zero. Ruled out: the bucket; its burst of one request is right for a share of zero. Change: control gives each entry what it asks for and an equal part of what nobody asks for, 2 % of the rate at least.

--- a/crates/dotterelrudder_control/src/control_core.rs
+++ b/crates/dotterelrudder_control/src/control_core.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dotterelrudder_types::AttemptId;
+use dotterelrudder_types::ClientAccount;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Refusal;
@@ -377,7 +378,14 @@
                 self.subscribers.get_mut(&from).in_force = revision;
             }
             Message::Demand(rows) => {
-                let message = Message::Shares(self.demand.report(&from, &rows, now));
+                let accounts = &self.state.configuration().accounts;
+                let declared = |name: &ClientAccount| {
+                    accounts
+                        .get(name)
+                        .map_or(0.0, |a| a.requests_per_second as f32)
+                };
+                let shares = self.demand.report(&from, &rows, now, declared);
+                let message = Message::Shares(shares);
                 out.push(Output::Send { to: from, message });
             }
             Message::Load(load) => self.subscribers.get_mut(&from).load = Some(load),
--- a/crates/dotterelrudder_control/src/demand.rs
+++ b/crates/dotterelrudder_control/src/demand.rs
@@ -11,7 +11,8 @@
 
 /// How long an entry's last word counts.
 const FORGET_AFTER: Duration = Duration::from_millis(2_500);
-/// The part of a rate that is kept for entries to which nothing came lately.
+/// The part of a rate that is divided equally even while all of it is asked for, so that an entry
+/// to which nothing came lately can begin.
 const RESERVED: f32 = 0.02;
 
 #[derive(Debug, Default)]
@@ -20,22 +21,37 @@
 }
 
 impl Demand {
-    /// Takes an entry's word and returns its share of each account that it named.
-    pub(crate) fn report(
+    /// Takes an entry's word and returns its share of each account that it named. `declared` tells
+    /// the whole rate of an account.
+    pub(crate) fn report<F>(
         &mut self,
         entry: &InstanceName,
         rows: &[(ClientAccount, f32)],
         now: Duration,
-    ) -> Vec<(ClientAccount, f32)> {
+        declared: F,
+    ) -> Vec<(ClientAccount, f32)>
+    where
+        F: Fn(&ClientAccount) -> f32,
+    {
         rows.iter()
             .map(|(account, rate)| {
                 let entries = self.accounts.entry(account.clone()).or_default();
                 entries.retain(|_, (_, at)| now < *at + FORGET_AFTER);
                 entries.insert(entry.clone(), (*rate, now));
-                let total: f32 = entries.values().map(|(rate, _)| rate).sum();
-                let share = if total > 0.0 { rate / total } else { 0.0 };
-                (account.clone(), share * (1.0 - RESERVED))
+                let asked: f32 = entries.values().map(|(rate, _)| rate).sum();
+                let equal = 1.0 / entries.len() as f32;
+                (
+                    account.clone(),
+                    share_of(*rate, asked, equal, declared(account)),
+                )
             })
             .collect()
     }
 }
+
+/// Gives an entry what it asks for and an equal part of what nobody asks for.
+fn share_of(rate: f32, asked: f32, equal: f32, declared: f32) -> f32 {
+    let spare = (declared - asked).max(declared * RESERVED);
+    let given = rate * ((declared - spare) / asked.max(f32::MIN_POSITIVE)).min(1.0);
+    (given + spare * equal) / declared.max(1.0)
+}
