Remember that a displaced attempt was called

Ruled out: the entry; it passed on what the side said. Change: an attempt counts the calls that can have reached its backend server, and every refusal of the side asks that count. The two guesses from its state are gone. Also in the harness: a caller can't reach a frozen or dead entry any more.

--- a/crates/dotterelrudder/tests/harness/world.rs
+++ b/crates/dotterelrudder/tests/harness/world.rs
@@ -13,6 +13,7 @@
 use dotterelrudder::route::AnswerEvent;
 use dotterelrudder::side;
 use dotterelrudder::types::AttemptId;
+use dotterelrudder::types::ErrorKind;
 use dotterelrudder::types::InstanceName;
 use dotterelrudder::types::Refusal;
 use dotterelrudder::types::Revision;
@@ -813,6 +814,11 @@
         call.entry_incarnation = self.nodes[&entry].incarnation;
         let request = format!("{id} {}", plan.name);
         self.calls.insert(id, (entry.clone(), request, call));
+        // Nobody reaches a process that is down or frozen.
+        if self.nodes[&entry].frozen || !self.nodes[&entry].is_up() {
+            let refusal = Refusal::new(ErrorKind::NotReady, "not reached");
+            return self.on_answer(id, AnswerEvent::Refused(refusal));
+        }
         let input = route::Input::Request {
             id,
             key: Some(plan.key.as_str().into()),
--- a/crates/dotterelrudder_side/src/attempt.rs
+++ b/crates/dotterelrudder_side/src/attempt.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use dotterelrudder_types::BlockKey;
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Outcome;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::WeightVersion;
 use dotterelrudder_wire::Message;
@@ -77,6 +78,8 @@
     pub(crate) head: Option<AnswerHead>,
     pub(crate) pieces: Vec<Bytes>,
     pub(crate) claimed: bool,
+    /// Calls that can have reached the backend server; after one no refusal may say otherwise.
+    pub(crate) calls: u32,
     pub(crate) state: S,
 }
 
@@ -90,6 +93,7 @@
             head: self.head,
             pieces: self.pieces,
             claimed: self.claimed,
+            calls: self.calls,
             state,
         }
     }
@@ -190,6 +194,16 @@
         each_state!(self, a => a.deadline)
     }
 
+    /// Tells what a refusal has to say of the execution.
+    pub(crate) fn outcome(&self) -> Outcome {
+        let calls = each_state!(self, a => a.calls);
+        if calls > 0 {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        }
+    }
+
     pub(crate) fn is_claimed(&self) -> bool {
         each_state!(self, a => a.claimed)
     }
--- a/crates/dotterelrudder_side/src/runner.rs
+++ b/crates/dotterelrudder_side/src/runner.rs
@@ -217,14 +217,8 @@
     pub(crate) fn refuse_waiting(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
         let waiting: Vec<AttemptKey> = self.waiting.iter().flatten().copied().collect();
         for key in waiting {
-            let resumed = self
-                .attempts
-                .get(key)
-                .is_some_and(|a| !a.repeat_from(0).is_empty());
-            let outcome = if resumed {
-                Outcome::Unknown
-            } else {
-                Outcome::NotRun
+            let Some(outcome) = self.attempts.get(key).map(AnyAttempt::outcome) else {
+                continue;
             };
             self.end(key, Err(leaving(common).with_outcome(outcome)), now, out);
         }
@@ -262,6 +256,7 @@
             head: None,
             pieces: Vec::new(),
             claimed: false,
+            calls: 0,
             state: Waiting,
         };
         let key = self.attempts.insert(AnyAttempt::Waiting(attempt));
@@ -329,14 +324,8 @@
             return;
         }
         if let Some(key) = self.waiting[1].back().copied() {
-            let resumed = self
-                .attempts
-                .get(key)
-                .is_some_and(|a| !a.repeat_from(0).is_empty());
-            let outcome = if resumed {
-                Outcome::Unknown
-            } else {
-                Outcome::NotRun
+            let Some(outcome) = self.attempts.get(key).map(AnyAttempt::outcome) else {
+                return;
             };
             let refusal = Refusal::new(ErrorKind::Overloaded, "paying work took the place");
             self.end(key, Err(refusal.with_outcome(outcome)), now, out);
@@ -467,11 +456,7 @@
             AnyAttempt::Running(a) => Some(a.state.run),
             _ => None,
         };
-        let outcome = if run.is_some() {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
+        let outcome = any.outcome();
         out.extend(run.map(|run| Output::CancelRun { run }));
         let refusal = Refusal::new(ErrorKind::Cancelled, "the caller cancelled");
         self.end(key, Err(refusal.with_outcome(outcome)), now, out);
@@ -484,17 +469,12 @@
             .filter(|(_, a)| now >= a.deadline() && !a.is_claimed());
         for key in overdue.map(|(key, _)| key).collect::<Vec<_>>() {
             let Some(any) = self.attempts.get(key) else {
-                continue;
+                return;
             };
-            let began = matches!(any, AnyAttempt::Running(_)) || !any.repeat_from(0).is_empty();
             if let AnyAttempt::Running(a) = any {
                 out.push(Output::CancelRun { run: a.state.run });
             }
-            let outcome = if began {
-                Outcome::Unknown
-            } else {
-                Outcome::NotRun
-            };
+            let outcome = any.outcome();
             let refusal = Refusal::new(ErrorKind::DeadlineExceeded, "the deadline passed");
             self.end(key, Err(refusal.with_outcome(outcome)), now, out);
         }
--- a/crates/dotterelrudder_side/src/runner_runs.rs
+++ b/crates/dotterelrudder_side/src/runner_runs.rs
@@ -38,7 +38,8 @@
             AnyAttempt::Importing(a) => AnyAttempt::Running(a.into_state(running)),
             other => other,
         });
-        if let Some(AnyAttempt::Running(a)) = self.attempts.get(key) {
+        if let Some(AnyAttempt::Running(a)) = self.attempts.get_mut(key) {
+            a.calls += 1;
             let start = Box::new(resumed(&a.start, &a.pieces));
             out.push(Output::Call {
                 run,
@@ -184,14 +185,17 @@
         let Some(key) = self.running(run) else {
             return;
         };
+        if let (false, Some(AnyAttempt::Running(a))) = (called, self.attempts.get_mut(key)) {
+            a.calls -= 1;
+        }
         let Some(any) = self.attempts.get(key) else {
             return;
         };
-        let ran = called || !any.repeat_from(0).is_empty();
-        let (kind, outcome) = match (ran, any.is_claimed()) {
-            (false, _) => (ErrorKind::NoBackendServer, Outcome::NotRun),
-            (true, false) => (ErrorKind::BackendFailed, Outcome::Unknown),
-            (true, true) => (ErrorKind::OutcomeUnknown, Outcome::Unknown),
+        let outcome = any.outcome();
+        let kind = match (outcome, any.is_claimed()) {
+            (Outcome::NotRun, _) => ErrorKind::NoBackendServer,
+            (Outcome::Unknown, false) => ErrorKind::BackendFailed,
+            (Outcome::Unknown, true) => ErrorKind::OutcomeUnknown,
         };
         self.fail(
             key,
--- a/crates/dotterelrudder_standin/src/bin/load.rs
+++ b/crates/dotterelrudder_standin/src/bin/load.rs
@@ -8,10 +8,13 @@
 use dotterelrudder_standin::load::run_once;
 use dotterelrudder_standin::load::run_returning;
 use dotterelrudder_standin::load::run_steady;
+use dotterelrudder_standin::load::run_workload;
 use dotterelrudder_standin::load::Caller;
 use dotterelrudder_standin::load::Report;
 use dotterelrudder_standin::load::ReturningPlan;
 use dotterelrudder_standin::load::SteadyPlan;
+use dotterelrudder_standin::load::TierReport;
+use dotterelrudder_standin::load::Workload;
 use serde_json::json;
 use serde_json::Value;
 
@@ -23,6 +26,9 @@
   returning  --entries A,B --key K --model M --conversations N --sheet-tokens N
              [--answer-tokens N] --engines E,F [--settle-ms N] [--seed N] --out FILE
   once       --entries A,B --key K --path P --count N [--seed N] --out FILE
+  run        --workload FILE --entries A,B --engines E,F --stores S,T --salt TEXT
+             [--scale X] [--trial-scale X] --out FILE   an open-loop workload
+  table      --reports F,G             compare reports of `run`, as a Markdown table
   fetch      --url URL                 print what a stand-in tells
   post       --url URL [--body JSON]   switch a stand-in's fault
   wait       --url URL [--seconds S]   wait until the URL answers with success
@@ -109,6 +115,91 @@
     serde_json::from_slice(&body).map_err(|e| format!("{url}: {e}"))
 }
 
+async fn link_bytes(options: &Options) -> Result<u64, String> {
+    let mut bytes = 0;
+    for store in options.list("stores")? {
+        let stats = fetch(&format!("http://{store}/stats")).await?;
+        bytes += stats["link_bytes"].as_u64().unwrap_or(0);
+    }
+    Ok(bytes)
+}
+
+async fn backend_calls(options: &Options) -> Result<u64, String> {
+    let mut calls = 0;
+    for engine in options.list("engines")? {
+        // A runner that was lost in the run can't tell its calls.
+        if let Ok(stats) = fetch(&format!("http://{engine}/stats")).await {
+            calls += stats["calls"].as_u64().unwrap_or(0);
+        }
+    }
+    Ok(calls)
+}
+
+async fn run_file(options: &Options) -> Result<bool, String> {
+    let path = options.text("workload")?;
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+    let mut workload: Workload = toml::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+    let scale: f64 = options.number("scale", Some(1.0))?;
+    let trial_scale: f64 = options.number("trial-scale", Some(1.0))?;
+    for flow in &mut workload.flows {
+        flow.rate *= if flow.tier == "trial" {
+            trial_scale
+        } else {
+            scale
+        };
+    }
+    let salt = options.text("salt")?;
+    let (bytes, calls) = (link_bytes(options).await?, backend_calls(options).await?);
+    let tiers = run_workload(&workload, &options.list("entries")?, salt).await;
+    let report = json!({
+        "salt": salt,
+        "tiers": tiers,
+        "link_bytes": link_bytes(options).await? - bytes,
+        "backend_calls": backend_calls(options).await?.saturating_sub(calls),
+    });
+    let out = options.text("out")?;
+    std::fs::write(out, report.to_string()).map_err(|e| format!("{out}: {e}"))?;
+    for (tier, report) in &tiers {
+        eprintln!("  {salt} {tier}: {}", report.line());
+        report
+            .notes
+            .iter()
+            .take(3)
+            .for_each(|note| eprintln!("    {note}"));
+    }
+    Ok(tiers.values().all(|tier| tier.wrong_answers == 0))
+}
+
+fn table(options: &Options) -> Result<bool, String> {
+    println!("| run | tier | requests | answered | first token p50 / p95 / p99 (ms) | between tokens p95 (ms) | within deadline | recomputed | link (MB) | refused | calls |");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
+    for path in options.list("reports")? {
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+        let report: Value = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+        let tiers: BTreeMap<String, TierReport> =
+            serde_json::from_value(report["tiers"].clone()).map_err(|e| format!("{path}: {e}"))?;
+        for (tier, r) in &tiers {
+            let ttft = |percent| Report::percentile(&r.ttft_ms, percent);
+            println!(
+                "| {} | {tier} | {} | {} | {:.0} / {:.0} / {:.0} | {:.1} | {} | {:.3} | {:.1} | {} | {} |",
+                report["salt"].as_str().unwrap_or(""),
+                r.requests,
+                r.answered,
+                ttft(50.0),
+                ttft(95.0),
+                ttft(99.0),
+                Report::percentile(&r.gaps_ms, 95.0),
+                r.within_deadline,
+                r.recomputed_tokens as f64 / r.returning_tokens.max(1) as f64,
+                report["link_bytes"].as_f64().unwrap_or(0.0) / 1e6,
+                r.refused,
+                report["backend_calls"],
+            );
+        }
+    }
+    Ok(true)
+}
+
 async fn post(options: &Options) -> Result<bool, String> {
     let body = options.number("body", Some("{}".to_owned()))?;
     let req = http::Request::post(options.text("url")?).body(http_body_util::Full::from(body));
@@ -227,6 +318,8 @@
             };
             write(options, &run_returning(&caller()?, &plan).await)
         }
+        "run" => run_file(options).await,
+        "table" => table(options),
         "once" => {
             let count = options.number("count", None)?;
             let report = run_once(&caller()?, options.text("path")?, count, seed).await;
--- a/crates/dotterelrudder_standin/src/load/caller.rs
+++ b/crates/dotterelrudder_standin/src/load/caller.rs
@@ -53,6 +53,10 @@
     pub ttft_ms: f64,
     /// Milliseconds of the longest pause between two tokens.
     pub gap_ms: f64,
+    /// When the first token came.
+    pub first_token_at: Option<Instant>,
+    /// Milliseconds of each pause between two tokens.
+    pub gaps_ms: Vec<f64>,
 }
 
 enum Try {
@@ -72,6 +76,8 @@
     pub key: String,
     /// Calls HTTP servers.
     pub client: HttpClient,
+    /// Tries of one request at most.
+    pub tries: usize,
 }
 
 impl Caller {
@@ -81,6 +87,7 @@
             entries: entries.to_vec(),
             key: key.into(),
             client: HttpClient::default(),
+            tries: MAX_TRIES,
         }
     }
 
@@ -94,7 +101,7 @@
     ) -> Option<Outcome> {
         report.requests += 1;
         let mut last = String::new();
-        for number in 0..MAX_TRIES {
+        for number in 0..self.tries {
             let entry = &self.entries[(first + number) % self.entries.len()];
             let limited = tokio::time::timeout(ANSWER_LIMIT, self.try_complete(completion, entry));
             let tried = limited
@@ -123,7 +130,7 @@
             }
         }
         report.failed += 1;
-        report.note(format!("no answer after {MAX_TRIES} tries: {last}"));
+        report.note(format!("no answer after {} tries: {last}", self.tries));
         None
     }
 
@@ -254,9 +261,14 @@
             if let Some(token) = value["choices"][0]["text"].as_str() {
                 let now = Instant::now();
                 match last {
-                    None => outcome.ttft_ms = (now - began).as_secs_f64() * 1e3,
+                    None => {
+                        outcome.ttft_ms = (now - began).as_secs_f64() * 1e3;
+                        outcome.first_token_at = Some(now);
+                    }
                     Some(last) => {
-                        outcome.gap_ms = outcome.gap_ms.max((now - last).as_secs_f64() * 1e3);
+                        let gap = (now - last).as_secs_f64() * 1e3;
+                        outcome.gap_ms = outcome.gap_ms.max(gap);
+                        outcome.gaps_ms.push(gap);
                     }
                 }
                 last = Some(now);
--- a/crates/dotterelrudder_standin/src/load/mod.rs
+++ b/crates/dotterelrudder_standin/src/load/mod.rs
@@ -5,6 +5,8 @@
 mod report;
 mod returning;
 mod steady;
+mod tier_report;
+mod workload;
 
 pub use caller::Caller;
 pub use caller::Completion;
@@ -15,3 +17,7 @@
 pub use returning::ReturningPlan;
 pub use steady::run_steady;
 pub use steady::SteadyPlan;
+pub use tier_report::TierReport;
+pub use workload::run_workload;
+pub use workload::Flow;
+pub use workload::Workload;
