--- a/crates/dotterelrudder/tests/harness/world.rs
+++ b/crates/dotterelrudder/tests/harness/world.rs
@@ -18,8 +18,10 @@
 use dotterelrudder::types::Refusal;
 use dotterelrudder::types::Revision;
 use dotterelrudder::types::Role;
+use dotterelrudder::wire::encode_frame;
 use dotterelrudder::wire::Command;
 use dotterelrudder::wire::CommandResult;
+use dotterelrudder::wire::Envelope;
 use dotterelrudder::wire::Message;
 use dotterelrudder::wire::Usage;
 use dotterelrudder::wire::Work;
@@ -114,6 +116,45 @@
     pub proposals: BTreeMap<u64, (String, Option<CommandResult>)>,
     pub invariants: Invariants,
     attempts: BTreeMap<AttemptId, String>,
+    pub traffic: Traffic,
+}
+
+/// What was sent and synced so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
+    /// Messages to or from control instances.
+    pub control_messages: u64,
+    pub control_bytes: u64,
+    pub syncs: u64,
+}
+
+impl Traffic {
+    fn count(&mut self, revision: Revision, message: &Message, control: bool) {
+        let envelope = Envelope {
+            revision,
+            message: message.clone(),
+        };
+        let mut buf = bytes::BytesMut::new();
+        encode_frame(&envelope, &mut buf).expect("small enough");
+        self.messages += 1;
+        self.bytes += buf.len() as u64;
+        if control {
+            self.control_messages += 1;
+            self.control_bytes += buf.len() as u64;
+        }
+    }
+
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            messages: self.messages - earlier.messages,
+            bytes: self.bytes - earlier.bytes,
+            control_messages: self.control_messages - earlier.control_messages,
+            control_bytes: self.control_bytes - earlier.control_bytes,
+            syncs: self.syncs - earlier.syncs,
+        }
+    }
 }
 
 fn pair(a: &InstanceName, b: &InstanceName) -> Pair {
@@ -138,6 +179,11 @@
 
 impl World {
     pub fn new(seed: u64) -> Self {
+        Self::sized(seed, 2, 2)
+    }
+
+    /// A deployment with this many engines and entries.
+    pub fn sized(seed: u64, engines: usize, entries: usize) -> Self {
         let mut world = Self {
             now: Duration::ZERO,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -154,12 +200,14 @@
             proposals: BTreeMap::new(),
             invariants: Invariants::default(),
             attempts: BTreeMap::new(),
+            traffic: Traffic::default(),
         };
         for name in CONTROLS {
             world.add(Node::new(name, Role::Control, "", ServiceKind::Plain));
         }
-        for name in ["engine-1", "engine-2"] {
-            world.add(Node::new(name, Role::Side, "model", ServiceKind::Model));
+        for number in 1..=engines {
+            let name = format!("engine-{number}");
+            world.add(Node::new(&name, Role::Side, "model", ServiceKind::Model));
         }
         for name in ["desk-1", "desk-2"] {
             world.add(Node::new(name, Role::Side, "desk", ServiceKind::Plain));
@@ -170,8 +218,9 @@
             "store",
             ServiceKind::Store,
         ));
-        for name in ["entry-1", "entry-2"] {
-            world.add(Node::new(name, Role::Entry, "", ServiceKind::Plain));
+        for number in 1..=entries {
+            let name = format!("entry-{number}");
+            world.add(Node::new(&name, Role::Entry, "", ServiceKind::Plain));
         }
         world.schedule(Duration::ZERO, "".into(), Event::Dial);
         world
@@ -417,6 +466,9 @@
             *last = due;
         }
         let connection = link.connection;
+        let control =
+            self.nodes[from].role == Role::Control || self.nodes[to].role == Role::Control;
+        self.traffic.count(revision, &message, control);
         let message = Box::new(message);
         let event = Event::Message {
             from: from.clone(),
@@ -543,6 +595,7 @@
             Event::Synced {
                 incarnation: started,
             } if started == incarnation => {
+                self.traffic.syncs += 1;
                 let sequence = self.nodes.get_mut(&to).map_or(0, |n| n.disk.sync());
                 self.control(&to, control::Input::Synced { sequence });
             }
