--- a/crates/dotterelrudder_side/src/attempt_table.rs
+++ b/crates/dotterelrudder_side/src/attempt_table.rs
@@ -24,6 +24,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct AttemptTable {
     arena: SlotMap<AttemptKey, Option<AnyAttempt>>,
+    /// Attempts that haven't ended, so that work in progress is found without passing by the many
+    /// that ended lately.
+    active: BTreeSet<AttemptKey>,
     by_id: HashMap<AttemptId, AttemptKey>,
     by_run: HashMap<u64, AttemptKey>,
     ended: VecDeque<(Duration, AttemptKey)>,
@@ -63,6 +66,7 @@
         let id = attempt.start().attempt;
         let key = self.arena.insert(Some(attempt));
         self.by_id.insert(id, key);
+        self.active.insert(key);
         key
     }
 
@@ -93,20 +97,17 @@
             self.by_run.insert(run, key);
         }
         if let Some(at) = ended_at {
+            self.active.remove(&key);
             self.ended.push_back((at, key));
             self.bury(id, at);
         }
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (AttemptKey, &AnyAttempt)> {
-        self.arena
-            .iter()
-            .filter_map(|(k, a)| Some((k, a.as_ref()?)))
-    }
-
     /// Returns attempts that haven't ended.
     pub(crate) fn active(&self) -> impl Iterator<Item = (AttemptKey, &AnyAttempt)> {
-        self.iter().filter(|(_, a)| !a.is_ended())
+        self.active
+            .iter()
+            .filter_map(|key| Some((*key, self.get(*key)?)))
     }
 
     /// Forgets what ended long ago.
