--- a/crates/dotterelrudder/benches/hot_steps.rs
+++ b/crates/dotterelrudder/benches/hot_steps.rs
@@ -1,4 +1,8 @@
 //! The hot steps of each role.
+#![expect(
+    missing_docs,
+    reason = "criterion_group writes an undocumented function"
+)]
 
 use std::time::Duration;
 
--- a/crates/dotterelrudder_standin/src/bin/load.rs
+++ b/crates/dotterelrudder_standin/src/bin/load.rs
@@ -8,6 +8,7 @@
 use dotterelrudder_standin::load::run_once;
 use dotterelrudder_standin::load::run_returning;
 use dotterelrudder_standin::load::run_steady;
+use dotterelrudder_standin::load::run_subscribers;
 use dotterelrudder_standin::load::run_workload;
 use dotterelrudder_standin::load::Caller;
 use dotterelrudder_standin::load::Report;
@@ -29,6 +30,7 @@
   run        --workload FILE --entries A,B --engines E,F --stores S,T --salt TEXT
              [--scale X] [--trial-scale X] --out FILE   an open-loop workload
   table      --reports F,G             compare reports of `run`, as a Markdown table
+  subscribe  --controls NAME=ADDR,… --secret-file F --count N   follow the configuration
   fetch      --url URL                 print what a stand-in tells
   post       --url URL [--body JSON]   switch a stand-in's fault
   wait       --url URL [--seconds S]   wait until the URL answers with success
@@ -200,6 +202,21 @@
     Ok(true)
 }
 
+async fn subscribe(options: &Options) -> Result<bool, String> {
+    let path = options.text("secret-file")?;
+    let secret = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+    let mut controls = Vec::new();
+    for control in options.list("controls")? {
+        let (name, address) = control
+            .split_once('=')
+            .ok_or("--controls wants NAME=ADDR")?;
+        let address = address.parse().map_err(|e| format!("{address}: {e}"))?;
+        controls.push((name.into(), address));
+    }
+    run_subscribers(options.number("count", None)?, &controls, secret.trim()).await;
+    Ok(true)
+}
+
 async fn post(options: &Options) -> Result<bool, String> {
     let body = options.number("body", Some("{}".to_owned()))?;
     let req = http::Request::post(options.text("url")?).body(http_body_util::Full::from(body));
@@ -320,6 +337,7 @@
         }
         "run" => run_file(options).await,
         "table" => table(options),
+        "subscribe" => subscribe(options).await,
         "once" => {
             let count = options.number("count", None)?;
             let report = run_once(&caller()?, options.text("path")?, count, seed).await;
--- a/crates/dotterelrudder_standin/src/load/mod.rs
+++ b/crates/dotterelrudder_standin/src/load/mod.rs
@@ -5,6 +5,7 @@
 mod report;
 mod returning;
 mod steady;
+mod subscribers;
 mod tier_report;
 mod workload;
 
@@ -17,6 +18,7 @@
 pub use returning::ReturningPlan;
 pub use steady::run_steady;
 pub use steady::SteadyPlan;
+pub use subscribers::run_subscribers;
 pub use tier_report::TierReport;
 pub use workload::run_workload;
 pub use workload::Flow;
