--- /dev/null
+++ b/crates/dotterelrudder_control/src/control_core/following.rs
@@ -0,0 +1,92 @@
+//! The processes that follow the configuration from this replica.
+
+use std::time::Duration;
+
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Revision;
+use dotterelrudder_wire::Command;
+use dotterelrudder_wire::Message;
+
+use super::ControlCore;
+use crate::subscribers::catch_up_message;
+use crate::Origin;
+use crate::Output;
+
+impl ControlCore {
+    pub(super) fn on_subscribe(
+        &mut self,
+        from: InstanceName,
+        held: Revision,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.is_fresh(now) {
+            out.push(Output::Send {
+                to: from,
+                message: Message::NotFresh,
+            });
+            return;
+        }
+        if held == Revision::default() {
+            // A process that just started may have held more before than this replica does yet.
+            self.propose(Origin::Subscriber(from), Command::Noop, now, out);
+            return;
+        }
+        self.follow(from, held, out);
+    }
+
+    pub(super) fn follow(&mut self, from: InstanceName, held: Revision, out: &mut Vec<Output>) {
+        let message = catch_up_message(&self.state, held);
+        let subscriber = self.subscribers.get_mut(&from);
+        subscriber.follows = true;
+        subscriber.sent = self.state.configuration().revision;
+        out.push(Output::Send { to: from, message });
+    }
+
+    /// Answers the processes that started before an entry which is applied here now.
+    pub(super) fn answer_starting(&mut self, out: &mut Vec<Output>) {
+        let index = self.state.index();
+        let starting = std::mem::take(&mut self.starting);
+        let (due, later) = starting.into_iter().partition(|(_, at)| *at <= index);
+        self.starting = later;
+        let due: Vec<(InstanceName, u64)> = due;
+        for (name, _) in due {
+            self.follow(name, Revision::default(), out);
+        }
+    }
+
+    pub(super) fn update_subscribers(
+        &mut self,
+        now: Duration,
+        confirm: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let fresh = self.is_fresh(now);
+        let newest = self.state.configuration().revision;
+        for (name, subscriber) in self
+            .subscribers
+            .by_name
+            .iter_mut()
+            .filter(|(_, s)| s.follows)
+        {
+            if !fresh {
+                if confirm {
+                    subscriber.follows = false;
+                    out.push(Output::Send {
+                        to: name.clone(),
+                        message: Message::NotFresh,
+                    });
+                }
+                continue;
+            }
+            if subscriber.sent < newest || confirm {
+                let message = catch_up_message(&self.state, subscriber.sent);
+                subscriber.sent = newest;
+                out.push(Output::Send {
+                    to: name.clone(),
+                    message,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/control_core/founding.rs
@@ -0,0 +1,103 @@
+//! How a replica joins a deployment or founds one, and gives up an identity.
+
+use std::time::Duration;
+
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_wire::Member;
+use dotterelrudder_wire::RaftMessage;
+
+use super::ControlCore;
+use crate::Output;
+use crate::Raft;
+use crate::Recovered;
+use crate::ReplicatedState;
+
+/// How often a replica without membership asks to join.
+const JOIN_EVERY: Duration = Duration::from_millis(300);
+
+impl ControlCore {
+    pub(super) fn join_if_needed(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let known = self.raft.members().iter().any(|m| m.id == self.raft.id());
+        if known || now < self.join_at {
+            return;
+        }
+        self.join_at = now + JOIN_EVERY;
+        let instance = self.settings.name.clone();
+        let member = Member {
+            id: self.raft.id(),
+            instance,
+            voter: false,
+        };
+        for peer in self.settings.peers.clone() {
+            let message = RaftMessage::Join {
+                member: member.clone(),
+            };
+            self.send_raft(peer, 0, message, out);
+        }
+    }
+
+    /// A deployment is founded only once every other control instance said that it belongs to
+    /// none, so that a wiped disk can't found a second one beside the first.
+    pub(super) fn on_join_reply(&mut self, from: InstanceName, empty: bool, now: Duration) {
+        if !empty {
+            self.founding = None;
+        }
+        if let Some(agreed) = &mut self.founding {
+            agreed.insert(from);
+        }
+        self.found_if_agreed(now);
+    }
+
+    pub(super) fn found_if_agreed(&mut self, now: Duration) {
+        let agreed = |name: &InstanceName| {
+            self.founding
+                .as_ref()
+                .is_some_and(|agreed| agreed.contains(name))
+        };
+        let all = self.founding.is_some() && self.settings.peers.iter().all(agreed);
+        if all && self.raft.members().is_empty() {
+            self.founding = None;
+            let (id, instance) = (self.raft.id(), self.settings.name.clone());
+            self.raft.bootstrap(
+                Member {
+                    id,
+                    instance,
+                    voter: true,
+                },
+                now,
+            );
+        }
+    }
+
+    /// Gives up an identity whose disk can't be trusted and joins as a learner under a new one.
+    pub(super) fn take_new_identity(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let old = self.raft.id();
+        self.seed = self
+            .seed
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        let new = new_identity(self.seed);
+        let sequence = self.raft.persist_sequence();
+        let recovered = Recovered {
+            id: new,
+            ..Recovered::default()
+        };
+        self.raft = Raft::new(recovered, self.settings.timing, self.seed, now);
+        self.raft.continue_sequence(sequence);
+        out.push(Output::Rewrite {
+            sequence,
+            records: Vec::new(),
+        });
+        self.raft.confirm_as_new();
+        self.state = ReplicatedState::default();
+        out.push(Output::NewIdentity { old, new });
+    }
+}
+
+/// Draws the identity of a disk.
+pub(super) fn new_identity(seed: u64) -> u64 {
+    let hash = blake3::hash(&seed.to_le_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first).max(1)
+}
--- a/crates/dotterelrudder_control/src/control_core.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -1,26 +1,25 @@
 //! The control role: the log, its state, subscribers and orders behind one interface.
 
+mod following;
+mod founding;
+mod proposing;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use dotterelrudder_types::AttemptId;
 use dotterelrudder_types::ClientAccount;
-use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::InstanceName;
-use dotterelrudder_types::Refusal;
 use dotterelrudder_types::Revision;
 use dotterelrudder_wire::Command;
-use dotterelrudder_wire::CommandResult;
 use dotterelrudder_wire::LogEntry;
-use dotterelrudder_wire::Member;
 use dotterelrudder_wire::Message;
 use dotterelrudder_wire::RaftMessage;
 
 use crate::demand::Demand;
 use crate::order_planner::plan_orders;
 use crate::proposals::Proposals;
-use crate::subscribers::catch_up_message;
 use crate::subscribers::Subscribers;
 use crate::ControlStatus;
 use crate::Input;
@@ -35,8 +34,6 @@
 
 /// How often followers of the configuration are told that theirs is the newest.
 const CONFIRM_EVERY: Duration = Duration::from_secs(1);
-/// How often a replica without membership asks to join.
-const JOIN_EVERY: Duration = Duration::from_millis(300);
 /// How long a side may be away before its claims are told as unknown.
 const LOST_SIDE_AFTER: Duration = Duration::from_secs(10);
 /// How often orders are planned.
@@ -94,7 +91,7 @@
         }
         if old == 0 || recovered.is_corrupt() {
             recovered = Recovered {
-                id: new_identity(seed),
+                id: founding::new_identity(seed),
                 ..Recovered::default()
             };
         }
@@ -225,7 +222,7 @@
         self.raft.tick(now);
         self.join_if_needed(now, out);
         for origin in self.proposals.overdue(now) {
-            self.answer(origin, unknown_outcome(), out);
+            self.answer(origin, proposing::unknown_outcome(), out);
         }
         if now >= self.confirm_at {
             self.confirm_at = now + CONFIRM_EVERY;
@@ -272,59 +269,6 @@
         }
     }
 
-    fn join_if_needed(&mut self, now: Duration, out: &mut Vec<Output>) {
-        let known = self.raft.members().iter().any(|m| m.id == self.raft.id());
-        if known || now < self.join_at {
-            return;
-        }
-        self.join_at = now + JOIN_EVERY;
-        let instance = self.settings.name.clone();
-        let member = Member {
-            id: self.raft.id(),
-            instance,
-            voter: false,
-        };
-        for peer in self.settings.peers.clone() {
-            let message = RaftMessage::Join {
-                member: member.clone(),
-            };
-            self.send_raft(peer, 0, message, out);
-        }
-    }
-
-    /// A deployment is founded only once every other control instance said that it belongs to
-    /// none, so that a wiped disk can't found a second one beside the first.
-    fn on_join_reply(&mut self, from: InstanceName, empty: bool, now: Duration) {
-        if !empty {
-            self.founding = None;
-        }
-        if let Some(agreed) = &mut self.founding {
-            agreed.insert(from);
-        }
-        self.found_if_agreed(now);
-    }
-
-    fn found_if_agreed(&mut self, now: Duration) {
-        let agreed = |name: &InstanceName| {
-            self.founding
-                .as_ref()
-                .is_some_and(|agreed| agreed.contains(name))
-        };
-        let all = self.founding.is_some() && self.settings.peers.iter().all(agreed);
-        if all && self.raft.members().is_empty() {
-            self.founding = None;
-            let (id, instance) = (self.raft.id(), self.settings.name.clone());
-            self.raft.bootstrap(
-                Member {
-                    id,
-                    instance,
-                    voter: true,
-                },
-                now,
-            );
-        }
-    }
-
     fn send_raft(&self, peer: InstanceName, to: u64, message: RaftMessage, out: &mut Vec<Output>) {
         let message = Message::Raft {
             from: self.raft.id(),
@@ -348,7 +292,7 @@
     fn on_closed(&mut self, peer: &InstanceName, now: Duration, out: &mut Vec<Output>) {
         self.subscribers.closed(peer, now);
         for origin in self.proposals.lost_leader(peer) {
-            self.answer(origin, unknown_outcome(), out);
+            self.answer(origin, proposing::unknown_outcome(), out);
         }
     }
 
@@ -406,146 +350,6 @@
         }
     }
 
-    fn on_subscribe(
-        &mut self,
-        from: InstanceName,
-        held: Revision,
-        now: Duration,
-        out: &mut Vec<Output>,
-    ) {
-        if !self.is_fresh(now) {
-            out.push(Output::Send {
-                to: from,
-                message: Message::NotFresh,
-            });
-            return;
-        }
-        if held == Revision::default() {
-            // A process that just started may have held more before than this replica does yet.
-            self.propose(Origin::Subscriber(from), Command::Noop, now, out);
-            return;
-        }
-        self.follow(from, held, out);
-    }
-
-    fn follow(&mut self, from: InstanceName, held: Revision, out: &mut Vec<Output>) {
-        let message = catch_up_message(&self.state, held);
-        let subscriber = self.subscribers.get_mut(&from);
-        subscriber.follows = true;
-        subscriber.sent = self.state.configuration().revision;
-        out.push(Output::Send { to: from, message });
-    }
-
-    /// Answers the processes that started before an entry which is applied here now.
-    fn answer_starting(&mut self, out: &mut Vec<Output>) {
-        let index = self.state.index();
-        let starting = std::mem::take(&mut self.starting);
-        let (due, later) = starting.into_iter().partition(|(_, at)| *at <= index);
-        self.starting = later;
-        let due: Vec<(InstanceName, u64)> = due;
-        for (name, _) in due {
-            self.follow(name, Revision::default(), out);
-        }
-    }
-
-    fn update_subscribers(&mut self, now: Duration, confirm: bool, out: &mut Vec<Output>) {
-        let fresh = self.is_fresh(now);
-        let newest = self.state.configuration().revision;
-        for (name, subscriber) in self
-            .subscribers
-            .by_name
-            .iter_mut()
-            .filter(|(_, s)| s.follows)
-        {
-            if !fresh {
-                if confirm {
-                    subscriber.follows = false;
-                    out.push(Output::Send {
-                        to: name.clone(),
-                        message: Message::NotFresh,
-                    });
-                }
-                continue;
-            }
-            if subscriber.sent < newest || confirm {
-                let message = catch_up_message(&self.state, subscriber.sent);
-                subscriber.sent = newest;
-                out.push(Output::Send {
-                    to: name.clone(),
-                    message,
-                });
-            }
-        }
-    }
-
-    fn propose(
-        &mut self,
-        origin: Origin,
-        mut command: Command,
-        now: Duration,
-        out: &mut Vec<Output>,
-    ) {
-        self.stamp(&mut command);
-        if self.raft.is_leader() {
-            if let Some(place) = self.raft.propose(command, now) {
-                self.proposals.log(place, origin, now);
-            }
-            return;
-        }
-        let from_control = matches!(&origin, Origin::Peer { name, .. }
-            if self.settings.peers.contains(name));
-        match self.leader_instance() {
-            Some(leader) if !from_control && origin != Origin::Internal => {
-                let tag = self.proposals.forward(&leader, origin, now);
-                let command = Box::new(command);
-                out.push(Output::Send {
-                    to: leader,
-                    message: Message::Propose { tag, command },
-                });
-            }
-            _ => {
-                let refusal = Refusal::new(ErrorKind::NotFresh, "no leader is known here");
-                self.answer(origin, CommandResult::Refused(refusal), out);
-            }
-        }
-    }
-
-    /// Puts the wall-clock time of the replica that takes a command into it.
-    fn stamp(&self, command: &mut Command) {
-        match command {
-            Command::Publish { at_ms, .. }
-            | Command::Claim { at_ms, .. }
-            | Command::FinishClaim { at_ms, .. }
-            | Command::IssueOrder { at_ms, .. }
-            | Command::Drain { at_ms, .. } => *at_ms = self.wall_ms,
-            _ => {}
-        }
-    }
-
-    fn answer(&mut self, origin: Origin, result: CommandResult, out: &mut Vec<Output>) {
-        match origin {
-            Origin::Subscriber(name) => match result {
-                CommandResult::Passed(index) => {
-                    self.starting.push((name, index));
-                    self.answer_starting(out);
-                }
-                _ => out.push(Output::Send {
-                    to: name,
-                    message: Message::NotFresh,
-                }),
-            },
-            Origin::Local(tag) => out.push(Output::Answer { tag, result }),
-            Origin::Peer { name, tag } => {
-                let message = Message::Result {
-                    tag,
-                    result: Box::new(result),
-                };
-                out.push(Output::Send { to: name, message });
-            }
-            Origin::Internal => {}
-        }
-    }
-
     /// Carries out what the log asks for, until it asks for nothing more.
     fn drain_raft(&mut self, now: Duration, out: &mut Vec<Output>) {
         loop {
@@ -613,7 +417,11 @@
             }
         }
         if let Some((origin, same)) = self.proposals.applied(entry.term, entry.index) {
-            let result = if same { result } else { unknown_outcome() };
+            let result = if same {
+                result
+            } else {
+                proposing::unknown_outcome()
+            };
             self.answer(origin, result, out);
         }
         self.note_revision(before, now, out);
@@ -643,40 +451,4 @@
             self.update_subscribers(now, false, out);
         }
     }
-
-    /// Gives up an identity whose disk can't be trusted and joins as a learner under a new one.
-    fn take_new_identity(&mut self, now: Duration, out: &mut Vec<Output>) {
-        let old = self.raft.id();
-        self.seed = self
-            .seed
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1);
-        let new = new_identity(self.seed);
-        let sequence = self.raft.persist_sequence();
-        let recovered = Recovered {
-            id: new,
-            ..Recovered::default()
-        };
-        self.raft = Raft::new(recovered, self.settings.timing, self.seed, now);
-        self.raft.continue_sequence(sequence);
-        out.push(Output::Rewrite {
-            sequence,
-            records: Vec::new(),
-        });
-        self.raft.confirm_as_new();
-        self.state = ReplicatedState::default();
-        out.push(Output::NewIdentity { old, new });
-    }
-}
-
-fn new_identity(seed: u64) -> u64 {
-    let hash = blake3::hash(&seed.to_le_bytes());
-    let mut first = [0; 8];
-    first.copy_from_slice(&hash.as_bytes()[..8]);
-    u64::from_le_bytes(first).max(1)
-}
-
-fn unknown_outcome() -> CommandResult {
-    let detail = "the leader was lost before its answer; ask again with the same id";
-    CommandResult::Refused(Refusal::new(ErrorKind::OutcomeUnknown, detail))
 }
--- /dev/null
+++ b/crates/dotterelrudder_route/src/entry_core/placement.rs
@@ -0,0 +1,218 @@
+//! Which runner gets a request.
+
+use std::time::Duration;
+
+use dotterelrudder_config::ServiceDeclaration;
+use dotterelrudder_config::ServiceKind;
+use dotterelrudder_types::AttemptId;
+use dotterelrudder_types::BlockKey;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Refusal;
+use dotterelrudder_types::WeightVersion;
+use dotterelrudder_types::TOKEN_BYTES;
+use dotterelrudder_wire::Message;
+use dotterelrudder_wire::Start;
+
+use super::hash_score;
+use super::EntryCore;
+use crate::cost::estimate;
+use crate::cost::Estimate;
+use crate::cost::PromptFacts;
+use crate::request::CurrentAttempt;
+use crate::request::Request;
+use crate::Output;
+use crate::Policy;
+use crate::RunnerKey;
+use crate::RunnerView;
+
+/// The share of the cost that decides between equal runners, by rendezvous hashing.
+const AFFINITY_SECONDS: f64 = 0.5e-3;
+
+/// A runner that can take a request, with what it would cost there.
+struct Candidate {
+    key: RunnerKey,
+    name: InstanceName,
+    incarnation: u64,
+    estimate: Estimate,
+    import: Vec<(BlockKey, InstanceName)>,
+}
+
+impl EntryCore {
+    /// Hands a request to the best runner, or refuses it.
+    pub(super) fn place(&mut self, id: u64, now: Duration, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let Some(best) = self.choose(request, now) else {
+            let detail = format!("no live backend server of service \"{}\"", request.service);
+            self.refuse(id, Refusal::new(ErrorKind::NoBackendServer, detail), out);
+            return;
+        };
+        let left = request.deadline.saturating_sub(now);
+        if best.estimate.first_token_seconds > left.as_secs_f64() {
+            let seconds = best.estimate.first_token_seconds;
+            let detail = format!("the first token is expected after {seconds:.1} s");
+            self.refuse(id, Refusal::new(ErrorKind::DeadlineExceeded, detail), out);
+            return;
+        }
+        self.start(id, best, left, out);
+    }
+
+    fn start(&mut self, id: u64, best: Candidate, left: Duration, out: &mut Vec<Output>) {
+        let attempt = AttemptId {
+            incarnation: self.settings.incarnation,
+            sequence: self.next_sequence,
+        };
+        self.next_sequence += 1;
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let start = Start {
+            attempt,
+            service: request.service.clone(),
+            account: request.account.clone(),
+            tier: request.tier,
+            deadline_ms: left.as_millis() as u64,
+            claim: request.claim.clone(),
+            work: request.work(best.import),
+        };
+        request.tries += 1;
+        request.current = Some(CurrentAttempt {
+            id: attempt,
+            side: best.name.clone(),
+            incarnation: best.incarnation,
+            received: 0,
+            lost_at: None,
+        });
+        self.by_attempt.insert(attempt, id);
+        if let Some(view) = self.runners.get_mut(best.key) {
+            view.own_calls += 1;
+        }
+        let message = Message::Start(Box::new(start));
+        out.push(Output::Send {
+            to: best.name.clone(),
+            message,
+        });
+        out.push(Output::Placed {
+            id,
+            attempt,
+            side: best.name,
+        });
+    }
+
+    /// Chooses the runner with the smallest expected cost.
+    fn choose(&self, request: &Request, now: Duration) -> Option<Candidate> {
+        let cfg = self.follower.cfg();
+        let service = cfg.services.get(&request.service)?;
+        let text = request.text_so_far();
+        let mut chains: Vec<(WeightVersion, Vec<BlockKey>)> = Vec::new();
+        let mut candidates = Vec::new();
+        for (key, runner) in self.runners.of_service(&request.service) {
+            if !runner.takes_work(now) || !serves(runner, service, request) {
+                continue;
+            }
+            let version = &runner.load.version;
+            if !chains.iter().any(|(known, _)| known == version) {
+                let chain = BlockKey::chain(&request.account, &service.model, version, &text);
+                chains.push((version.clone(), chain));
+            }
+            let chain = chains.iter().find(|(known, _)| known == version);
+            let chain = chain.map_or(&[][..], |(_, chain)| chain);
+            let candidate = self.candidate(key, runner, service, request, &text, chain);
+            candidates.push((candidate, self.affinity(runner, request, chain)));
+        }
+        let unfailed = |c: &Candidate| !request.failed_on.contains(&c.name);
+        if candidates.iter().any(|(c, _)| unfailed(c)) {
+            candidates.retain(|(c, _)| unfailed(c));
+        }
+        self.pick(candidates)
+    }
+
+    fn candidate(
+        &self,
+        key: RunnerKey,
+        runner: &RunnerView,
+        service: &ServiceDeclaration,
+        request: &Request,
+        text: &[u8],
+        chain: &[BlockKey],
+    ) -> Candidate {
+        let cached = chain
+            .iter()
+            .take_while(|block| runner.blocks.contains(*block))
+            .count();
+        let stored: Vec<_> = chain[cached..]
+            .iter()
+            .map_while(|block| {
+                let store = self.runners.store_with(block, &service.stores)?;
+                Some((*block, store.clone()))
+            })
+            .collect();
+        let facts = PromptFacts {
+            tokens: text.len().div_ceil(TOKEN_BYTES),
+            cached_blocks: cached,
+            stored_blocks: stored.len(),
+            tier: request.tier,
+        };
+        let estimate = estimate(runner, facts, service.objective, self.settings.policy);
+        let mut import = stored;
+        import.truncate(estimate.import_blocks);
+        let (name, incarnation) = (runner.name.clone(), runner.incarnation);
+        Candidate {
+            key,
+            name,
+            incarnation,
+            estimate,
+            import,
+        }
+    }
+
+    /// Returns from 0 to 1 how far the runner is from being the one that hashing prefers.
+    fn affinity(&self, runner: &RunnerView, request: &Request, chain: &[BlockKey]) -> f64 {
+        let score = chain.first().map_or_else(
+            || hash_score(request.account.as_str(), runner.name.as_str()),
+            |first| first.rendezvous_score(runner.name.as_str()),
+        );
+        1.0 - score as f64 / u64::MAX as f64
+    }
+
+    fn pick(&self, candidates: Vec<(Candidate, f64)>) -> Option<Candidate> {
+        let by = |value: fn(&(Candidate, f64)) -> f64| {
+            move |a: &(Candidate, f64), b: &(Candidate, f64)| value(a).total_cmp(&value(b))
+        };
+        let best = match self.settings.policy {
+            Policy::RoundRobin => {
+                let mut ordered = candidates;
+                ordered.sort_by(|(a, _), (b, _)| a.name.cmp(&b.name));
+                let turn = self.next_sequence as usize % ordered.len().max(1);
+                ordered.into_iter().nth(turn)
+            }
+            Policy::LeastLoaded => {
+                let load = |c: &Candidate| {
+                    let view = self.runners.get(c.key);
+                    view.map_or(0, |r| r.load.running + r.load.waiting_paying + r.own_calls)
+                };
+                candidates.into_iter().min_by_key(|(c, _)| load(c))
+            }
+            Policy::HashAffinity => candidates.into_iter().min_by(by(|(_, affinity)| *affinity)),
+            _ => candidates.into_iter().min_by(by(|(c, affinity)| {
+                c.estimate.cost + affinity * AFFINITY_SECONDS
+            })),
+        };
+        best.map(|(candidate, _)| candidate)
+    }
+}
+
+/// Returns whether a runner can serve the request: with the weights it began with, if it began.
+fn serves(runner: &RunnerView, service: &ServiceDeclaration, request: &Request) -> bool {
+    if service.kind != ServiceKind::Model {
+        return true;
+    }
+    let version = &runner.load.version;
+    let resumable = request
+        .version
+        .as_ref()
+        .is_none_or(|needed| needed == version);
+    !version.as_str().is_empty() && resumable
+}
--- a/crates/dotterelrudder_route/src/lib.rs
+++ b/crates/dotterelrudder_route/src/lib.rs
@@ -5,7 +5,6 @@
 
 mod account_limits;
 mod cost;
-mod entry_answers;
 mod entry_core;
 mod input;
 mod output;
--- a/crates/dotterelrudder_side/src/lib.rs
+++ b/crates/dotterelrudder_side/src/lib.rs
@@ -14,9 +14,6 @@
 mod output;
 pub mod prelude;
 mod runner;
-mod runner_claims;
-mod runner_imports;
-mod runner_runs;
 mod side_core;
 mod store;
 
--- a/crates/dotterelrudder_side/src/runner.rs
+++ b/crates/dotterelrudder_side/src/runner/mod.rs
@@ -1,9 +1,15 @@
 //! The side of a model engine or a plain service: intake, queue, drain, load.
 
+mod claims;
+mod imports;
+mod intake;
+mod reports;
+mod runs;
+mod schedule;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use dotterelrudder_config::ServiceKind;
 use dotterelrudder_follow::ControlClient;
 use dotterelrudder_types::AttemptId;
 use dotterelrudder_types::ErrorKind;
@@ -15,29 +21,20 @@
 use dotterelrudder_types::WeightVersion;
 use dotterelrudder_wire::LoadReport;
 use dotterelrudder_wire::Message;
-use dotterelrudder_wire::Start;
-use dotterelrudder_wire::Work;
 
 use crate::attempt::AnyAttempt;
-use crate::attempt::Attempt;
-use crate::attempt::Running;
-use crate::attempt::Waiting;
 use crate::attempt_table::AttemptKey;
 use crate::attempt_table::AttemptTable;
 use crate::block_cache::BlockCache;
 use crate::exporter::Exporter;
 use crate::input::BackendLoad;
 use crate::orders::Orders;
-use crate::runner_claims::ControlAsk;
+use crate::runner::claims::ControlAsk;
 use crate::side_core::Common;
 use crate::side_core::SideSettings;
 use crate::Input;
 use crate::Output;
 
-/// How often the load is reported while nothing changes.
-const REPORT_EVERY: Duration = Duration::from_secs(1);
-/// How soon a changed load is reported.
-const REPORT_CHANGE_AFTER: Duration = Duration::from_millis(50);
 /// How long an attempt outlives the connection of its entry.
 const ORPHAN_AFTER: Duration = Duration::from_secs(10);
 /// The weight of a new sample in moving averages.
@@ -213,174 +210,6 @@
         self.report_load(common, now, out);
     }
 
-    /// Refuses everything that waits, so that entries route it elsewhere at once.
-    pub(crate) fn refuse_waiting(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
-        let waiting: Vec<AttemptKey> = self.waiting.iter().flatten().copied().collect();
-        for key in waiting {
-            let Some(outcome) = self.attempts.get(key).map(AnyAttempt::outcome) else {
-                continue;
-            };
-            self.end(key, Err(leaving(common).with_outcome(outcome)), now, out);
-        }
-    }
-
-    fn on_start(
-        &mut self,
-        from: InstanceName,
-        mut start: Start,
-        common: &Common,
-        now: Duration,
-        out: &mut Vec<Output>,
-    ) {
-        let id = start.attempt;
-        if self.attempts.key_of(id).is_some() {
-            self.on_query(from, id, 0, now, out);
-            return;
-        }
-        if let Err(refusal) = self.admit(&mut start, common) {
-            out.push(Output::Send {
-                to: from,
-                message: Message::Refused {
-                    attempt: id,
-                    refusal,
-                },
-            });
-            return;
-        }
-        let deadline = now + Duration::from_millis(start.deadline_ms);
-        let tier = start.tier;
-        let attempt = Attempt {
-            start,
-            entry: from,
-            deadline,
-            head: None,
-            pieces: Vec::new(),
-            claimed: false,
-            calls: 0,
-            state: Waiting,
-        };
-        let key = self.attempts.insert(AnyAttempt::Waiting(attempt));
-        self.waiting[queue_of(tier)].push_back(key);
-        self.displace_trial(common, now, out);
-    }
-
-    /// Checks everything that can refuse an attempt before the backend server is called.
-    fn admit(&self, start: &mut Start, common: &Common) -> Result<(), Refusal> {
-        if self.attempts.is_tombstone(start.attempt) {
-            let detail = format!("attempt {} was cancelled or has ended", start.attempt);
-            return Err(Refusal::new(ErrorKind::Cancelled, detail));
-        }
-        if common.leaving {
-            return Err(leaving(common));
-        }
-        if !common.follower.is_confirmed() {
-            let detail = format!("\"{}\" holds no configuration yet", common.settings.name);
-            return Err(Refusal::new(ErrorKind::NotReady, detail));
-        }
-        let cfg = common.follower.cfg();
-        let own = &common.settings.service;
-        let account = cfg.accounts.get(&start.account);
-        let account = account.filter(|a| a.services.contains(own) && start.service == *own);
-        let Some(account) = account else {
-            let detail = format!("client account may not use service \"{own}\"");
-            return Err(Refusal::new(ErrorKind::NotAllowed, detail));
-        };
-        start.tier = account.tier;
-        if start.deadline_ms == 0 {
-            return Err(Refusal::new(
-                ErrorKind::DeadlineExceeded,
-                "the deadline has passed",
-            ));
-        }
-        if let Work::Completion {
-            version: Some(version),
-            ..
-        } = &start.work
-        {
-            if *version != self.load.version {
-                let held = &self.load.version;
-                let detail = format!("weight version \"{version}\" isn't here, \"{held}\" is");
-                return Err(Refusal::new(ErrorKind::WrongWeightVersion, detail));
-            }
-        }
-        let limit = cfg.services.get(own).map_or(u32::MAX, |s| s.queue_limit) as usize;
-        let ahead = match start.tier {
-            Tier::Paying => self.waiting[0].len(),
-            Tier::Trial => self.waiting.iter().map(VecDeque::len).sum(),
-        };
-        if ahead >= limit {
-            let detail = format!("queue of service \"{own}\" is full");
-            return Err(Refusal::new(ErrorKind::Overloaded, detail));
-        }
-        Ok(())
-    }
-
-    /// Keeps the whole queue within its limit when paying work arrives on a queue of trial work.
-    fn displace_trial(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
-        let service = common.follower.cfg().services.get(&common.settings.service);
-        let limit = service.map_or(u32::MAX, |s| s.queue_limit) as usize;
-        let waiting: usize = self.waiting.iter().map(VecDeque::len).sum();
-        if waiting <= limit {
-            return;
-        }
-        if let Some(key) = self.waiting[1].back().copied() {
-            let Some(outcome) = self.attempts.get(key).map(AnyAttempt::outcome) else {
-                return;
-            };
-            let refusal = Refusal::new(ErrorKind::Overloaded, "paying work took the place");
-            self.end(key, Err(refusal.with_outcome(outcome)), now, out);
-        }
-    }
-
-    fn slots_used(&self) -> u32 {
-        self.attempts
-            .active()
-            .filter(|(_, a)| a.holds_slot())
-            .count() as u32
-    }
-
-    /// Starts what may run now: paying work first, and in place of running trial work.
-    pub(crate) fn schedule(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
-        if self.orders.is_loading() || !self.is_loaded(common) {
-            return;
-        }
-        let mut used = self.slots_used();
-        while used < self.load.slots {
-            let Some(key) = self.waiting.iter_mut().find_map(VecDeque::pop_front) else {
-                return;
-            };
-            used += 1;
-            self.begin(key, common, now, out);
-        }
-        while !self.waiting[0].is_empty() && self.preempt_trial(out) {
-            if let Some(key) = self.waiting[0].pop_front() {
-                self.begin(key, common, now, out);
-            }
-        }
-    }
-
-    fn is_loaded(&self, common: &Common) -> bool {
-        common.settings.kind != ServiceKind::Model || !self.load.version.as_str().is_empty()
-    }
-
-    /// Takes the slot of the trial completion that began last; it resumes later without loss.
-    fn preempt_trial(&mut self, out: &mut Vec<Output>) -> bool {
-        let trial = self.attempts.active().filter_map(|(key, any)| match any {
-            AnyAttempt::Running(a) if is_preemptible(a) => Some((a.state.since, key, a.state.run)),
-            _ => None,
-        });
-        let Some((_, key, run)) = trial.max() else {
-            return false;
-        };
-        out.push(Output::CancelRun { run });
-        self.attempts.advance(key, |any| match any {
-            AnyAttempt::Running(a) => AnyAttempt::Waiting(a.into_state(Waiting)),
-            other => other,
-        });
-        self.waiting[1].push_front(key);
-        true
-    }
-
     /// Ends an attempt and tells its entry.
     pub(crate) fn end(
         &mut self,
@@ -502,57 +331,4 @@
             self.on_cancel(attempt, now, out);
         }
     }
-
-    fn load_report(&self, common: &Common) -> LoadReport {
-        let running = self.attempts.active().filter(|(_, a)| a.holds_slot());
-        let tiers: Vec<Tier> = running.map(|(_, a)| a.start().tier).collect();
-        let trial = tiers.iter().filter(|tier| **tier == Tier::Trial);
-        LoadReport {
-            service: common.settings.service.clone(),
-            version: self.load.version.clone(),
-            open: !common.leaving && !self.orders.is_loading() && self.is_loaded(common),
-            slots: self.load.slots,
-            running: tiers.len() as u32,
-            running_trial: trial.count() as u32,
-            waiting_paying: self.waiting[0].len() as u32,
-            waiting_trial: self.waiting[1].len() as u32,
-            prefill_rate: self.load.prefill_rate,
-            import_rate: self.import_rate,
-            block_bytes: self.load.block_bytes,
-            hold_seconds: self.hold_seconds,
-        }
-    }
-
-    fn report_load(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
-        let load = self.load_report(common);
-        let changed = self.reported.as_ref() != Some(&load);
-        if now < self.report_at
-            && !(changed && now + REPORT_EVERY >= self.report_at + REPORT_CHANGE_AFTER)
-        {
-            return;
-        }
-        let version_changed = self
-            .reported
-            .as_ref()
-            .is_none_or(|r| r.version != load.version);
-        let message = Message::Load(load.clone());
-        common.broadcast(Role::Entry, &message, out);
-        if now >= self.report_at || version_changed {
-            common.broadcast(Role::Control, &message, out);
-        }
-        self.report_at = now + REPORT_EVERY;
-        self.reported = Some(load);
-    }
-}
-
-fn is_preemptible(attempt: &Attempt<Running>) -> bool {
-    let completion = matches!(attempt.start.work, Work::Completion { .. });
-    attempt.start.tier == Tier::Trial && completion && !attempt.claimed
-}
-
-fn leaving(common: &Common) -> Refusal {
-    Refusal::new(
-        ErrorKind::Leaving,
-        format!("\"{}\" is leaving", common.settings.name),
-    )
 }
