Count prompts that an engine prefills first into the expected time to first token

Cause: the estimate of a runner's wait counted slots only, while engines prefill one prompt after the other: a short question sent to a runner in the midst of a long summary waited for all of it. Ruled out: late load reports (they go out within 50 ms of a change) and affinity (the recomputed share was low already). Change: a Start carries the tokens that the entry expects to be prefilled; the side reports those of attempts without a first token, by tier; the entry adds its own since the report.

--- a/crates/dotterelrudder/examples/support/mod.rs
+++ b/crates/dotterelrudder/examples/support/mod.rs
@@ -278,6 +278,7 @@
         account: "a0".into(),
         tier: Tier::Paying,
         deadline_ms: 10_000,
+        prefill_tokens: 0,
         claim: None,
         work: Work::Completion {
             model: "m".into(),
--- a/crates/dotterelrudder_route/src/cost.rs
+++ b/crates/dotterelrudder_route/src/cost.rs
@@ -36,6 +36,8 @@
     pub cost: f64,
     /// Blocks worth importing.
     pub import_blocks: usize,
+    /// Tokens left to prefill.
+    pub prefill_tokens: u32,
 }
 
 /// Estimates a request's cost at one runner and chooses between recompute and import there.
@@ -70,19 +72,35 @@
         Policy::AlwaysRecompute | Policy::RoundRobin | Policy::LeastLoaded => false,
         Policy::ExpectedCost | Policy::HashAffinity => import_cost < recompute_cost,
     };
-    let wait = queue_seconds(runner, facts.tier);
-    let (seconds, cost, import_blocks) = if worth_it && facts.stored_blocks > 0 {
-        (import, import_cost, facts.stored_blocks)
+    let wait = queue_seconds(runner, facts.tier) + prefill_seconds(runner, facts.tier, rate);
+    let (seconds, cost, import_blocks, left) = if worth_it && facts.stored_blocks > 0 {
+        (
+            import,
+            import_cost,
+            facts.stored_blocks,
+            (uncached - stored).max(0.0),
+        )
     } else {
-        (recompute, recompute_cost, 0)
+        (recompute, recompute_cost, 0, uncached)
     };
     Estimate {
         first_token_seconds: wait + seconds,
         cost: objective.first_token * wait + cost,
         import_blocks,
+        prefill_tokens: left as u32,
     }
 }
 
+/// Estimates the wait for prompts that the engine prefills first, one after the other.
+fn prefill_seconds(runner: &RunnerView, tier: Tier, rate: f64) -> f64 {
+    let load = &runner.load;
+    let ahead = match tier {
+        Tier::Paying => load.prefill_paying,
+        Tier::Trial => load.prefill_paying + load.prefill_trial,
+    };
+    f64::from(ahead + runner.own_prefill) / rate
+}
+
 /// Estimates the wait for a slot from the reported load and the calls made since.
 fn queue_seconds(runner: &RunnerView, tier: Tier) -> f64 {
     let load = &runner.load;
--- a/crates/dotterelrudder_route/src/entry_core/answers.rs
+++ b/crates/dotterelrudder_route/src/entry_core/answers.rs
@@ -103,6 +103,7 @@
         if let Some(view) = self.runners.named_mut(from) {
             view.load = load;
             view.own_calls = 0;
+            view.own_prefill = 0;
         }
     }
 
@@ -288,6 +289,7 @@
         if let Some(view) = self.runners.named_mut(peer) {
             view.connected = false;
             view.own_calls = 0;
+            view.own_prefill = 0;
             view.load.running = 0;
         }
         let current = self
--- a/crates/dotterelrudder_route/src/entry_core/placement.rs
+++ b/crates/dotterelrudder_route/src/entry_core/placement.rs
@@ -74,6 +74,7 @@
             account: request.account.clone(),
             tier: request.tier,
             deadline_ms: left.as_millis() as u64,
+            prefill_tokens: best.estimate.prefill_tokens,
             claim: request.claim.clone(),
             work: request.work(best.import),
         };
@@ -88,6 +89,7 @@
         self.by_attempt.insert(attempt, id);
         if let Some(view) = self.runners.get_mut(best.key) {
             view.own_calls += 1;
+            view.own_prefill += best.estimate.prefill_tokens;
         }
         let message = Message::Start(Box::new(start));
         out.push(Output::Send {
--- a/crates/dotterelrudder_route/src/runner_view.rs
+++ b/crates/dotterelrudder_route/src/runner_view.rs
@@ -31,6 +31,8 @@
     pub load: LoadReport,
     /// Attempts handed to the side since that report.
     pub own_calls: u32,
+    /// Tokens to prefill of those attempts.
+    pub own_prefill: u32,
     /// Blocks that the backend server holds, as a hint.
     pub blocks: HashSet<BlockKey>,
     /// The number of the last change of `blocks`.
@@ -51,6 +53,7 @@
             listed_leaving: false,
             load: LoadReport::default(),
             own_calls: 0,
+            own_prefill: 0,
             blocks: HashSet::new(),
             sequence: 0,
             failures: 0,
--- a/crates/dotterelrudder_side/src/attempt.rs
+++ b/crates/dotterelrudder_side/src/attempt.rs
@@ -224,6 +224,11 @@
         )
     }
 
+    /// Returns whether no part of the answer came yet.
+    pub(crate) fn awaits_first_token(&self) -> bool {
+        each_state!(self, a => a.pieces.is_empty())
+    }
+
     pub(crate) fn is_ended(&self) -> bool {
         matches!(self, Self::Ended(_))
     }
--- a/crates/dotterelrudder_side/src/runner/reports.rs
+++ b/crates/dotterelrudder_side/src/runner/reports.rs
@@ -21,7 +21,20 @@
         let running = self.attempts.active().filter(|(_, a)| a.holds_slot());
         let tiers: Vec<Tier> = running.map(|(_, a)| a.start().tier).collect();
         let trial = tiers.iter().filter(|tier| **tier == Tier::Trial);
+        let prefill = |tier: Tier| {
+            let before_first = self
+                .attempts
+                .active()
+                .filter(|(_, a)| a.awaits_first_token());
+            let starts = before_first.map(|(_, a)| a.start());
+            starts
+                .filter(|s| s.tier == tier)
+                .map(|s| s.prefill_tokens)
+                .sum()
+        };
         LoadReport {
+            prefill_paying: prefill(Tier::Paying),
+            prefill_trial: prefill(Tier::Trial),
             service: common.settings.service.clone(),
             version: self.load.version.clone(),
             open: !common.leaving && !self.orders.is_loading() && self.is_loaded(common),
--- a/crates/dotterelrudder_side/tests/attempts.rs
+++ b/crates/dotterelrudder_side/tests/attempts.rs
@@ -122,6 +122,7 @@
         account: account.into(),
         tier: Tier::Paying,
         deadline_ms: 1_000,
+        prefill_tokens: 0,
         claim: None,
         work: Work::Completion {
             model: "m".into(),
--- a/crates/dotterelrudder_wire/src/load_report.rs
+++ b/crates/dotterelrudder_wire/src/load_report.rs
@@ -24,6 +24,10 @@
     pub waiting_paying: u32,
     /// Attempts waiting, trial ones.
     pub waiting_trial: u32,
+    /// Prompt tokens of paying attempts that still wait for their first token.
+    pub prefill_paying: u32,
+    /// Prompt tokens of trial attempts that still wait for their first token.
+    pub prefill_trial: u32,
     /// Prefill rate in tokens a second.
     pub prefill_rate: f64,
     /// Bytes a second that imports reached lately.
--- a/crates/dotterelrudder_wire/src/work.rs
+++ b/crates/dotterelrudder_wire/src/work.rs
@@ -56,6 +56,8 @@
     pub tier: Tier,
     /// Milliseconds until the deadline.
     pub deadline_ms: u64,
+    /// Tokens that the entry expects the engine to prefill.
+    pub prefill_tokens: u32,
     /// Present when the request may not be repeated.
     pub claim: Option<ClaimKey>,
     /// What to run.
