Tell the import rate by whole prompts, share the daemons' start, measure latency

Import rate: each block's time was counted from when all blocks of its prompt were asked for, which tells a fraction of the link's rate. Now the last block tells the rate of all.

Failed try, not in this commit: displacing trial runs that await their first token when paying work starts.

The three daemons share the code of their start; unused parameters are gone.

--- a/crates/dotterelrudder/tests/harness/case.rs
+++ b/crates/dotterelrudder/tests/harness/case.rs
@@ -11,7 +11,6 @@
 use dotterelrudder::types::InstanceName;
 use dotterelrudder::types::Role;
 use dotterelrudder::types::BLOCK_BYTES;
-use dotterelrudder::wire::Command;
 use dotterelrudder::wire::CommandResult;
 use dotterelrudder::wire::Message;
 use serde::Deserialize;
@@ -458,8 +457,3 @@
     })
     .collect()
 }
-
-/// A command whose result shows whether a replica still answers for a quorum.
-pub fn probe() -> Command {
-    Command::Noop
-}
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -138,11 +138,10 @@
             Input::Propose { tag, command } => {
                 self.propose(Origin::Local(tag), command, now, out);
             }
-            Input::Synced { sequence } => self.raft.synced(sequence, now),
+            Input::Synced { sequence } => self.raft.synced(sequence),
             Input::Stop => {
                 self.raft.transfer_leadership();
             }
-            Input::Mark(_) => {}
         }
         self.drain_raft(now, out);
     }
--- a/crates/dotterelrudder_control/src/input.rs
+++ b/crates/dotterelrudder_control/src/input.rs
@@ -1,6 +1,5 @@
 //! What drives the control role.
 
-use compact_str::CompactString;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::Message;
@@ -64,6 +63,4 @@
         /// Milliseconds since the epoch.
         at_ms: u64,
     },
-    /// A note for the log of the process; used by tests to mark a trace.
-    Mark(CompactString),
 }
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -268,7 +268,7 @@
     }
 
     /// Learns that all records up to `sequence` are synced.
-    pub fn synced(&mut self, sequence: u64, now: Duration) {
+    pub fn synced(&mut self, sequence: u64) {
         self.synced_sequence = self.synced_sequence.max(sequence);
         while let Some((at, index)) = self.unsynced_entries.front().copied() {
             if at > self.synced_sequence {
@@ -286,7 +286,7 @@
                 self.out.push(RaftOutput::Send { to, message });
             }
         }
-        self.advance_commit(now);
+        self.advance_commit();
     }
 
     /// Takes a message from a replica.
--- a/crates/dotterelrudder_control/src/raft/replication.rs
+++ b/crates/dotterelrudder_control/src/raft/replication.rs
@@ -50,7 +50,7 @@
     /// Sends what followers lack.
     pub(super) fn replicate(&mut self, now: Duration) {
         self.send_appends(false, now);
-        self.advance_commit(now);
+        self.advance_commit();
     }
 
     /// Tells followers the commit index at once, instead of with the next heartbeat.
@@ -257,7 +257,7 @@
             peer.next = (index + 1).clamp(peer.matched + 1, last + 1);
         }
         let behind = peer.next <= last;
-        self.advance_commit(now);
+        self.advance_commit();
         if behind {
             self.send_append(from, false, now);
         }
@@ -316,7 +316,7 @@
         self.out.push(RaftOutput::Restore(data));
     }
 
-    pub(super) fn advance_commit(&mut self, _now: Duration) {
+    pub(super) fn advance_commit(&mut self) {
         let RaftRole::Leader { progress, .. } = &self.role else {
             return;
         };
--- a/crates/dotterelrudder_daemon/src/control/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/control/daemon.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::sync::Arc;
-use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,10 +13,7 @@
 use dotterelrudder_control::RaftTiming;
 use dotterelrudder_types::AccountKeyHash;
 use dotterelrudder_types::Clock;
-use dotterelrudder_types::Revision;
 use dotterelrudder_types::Role;
-use dotterelrudder_wire::Hello;
-use dotterelrudder_wire::PROTOCOL_VERSION;
 use ractor::Actor;
 use ractor::ActorRef;
 use slog::crit;
@@ -33,16 +29,15 @@
 use super::operators::Operators;
 use super::JournalFile;
 use crate::http_server;
-use crate::link::LinkHub;
 use crate::logging;
 use crate::metrics::Metrics;
-use crate::settings::read_secret;
 use crate::settings::ControlFile;
+use crate::start::build_hello;
+use crate::start::build_hub;
 use crate::start::stop_signal;
+use crate::start::tick;
 use crate::system_clock::SystemClock;
 
-/// How often the core is told the time.
-const TICK: Duration = Duration::from_millis(20);
 /// How long a stopping leader waits for its successor.
 const HANDOVER: Duration = Duration::from_millis(300);
 
@@ -61,22 +56,8 @@
     if let Some(damage) = &recovered.damage {
         warn!(log, "journal is damaged"; "file" => %folder, "damage" => format!("{damage:?}"));
     }
-    let hello = Hello {
-        protocol: PROTOCOL_VERSION,
-        secret: read_secret(&file.common.secret_file)?,
-        name: file.common.name.clone(),
-        role: Role::Control,
-        data_centre: file.common.data_centre.clone(),
-        incarnation: rand::random(),
-        revision: Revision::default(),
-    };
-    let slot: Arc<OnceLock<ActorRef<ControlMessage>>> = Arc::default();
-    let sink = slot.clone();
-    let hub = LinkHub::new(hello, log.clone(), move |event| {
-        if let Some(actor) = sink.get() {
-            let _stopped = actor.send_message(ControlMessage::Link(event)).is_err();
-        }
-    });
+    let hello = build_hello(&file.common, Role::Control)?;
+    let (hub, slot) = build_hub(hello, log.clone(), ControlMessage::Link);
     let clock = SystemClock::default();
     let mut first = Vec::new();
     let peers = file
@@ -130,7 +111,7 @@
         operators.clone().handle(req)
     })
     .await?;
-    tokio::spawn(tick(actor.clone()));
+    tokio::spawn(tick(actor.clone(), || ControlMessage::Tick));
     info!(log, "started"; "listen" => %file.listen);
 
     stop_signal().await?;
@@ -143,12 +124,6 @@
     Ok(())
 }
 
-async fn tick(actor: ActorRef<ControlMessage>) {
-    while actor.send_message(ControlMessage::Tick).is_ok() {
-        tokio::time::sleep(TICK).await;
-    }
-}
-
 /// Writes what waits and syncs it once for all of it. Ends the process when the disk fails, since
 /// nothing may be acknowledged after that.
 fn write_journal(
--- a/crates/dotterelrudder_daemon/src/entry/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/entry/daemon.rs
@@ -11,10 +11,7 @@
 use dotterelrudder_route::EntrySettings;
 use dotterelrudder_route::Input;
 use dotterelrudder_route::Policy;
-use dotterelrudder_types::Revision;
 use dotterelrudder_types::Role;
-use dotterelrudder_wire::Hello;
-use dotterelrudder_wire::PROTOCOL_VERSION;
 use ractor::Actor;
 use ractor::ActorRef;
 use slog::info;
@@ -30,13 +27,13 @@
 use crate::link::LinkHub;
 use crate::logging;
 use crate::metrics::Metrics;
-use crate::settings::read_secret;
 use crate::settings::EntryFile;
+use crate::start::build_hello;
+use crate::start::build_hub;
 use crate::start::stop_signal;
+use crate::start::tick;
 use crate::system_clock::SystemClock;
 
-/// How often the core is told the time.
-const TICK: Duration = Duration::from_millis(20);
 /// How long the last answers may take on their way out after the last request ended.
 const FLUSH: Duration = Duration::from_millis(200);
 
@@ -57,23 +54,9 @@
         })?,
     };
     let log = logging::logger(Role::Entry.as_str(), file.common.name.as_str());
-    let incarnation = rand::random();
-    let hello = Hello {
-        protocol: PROTOCOL_VERSION,
-        secret: read_secret(&file.common.secret_file)?,
-        name: file.common.name.clone(),
-        role: Role::Entry,
-        data_centre: file.common.data_centre.clone(),
-        incarnation,
-        revision: Revision::default(),
-    };
-    let slot: Arc<std::sync::OnceLock<ActorRef<EntryMessage>>> = Arc::default();
-    let sink = slot.clone();
-    let hub = LinkHub::new(hello, log.clone(), move |event| {
-        if let Some(actor) = sink.get() {
-            let _stopped = actor.send_message(EntryMessage::Link(event)).is_err();
-        }
-    });
+    let hello = build_hello(&file.common, Role::Entry)?;
+    let incarnation = hello.incarnation;
+    let (hub, slot) = build_hub(hello, log.clone(), EntryMessage::Link);
     let (done, mut finished) = watch::channel(false);
     let ready = Arc::new(AtomicBool::new(false));
     let metrics = Metrics::new()?;
@@ -116,7 +99,7 @@
     let connections =
         http_server::serve(file.listen, stopped, move |req| callers.clone().handle(req)).await?;
     tokio::spawn(follow_list(file.clone(), hub, actor.clone(), log.clone()));
-    tokio::spawn(tick(actor.clone()));
+    tokio::spawn(tick(actor.clone(), || EntryMessage::Tick));
     info!(log, "started"; "listen" => %file.listen);
 
     stop_signal().await?;
@@ -135,12 +118,6 @@
     Ok(())
 }
 
-async fn tick(actor: ActorRef<EntryMessage>) {
-    while actor.send_message(EntryMessage::Tick).is_ok() {
-        tokio::time::sleep(TICK).await;
-    }
-}
-
 async fn follow_list(
     file: EntryFile,
     hub: LinkHub,
--- a/crates/dotterelrudder_daemon/src/side/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/side/daemon.rs
@@ -5,18 +5,14 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::OnceLock;
 use std::time::Duration;
 
 use dotterelrudder_config::ServiceKind;
 use dotterelrudder_side::Input;
 use dotterelrudder_side::SideCore;
 use dotterelrudder_side::SideSettings;
-use dotterelrudder_types::Revision;
 use dotterelrudder_types::Role;
 use dotterelrudder_types::ServiceName;
-use dotterelrudder_wire::Hello;
-use dotterelrudder_wire::PROTOCOL_VERSION;
 use ractor::Actor;
 use ractor::ActorRef;
 use slog::info;
@@ -35,13 +31,13 @@
 use crate::link::LinkHub;
 use crate::logging;
 use crate::metrics::Metrics;
-use crate::settings::read_secret;
 use crate::settings::SideFile;
+use crate::start::build_hello;
+use crate::start::build_hub;
 use crate::start::stop_signal;
+use crate::start::tick;
 use crate::system_clock::SystemClock;
 
-/// How often the core is told the time.
-const TICK: Duration = Duration::from_millis(20);
 /// How long the last messages may take on their way out after the last attempt ended.
 const FLUSH: Duration = Duration::from_millis(300);
 
@@ -52,23 +48,9 @@
 /// Returns what the system refused at the start.
 pub async fn run(file: SideFile) -> Result<(), String> {
     let log = logging::logger(Role::Side.as_str(), file.common.name.as_str());
-    let incarnation = rand::random();
-    let hello = Hello {
-        protocol: PROTOCOL_VERSION,
-        secret: read_secret(&file.common.secret_file)?,
-        name: file.common.name.clone(),
-        role: Role::Side,
-        data_centre: file.common.data_centre.clone(),
-        incarnation,
-        revision: Revision::default(),
-    };
-    let slot: Arc<OnceLock<ActorRef<SideMessage>>> = Arc::default();
-    let sink = slot.clone();
-    let hub = LinkHub::new(hello, log.clone(), move |event| {
-        if let Some(actor) = sink.get() {
-            let _stopped = actor.send_message(SideMessage::Link(event)).is_err();
-        }
-    });
+    let hello = build_hello(&file.common, Role::Side)?;
+    let incarnation = hello.incarnation;
+    let (hub, slot) = build_hub(hello, log.clone(), SideMessage::Link);
     let (done, mut finished) = watch::channel(false);
     let ready = Arc::new(AtomicBool::new(false));
     let metrics = Metrics::new()?;
@@ -133,7 +115,7 @@
         services_to_dial,
         log.clone(),
     ));
-    tokio::spawn(tick(actor.clone()));
+    tokio::spawn(tick(actor.clone(), || SideMessage::Tick));
     info!(log, "started"; "listen" => %file.listen);
 
     stop_signal().await?;
@@ -145,12 +127,6 @@
     Ok(())
 }
 
-async fn tick(actor: ActorRef<SideMessage>) {
-    while actor.send_message(SideMessage::Tick).is_ok() {
-        tokio::time::sleep(TICK).await;
-    }
-}
-
 async fn follow_list(
     file: SideFile,
     hub: LinkHub,
--- a/crates/dotterelrudder_daemon/src/start.rs
+++ b/crates/dotterelrudder_daemon/src/start.rs
@@ -2,12 +2,29 @@
 
 use std::future::Future;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use dotterelrudder_types::Revision;
+use dotterelrudder_types::Role;
+use dotterelrudder_wire::Hello;
+use dotterelrudder_wire::PROTOCOL_VERSION;
+use ractor::ActorRef;
+use slog::Logger;
 
 use crate::arguments::read_arguments;
 use crate::arguments::Arguments;
+use crate::link::LinkEvent;
+use crate::link::LinkHub;
+use crate::settings::read_secret;
 use crate::settings::read_settings;
+use crate::settings::CommonSettings;
 use crate::settings::SettingsFile;
 
+/// How often a core is told the time.
+const TICK: Duration = Duration::from_millis(20);
+
 /// The exit code for wrong arguments.
 const EXIT_USAGE: u8 = 64;
 /// The exit code for wrong settings.
@@ -72,3 +89,50 @@
     }
     Ok(())
 }
+
+/// Builds the hello of this start of a process.
+///
+/// # Errors
+///
+/// Returns why the secret can't be read.
+pub fn build_hello(common: &CommonSettings, role: Role) -> Result<Hello, String> {
+    Ok(Hello {
+        protocol: PROTOCOL_VERSION,
+        secret: read_secret(&common.secret_file)?,
+        name: common.name.clone(),
+        role,
+        data_centre: common.data_centre.clone(),
+        incarnation: rand::random(),
+        revision: Revision::default(),
+    })
+}
+
+/// Where the events of connections go: an actor that is started after them.
+pub type ActorSlot<M> = Arc<OnceLock<ActorRef<M>>>;
+
+/// Builds the connections of a process. Their events reach the actor once it is in the slot.
+pub fn build_hub<M, W>(hello: Hello, log: Logger, wrap: W) -> (LinkHub, ActorSlot<M>)
+where
+    M: ractor::Message,
+    W: Fn(LinkEvent) -> M + Send + Sync + 'static,
+{
+    let slot: ActorSlot<M> = Arc::default();
+    let sink = slot.clone();
+    let hub = LinkHub::new(hello, log, move |event| {
+        if let Some(actor) = sink.get() {
+            let _stopped = actor.send_message(wrap(event)).is_err();
+        }
+    });
+    (hub, slot)
+}
+
+/// Tells an actor the time for as long as it lives.
+pub async fn tick<M, T>(actor: ActorRef<M>, tick: T)
+where
+    M: ractor::Message,
+    T: Fn() -> M,
+{
+    while actor.send_message(tick()).is_ok() {
+        tokio::time::sleep(TICK).await;
+    }
+}
--- a/crates/dotterelrudder_side/src/attempt.rs
+++ b/crates/dotterelrudder_side/src/attempt.rs
@@ -35,7 +35,9 @@
 #[derive(Debug)]
 pub(crate) struct Importing {
     pub(crate) missing: BTreeSet<BlockKey>,
+    pub(crate) asked_at: Duration,
     pub(crate) due: Duration,
+    pub(crate) bytes: usize,
     pub(crate) run: u64,
     pub(crate) version: WeightVersion,
 }
--- a/crates/dotterelrudder_side/src/runner/imports.rs
+++ b/crates/dotterelrudder_side/src/runner/imports.rs
@@ -53,7 +53,9 @@
         }
         let state = Importing {
             missing: wanted.iter().map(|(key, _)| *key).collect::<BTreeSet<_>>(),
+            asked_at: now,
             due: now + IMPORT_LIMIT,
+            bytes: 0,
             run: self.next_run,
             version: self.load.version.clone(),
         };
@@ -100,35 +102,35 @@
         &mut self,
         key: BlockKey,
         data: Option<Bytes>,
-        common: &Common,
         now: Duration,
         out: &mut Vec<Output>,
     ) {
-        let waiting = self
-            .attempts
-            .active()
-            .filter_map(|(attempt, any)| match any {
-                AnyAttempt::Importing(a) if a.state.missing.contains(&key) => {
-                    let asked_at = a.state.due.saturating_sub(IMPORT_LIMIT);
-                    Some((attempt, a.state.run, a.state.version.clone(), asked_at))
-                }
-                _ => None,
-            });
-        for (attempt, run, version, asked_at) in waiting.collect::<Vec<_>>() {
-            match &data {
-                Some(data) => {
-                    let took = now.saturating_sub(asked_at).as_secs_f64().max(1e-4);
-                    blend(&mut self.import_rate, data.len() as f64 / took);
-                    let data = data.clone();
-                    out.push(Output::ImportBlock {
-                        run,
-                        key,
-                        version,
-                        data,
-                    });
-                }
-                None => self.block_settled(attempt, &key, common, now, out),
+        let waiting = self.attempts.active().filter(|(_, any)| match any {
+            AnyAttempt::Importing(a) => a.state.missing.contains(&key),
+            _ => false,
+        });
+        for attempt in waiting.map(|(attempt, _)| attempt).collect::<Vec<_>>() {
+            let Some(data) = &data else {
+                self.block_settled(attempt, &key, now, out);
+                continue;
+            };
+            let Some(AnyAttempt::Importing(a)) = self.attempts.get_mut(attempt) else {
+                continue;
+            };
+            a.state.bytes += data.len();
+            // The blocks of one prompt share the link, so that only all of them tell its rate.
+            let rate = a.state.bytes as f64 / transfer_seconds(a.state.asked_at, now);
+            let (run, version) = (a.state.run, a.state.version.clone());
+            if a.state.missing.len() == 1 {
+                blend(&mut self.import_rate, rate);
             }
+            let data = data.clone();
+            out.push(Output::ImportBlock {
+                run,
+                key,
+                version,
+                data,
+            });
         }
     }
 
@@ -136,12 +138,11 @@
         &mut self,
         run: u64,
         key: &BlockKey,
-        common: &Common,
         now: Duration,
         out: &mut Vec<Output>,
     ) {
         if let Some(attempt) = self.attempts.key_of_run(run) {
-            self.block_settled(attempt, key, common, now, out);
+            self.block_settled(attempt, key, now, out);
         }
     }
 
@@ -150,7 +151,6 @@
         &mut self,
         attempt: AttemptKey,
         key: &BlockKey,
-        _common: &Common,
         now: Duration,
         out: &mut Vec<Output>,
     ) {
@@ -164,7 +164,7 @@
     }
 
     /// Calls the engine without the blocks that don't come.
-    pub(crate) fn tick_imports(&mut self, _common: &Common, now: Duration, out: &mut Vec<Output>) {
+    pub(crate) fn tick_imports(&mut self, now: Duration, out: &mut Vec<Output>) {
         let due = self.attempts.active().filter(|(_, any)| match any {
             AnyAttempt::Importing(a) => now >= a.state.due,
             _ => false,
@@ -178,7 +178,6 @@
     pub(crate) fn give_up_imports_from(
         &mut self,
         store: &InstanceName,
-        common: &Common,
         now: Duration,
         out: &mut Vec<Output>,
     ) {
@@ -200,8 +199,13 @@
             });
         for (attempt, keys) in hit.collect::<Vec<_>>() {
             for key in keys {
-                self.block_settled(attempt, &key, common, now, out);
+                self.block_settled(attempt, &key, now, out);
             }
         }
     }
 }
+
+/// Returns the seconds that blocks took, kept above zero for a rate.
+fn transfer_seconds(asked_at: Duration, now: Duration) -> f64 {
+    now.saturating_sub(asked_at).as_secs_f64().max(1e-4)
+}
--- a/crates/dotterelrudder_side/src/runner/mod.rs
+++ b/crates/dotterelrudder_side/src/runner/mod.rs
@@ -126,16 +126,10 @@
         }
     }
 
-    pub(crate) fn on_closed(
-        &mut self,
-        peer: &InstanceName,
-        common: &Common,
-        now: Duration,
-        out: &mut Vec<Output>,
-    ) {
+    pub(crate) fn on_closed(&mut self, peer: &InstanceName, now: Duration, out: &mut Vec<Output>) {
         self.entry_closed.push((peer.clone(), now));
         self.exporter.closed(peer);
-        self.give_up_imports_from(peer, common, now, out);
+        self.give_up_imports_from(peer, now, out);
     }
 
     pub(crate) fn on_event(
@@ -187,7 +181,7 @@
                 self.on_query(from, attempt, piece, now, out);
             }
             Message::Result { tag, result } => self.on_result(tag, *result, common, now, out),
-            Message::Block { key, data } => self.on_block(key, data, common, now, out),
+            Message::Block { key, data } => self.on_block(key, data, now, out),
             Message::LacksBlocks { keys } => self.exporter.on_lacking(&from, &keys, out),
             Message::ResyncBlocks => {
                 out.push(Output::Send {
@@ -202,7 +196,7 @@
     }
 
     pub(crate) fn tick(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
-        self.tick_deadlines(common, now, out);
+        self.tick_deadlines(now, out);
         self.tick_control(common, now, out);
         self.cancel_orphans(now, out);
         self.attempts.forget_old(now);
@@ -291,7 +285,7 @@
         self.end(key, Err(refusal.with_outcome(outcome)), now, out);
     }
 
-    fn tick_deadlines(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
+    fn tick_deadlines(&mut self, now: Duration, out: &mut Vec<Output>) {
         let overdue = self
             .attempts
             .active()
@@ -307,7 +301,7 @@
             let refusal = Refusal::new(ErrorKind::DeadlineExceeded, "the deadline passed");
             self.end(key, Err(refusal.with_outcome(outcome)), now, out);
         }
-        self.tick_imports(common, now, out);
+        self.tick_imports(now, out);
         self.tick_settling(now, out);
     }
 
--- a/crates/dotterelrudder_side/src/runner/runs.rs
+++ b/crates/dotterelrudder_side/src/runner/runs.rs
@@ -57,7 +57,7 @@
         out: &mut Vec<Output>,
     ) {
         match input {
-            Input::Imported { run, key, .. } => self.on_imported(run, &key, common, now, out),
+            Input::Imported { run, key, .. } => self.on_imported(run, &key, now, out),
             Input::RunStarted {
                 run,
                 version,
--- a/crates/dotterelrudder_side/src/side_core.rs
+++ b/crates/dotterelrudder_side/src/side_core.rs
@@ -135,7 +135,7 @@
                 self.common.peers.remove(&peer);
                 self.common.follower.closed(&peer);
                 if let Backend::Runner(runner) = &mut self.backend {
-                    runner.on_closed(&peer, &self.common, now, out);
+                    runner.on_closed(&peer, now, out);
                 }
             }
             Input::Message {
--- a/crates/dotterelrudder_standin/src/bin/load.rs
+++ b/crates/dotterelrudder_standin/src/bin/load.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use dotterelrudder_daemon::http_client::HttpClient;
+use dotterelrudder_standin::load::run_calls;
 use dotterelrudder_standin::load::run_once;
 use dotterelrudder_standin::load::run_returning;
 use dotterelrudder_standin::load::run_steady;
 use dotterelrudder_standin::load::run_subscribers;
 use dotterelrudder_standin::load::run_workload;
 use dotterelrudder_standin::load::Caller;
+use dotterelrudder_standin::load::CallsPlan;
 use dotterelrudder_standin::load::Report;
 use dotterelrudder_standin::load::ReturningPlan;
 use dotterelrudder_standin::load::SteadyPlan;
@@ -27,6 +29,8 @@
   returning  --entries A,B --key K --model M --conversations N --sheet-tokens N
              [--answer-tokens N] --engines E,F [--settle-ms N] [--seed N] --out FILE
   once       --entries A,B --key K --path P --count N [--seed N] --out FILE
+  calls      --entries A,B --key K --path P --count N [--parallel N] [--claimed true]
+             print how long calls of a plain service take
   run        --workload FILE --entries A,B --engines E,F --stores S,T --salt TEXT
              [--scale X] [--trial-scale X] --out FILE   an open-loop workload
   table      --reports F,G             compare reports of `run`, as a Markdown table
@@ -202,6 +206,25 @@
     Ok(true)
 }
 
+async fn calls(options: &Options, caller: &Caller) -> Result<bool, String> {
+    let plan = CallsPlan {
+        path: options.text("path")?.into(),
+        count: options.number("count", None)?,
+        parallel: options.number("parallel", Some(1))?,
+        claimed: options.number("claimed", Some(false))?,
+    };
+    let began = std::time::Instant::now();
+    let (times, failed) = run_calls(caller, &plan).await;
+    let rate = times.len() as f64 / began.elapsed().as_secs_f64();
+    let at = |percent| Report::percentile(&times, percent);
+    println!(
+        "{}",
+        json!({"answered": times.len(), "failed": failed, "per_second": rate.round(),
+            "p50_ms": at(50.0), "p95_ms": at(95.0), "p99_ms": at(99.0)})
+    );
+    Ok(failed == 0)
+}
+
 async fn subscribe(options: &Options) -> Result<bool, String> {
     let path = options.text("secret-file")?;
     let secret = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
@@ -335,6 +358,7 @@
             };
             write(options, &run_returning(&caller()?, &plan).await)
         }
+        "calls" => calls(options, &caller()?).await,
         "run" => run_file(options).await,
         "table" => table(options),
         "subscribe" => subscribe(options).await,
--- a/crates/dotterelrudder_standin/src/load/mod.rs
+++ b/crates/dotterelrudder_standin/src/load/mod.rs
@@ -1,6 +1,7 @@
 //! The load tool: drives real entries as callers would and checks every answer.
 
 mod caller;
+mod calls;
 mod once;
 mod report;
 mod returning;
@@ -12,6 +13,8 @@
 pub use caller::Caller;
 pub use caller::Completion;
 pub use caller::Outcome;
+pub use calls::run_calls;
+pub use calls::CallsPlan;
 pub use once::run_once;
 pub use report::Report;
 pub use returning::run_returning;
