Send proposals to control at once instead of with the next tick

The answer's entry was proposed with the side's next tick, up to 20 ms later. Change: a side sends what waits for control after every event.

--- a/crates/dotterelrudder_side/src/runner/claims.rs
+++ b/crates/dotterelrudder_side/src/runner/claims.rs
@@ -56,6 +56,9 @@
     }
 
     pub(crate) fn tick_control(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
+        if self.control.is_idle() {
+            return;
+        }
         let mut sends = Vec::new();
         self.control
             .tick(now, &common.follower.reachable_controls(), &mut sends);
--- a/crates/dotterelrudder_side/src/runner/mod.rs
+++ b/crates/dotterelrudder_side/src/runner/mod.rs
@@ -161,6 +161,7 @@
             other => self.on_run_event(other, common, now, out),
         }
         self.schedule(common, now, out);
+        self.tick_control(common, now, out);
     }
 
     pub(crate) fn on_message(
@@ -193,6 +194,7 @@
             _ => {}
         }
         self.schedule(common, now, out);
+        self.tick_control(common, now, out);
     }
 
     pub(crate) fn tick(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
