Take no shares of a rate from a control instance without configuration

It took every account for unknown and told entries a share of zero, and the wait at a rate near zero was told as it stood. Ruled out: the entry's bucket, which did what it was told, and the load tool. Change: control answers a demand only while fresh and for accounts that it knows, so that entries fall back to equal shares; the wait told is 5 s at most.

--- a/crates/dotterelrudder/tests/limits.rs
+++ b/crates/dotterelrudder/tests/limits.rs
@@ -72,3 +72,35 @@
         );
     }
 }
+
+#[test]
+fn a_control_instance_without_configuration_takes_nobodys_rate_away() {
+    let mut world = World::new(6);
+    world.run_until(Duration::from_secs(3));
+    let leader = world.leader().expect("a leader");
+    world.publish(leader.as_str(), "first", 0, "v1", 100);
+    world.run_until(Duration::from_secs(6));
+    for control in harness::node::CONTROLS {
+        let name = control.into();
+        world.kill(&name);
+        world.node(control).disk = Default::default();
+        // Cut off from its peers it stays without configuration, but entries reach it.
+        for peer in harness::node::CONTROLS
+            .iter()
+            .filter(|peer| **peer != control)
+        {
+            world.cut(&name, &(*peer).into(), true);
+        }
+        world.start(&name);
+        let share = admitted(&mut world, 6, 50) as f64 / (RATE * 6.0);
+        assert!(
+            share > 0.9,
+            "{control} without configuration leaves {share:.3} of the rate"
+        );
+        for peer in harness::node::CONTROLS {
+            world.cut(&name, &peer.into(), false);
+        }
+        let repaired = world.now + Duration::from_secs(10);
+        world.run_until(repaired);
+    }
+}
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -320,7 +320,8 @@
             Message::InForce { revision } => {
                 self.subscribers.get_mut(&from).in_force = revision;
             }
-            Message::Demand(rows) => {
+            // Without the configuration in force an entry does better by itself.
+            Message::Demand(rows) if self.is_fresh(now) => {
                 let accounts = &self.state.configuration().accounts;
                 let declared = |name: &ClientAccount| {
                     accounts
--- a/crates/dotterelrudder_control/src/demand.rs
+++ b/crates/dotterelrudder_control/src/demand.rs
@@ -34,6 +34,7 @@
         F: Fn(&ClientAccount) -> f32,
     {
         rows.iter()
+            .filter(|(account, _)| declared(account) > 0.0)
             .map(|(account, rate)| {
                 let entries = self.accounts.entry(account.clone()).or_default();
                 entries.retain(|_, (_, at)| now < *at + FORGET_AFTER);
--- a/crates/dotterelrudder_route/src/entry_core/admission.rs
+++ b/crates/dotterelrudder_route/src/entry_core/admission.rs
@@ -15,6 +15,9 @@
 use crate::request::Request;
 use crate::Target;
 
+/// The longest wait told to an account over its limit, since its share can grow meanwhile.
+const MAX_LIMIT_WAIT: Duration = Duration::from_secs(5);
+
 impl EntryCore {
     /// Checks a request and takes it in.
     ///
@@ -131,7 +134,7 @@
         account.name
     );
     let mut refusal = Refusal::new(ErrorKind::LimitReached, detail);
-    refusal.retry_after = Some(wait.max(Duration::from_secs(1)));
+    refusal.retry_after = Some(wait.clamp(Duration::from_secs(1), MAX_LIMIT_WAIT));
     refusal
 }
 
