Look an attempt's request up in one place

The three handlers of an answer at an entry each found the request in the same six lines; they call request_mut now.

--- a/crates/dotterelrudder_route/src/entry_core/answers.rs
+++ b/crates/dotterelrudder_route/src/entry_core/answers.rs
@@ -8,12 +8,12 @@
 use dotterelrudder_types::Outcome;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::Revision;
-use dotterelrudder_types::WeightVersion;
 use dotterelrudder_wire::LoadReport;
 use dotterelrudder_wire::Message;
 use dotterelrudder_wire::Piece;
 use dotterelrudder_wire::Usage;
 
+use crate::request::Request;
 use crate::AnswerEvent;
 use crate::EntryCore;
 use crate::Output;
@@ -115,6 +115,15 @@
         (current.id == attempt && current.side == *from).then_some(id)
     }
 
+    fn request_mut(
+        &mut self,
+        from: &InstanceName,
+        attempt: AttemptId,
+    ) -> Option<(u64, &mut Request)> {
+        let id = self.request_of(from, attempt)?;
+        Some((id, self.requests.get_mut(&id)?))
+    }
+
     fn on_started(
         &mut self,
         from: &InstanceName,
@@ -122,10 +131,7 @@
         event: AnswerEvent,
         out: &mut Vec<Output>,
     ) {
-        let Some(id) = self.request_of(from, attempt) else {
-            return;
-        };
-        let Some(request) = self.requests.get_mut(&id) else {
+        let Some((id, request)) = self.request_mut(from, attempt) else {
             return;
         };
         if let Some(current) = &mut request.current {
@@ -141,10 +147,7 @@
     }
 
     fn on_piece(&mut self, from: &InstanceName, piece: Piece, out: &mut Vec<Output>) {
-        let Some(id) = self.request_of(from, piece.attempt) else {
-            return;
-        };
-        let Some(request) = self.requests.get_mut(&id) else {
+        let Some((id, request)) = self.request_mut(from, piece.attempt) else {
             return;
         };
         let Some(current) = &mut request.current else {
@@ -186,10 +189,7 @@
         usage: Usage,
         out: &mut Vec<Output>,
     ) {
-        let Some(id) = self.request_of(from, attempt) else {
-            return;
-        };
-        let Some(request) = self.requests.get_mut(&id) else {
+        let Some((id, request)) = self.request_mut(from, attempt) else {
             return;
         };
         let received = request.current.as_ref().map_or(0, |c| c.received);
@@ -392,9 +392,4 @@
         }
         self.refuse(id, refusal, out);
     }
-
-    /// Returns the weight version that a request runs with, once it is known.
-    pub fn version_of(&self, id: u64) -> Option<&WeightVersion> {
-        self.requests.get(&id)?.version.as_ref()
-    }
 }
