Send proposals to control in one place of a side

A claim sent its proposal itself, which the end of each event does since proposals go out at once; the periodic step now sends after it scheduled.

--- a/crates/dotterelrudder_side/src/runner/claims.rs
+++ b/crates/dotterelrudder_side/src/runner/claims.rs
@@ -70,13 +70,7 @@
     }
 
     /// Asks control whether the attempt may run.
-    pub(crate) fn claim(
-        &mut self,
-        key: AttemptKey,
-        common: &Common,
-        now: Duration,
-        out: &mut Vec<Output>,
-    ) {
+    pub(crate) fn claim(&mut self, key: AttemptKey, common: &Common) {
         let Some(start) = self.attempts.get(key).map(|a| a.start().clone()) else {
             return;
         };
@@ -96,7 +90,6 @@
         };
         self.control
             .propose(ControlAsk::Claim(start.attempt, claim), command);
-        self.tick_control(common, now, out);
     }
 
     pub(crate) fn on_result(
--- a/crates/dotterelrudder_side/src/runner/imports.rs
+++ b/crates/dotterelrudder_side/src/runner/imports.rs
@@ -33,7 +33,7 @@
             return;
         };
         if any.start().claim.is_some() && !any.is_claimed() {
-            self.claim(key, common, now, out);
+            self.claim(key, common);
         } else {
             self.import_or_call(key, common, now, out);
         }
--- a/crates/dotterelrudder_side/src/runner/mod.rs
+++ b/crates/dotterelrudder_side/src/runner/mod.rs
@@ -199,10 +199,10 @@
 
     pub(crate) fn tick(&mut self, common: &Common, now: Duration, out: &mut Vec<Output>) {
         self.tick_deadlines(now, out);
-        self.tick_control(common, now, out);
         self.cancel_orphans(now, out);
         self.attempts.forget_old(now);
         self.schedule(common, now, out);
+        self.tick_control(common, now, out);
         self.report_load(common, now, out);
     }
 
