--- a/crates/dotterelrudder/examples/support/mod.rs
+++ b/crates/dotterelrudder/examples/support/mod.rs
@@ -174,6 +174,7 @@
         peers: Vec::new(),
         timing: RaftTiming::default(),
         bootstrap: true,
+        voters: None,
     };
     let mut out = Vec::new();
     let mut core = ControlCore::new(settings, Recovered::default(), 1, Duration::ZERO, &mut out);
--- a/crates/dotterelrudder/tests/harness/node.rs
+++ b/crates/dotterelrudder/tests/harness/node.rs
@@ -98,6 +98,7 @@
                         ..Default::default()
                     },
                     bootstrap: self.name.as_str() == CONTROLS[0],
+                    voters: None,
                 };
                 let core = ControlCore::new(settings, recovered, incarnation, now, &mut out);
                 Core::Control(Box::new(core))
--- a/crates/dotterelrudder_config/src/lib.rs
+++ b/crates/dotterelrudder_config/src/lib.rs
@@ -14,6 +14,7 @@
 mod service_declaration;
 mod service_kind;
 mod source_file;
+pub mod whole;
 
 pub use account_declaration::AccountDeclaration;
 pub use change_set::ChangeSet;
--- /dev/null
+++ b/crates/dotterelrudder_config/src/whole/mod.rs
@@ -0,0 +1,26 @@
+//! Whole configurations: routes, services, client accounts and limits published by version.
+//!
+//! Where an operator owns the whole deployment in one document, every accepted document replaces
+//! the one before; the highest version wins. See docs/design/platform.md.
+
+mod account_entry;
+mod call_kind;
+mod caller_limits;
+mod configuration_fault;
+mod engine_traits;
+mod route_rule;
+mod service_endpoint;
+mod store_traits;
+mod weighted_target;
+mod whole_configuration;
+
+pub use account_entry::AccountEntry;
+pub use call_kind::CallKind;
+pub use caller_limits::CallerLimits;
+pub use configuration_fault::ConfigurationFault;
+pub use engine_traits::EngineTraits;
+pub use route_rule::RouteRule;
+pub use service_endpoint::ServiceEndpoint;
+pub use store_traits::StoreTraits;
+pub use weighted_target::WeightedTarget;
+pub use whole_configuration::WholeConfiguration;
--- /dev/null
+++ b/crates/dotterelrudder_config/src/whole/whole_configuration.rs
@@ -0,0 +1,79 @@
+//! A whole configuration and its check.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::AccountEntry;
+use super::CallerLimits;
+use super::ConfigurationFault;
+use super::RouteRule;
+use super::ServiceEndpoint;
+
+/// Everything that an operator declares, as one document with a version.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct WholeConfiguration {
+    /// The version; the highest accepted one is in force. 0 stands for none.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<RouteRule>,
+    /// The services.
+    pub services: Vec<ServiceEndpoint>,
+    /// The client accounts; none means that no request needs a key.
+    pub accounts: Vec<AccountEntry>,
+    /// Limits on what callers send.
+    pub limits: CallerLimits,
+}
+
+impl WholeConfiguration {
+    /// Checks what one field alone doesn't show.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault found.
+    pub fn check(&self) -> Result<(), ConfigurationFault> {
+        let services: BTreeSet<&str> = self.services.iter().map(|s| s.name.as_str()).collect();
+        let mut places = BTreeSet::new();
+        for route in &self.routes {
+            for target in &route.targets {
+                if !services.contains(target.service.as_str()) {
+                    return Err(ConfigurationFault::UnknownService {
+                        route: route.name.clone(),
+                        service: target.service.0.clone(),
+                    });
+                }
+            }
+            if !places.insert((route.host.as_str(), route.path_prefix.as_str())) {
+                return Err(ConfigurationFault::SamePlace {
+                    host: route.host.clone(),
+                    path_prefix: route.path_prefix.clone(),
+                });
+            }
+            if route.targets.iter().all(|t| t.weight == 0) {
+                return Err(ConfigurationFault::NoWeight(route.name.clone()));
+            }
+            if route.time_limit.is_zero() {
+                return Err(ConfigurationFault::NoTimeLimit(route.name.clone()));
+            }
+        }
+        self.check_keys()
+    }
+
+    fn check_keys(&self) -> Result<(), ConfigurationFault> {
+        let mut owners = BTreeMap::new();
+        for account in &self.accounts {
+            for key in &account.keys {
+                let owner = *owners.entry(*key).or_insert(&account.name);
+                if *owner != account.name {
+                    return Err(ConfigurationFault::SharedKey {
+                        first: owner.0.clone(),
+                        second: account.name.0.clone(),
+                    });
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/control_core/fleet.rs
@@ -0,0 +1,123 @@
+//! The leader's work for the processes that follow it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_wire::Command;
+use dotterelrudder_wire::Follow;
+use dotterelrudder_wire::Message;
+use dotterelrudder_wire::ModelWeights;
+use dotterelrudder_wire::RunnerRow;
+use dotterelrudder_wire::WeightOrder;
+
+use super::ControlCore;
+use crate::Origin;
+use crate::Output;
+
+impl ControlCore {
+    /// Returns whether this replica leads and can vouch for its state as the newest.
+    pub fn leads_surely(&self, now: Duration) -> bool {
+        self.raft.leads_surely(now)
+    }
+
+    /// Returns whether enough replicas vote for an acknowledged change to survive the losses that
+    /// the deployment tolerates.
+    pub fn has_enough_voters(&self) -> bool {
+        let wanted = self.settings.voters.unwrap_or(1);
+        self.raft.voter_count() >= wanted
+    }
+
+    /// Returns the control instances that hold the log.
+    pub fn control_instances(&self) -> Vec<InstanceName> {
+        let members = self.raft.members().iter();
+        members.map(|m| m.instance.clone()).collect()
+    }
+
+    pub(super) fn on_follow(
+        &mut self,
+        from: InstanceName,
+        follow: &Follow,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.leads_surely(now) {
+            let leader = self.leader_instance();
+            out.push(Output::Send {
+                to: from,
+                message: Message::FollowElsewhere { leader },
+            });
+            return;
+        }
+        let controls = self.control_instances();
+        self.followers
+            .answer(from, follow, &self.state, controls, now, out);
+    }
+
+    pub(super) fn on_listed(
+        &mut self,
+        rows: Vec<RunnerRow>,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        if self.leads_surely(now) {
+            self.followers.listed(rows, out);
+        }
+    }
+
+    /// What followers are told of at once when it changes.
+    pub(super) fn fleet_mark(&self) -> (u64, Vec<ModelWeights>) {
+        let version = self.state.whole_configuration().version;
+        (version, self.state.named_weights())
+    }
+
+    pub(super) fn push_fleet(&mut self, now: Duration, out: &mut Vec<Output>) {
+        if self.raft.is_leader() && self.is_fresh(now) {
+            let controls = self.control_instances();
+            self.followers.push_view(&self.state, &controls, out);
+        }
+    }
+
+    pub(super) fn tick_fleet(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let leads = self.raft.is_leader();
+        if self.led && !leads {
+            self.followers.reset();
+        }
+        self.led = leads;
+        if !leads || !self.leads_surely(now) {
+            return;
+        }
+        let named = self.state.named_weights();
+        let orders = self.followers.plan_weights(now, &named);
+        for (runner, weights) in orders {
+            self.followers.mark_loading(runner);
+            let command = Command::OrderWeights { runner, weights };
+            self.propose(Origin::Internal, command, now, out);
+        }
+        self.followers.tick(now, out);
+    }
+
+    /// Sends an order whose fencing number is the index under which it was logged.
+    pub(super) fn give_order(
+        &mut self,
+        fence: u64,
+        runner: SocketAddr,
+        weights: &ModelWeights,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.raft.is_leader() {
+            return;
+        }
+        if let Some(side) = self.followers.side_of(runner) {
+            let order = WeightOrder {
+                fence,
+                runner,
+                weights: weights.clone(),
+            };
+            out.push(Output::Send {
+                to: side,
+                message: Message::WeightOrder(order),
+            });
+        }
+    }
+}
--- a/crates/dotterelrudder_control/src/control_core/founding.rs
+++ b/crates/dotterelrudder_control/src/control_core/founding.rs
@@ -54,7 +54,7 @@
                 .as_ref()
                 .is_some_and(|agreed| agreed.contains(name))
         };
-        let all = self.founding.is_some() && self.settings.peers.iter().all(agreed);
+        let all = self.founding.is_some() && self.founding_peers.iter().all(agreed);
         if all && self.raft.members().is_empty() {
             self.founding = None;
             let (id, instance) = (self.raft.id(), self.settings.name.clone());
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -1,6 +1,7 @@
 //! The control role: the log, its state, subscribers and orders behind one interface.
 
 mod following;
+mod fleet;
 mod founding;
 mod proposing;
 
@@ -18,6 +19,7 @@
 use dotterelrudder_wire::RaftMessage;
 
 use crate::demand::Demand;
+use crate::fleet::Followers;
 use crate::order_planner::plan_orders;
 use crate::proposals::Proposals;
 use crate::subscribers::Subscribers;
@@ -50,6 +52,9 @@
     pub timing: RaftTiming,
     /// Whether this first start makes a new deployment.
     pub bootstrap: bool,
+    /// Replicas that vote, so that further ones wait as learners until a voter is lost; none lets
+    /// each one vote.
+    pub voters: Option<usize>,
 }
 
 /// The control role without input or output.
@@ -68,6 +73,9 @@
     plan_at: Duration,
     orphaned_since: BTreeMap<AttemptId, Duration>,
     founding: Option<BTreeSet<InstanceName>>,
+    founding_peers: Vec<InstanceName>,
+    followers: Followers,
+    led: bool,
     starting: Vec<(InstanceName, u64)>,
     demand: Demand,
 }
@@ -82,7 +90,9 @@
         out: &mut Vec<Output>,
     ) -> Self {
         let old = recovered.id;
-        let first_start = old == 0 && !recovered.is_corrupt();
+        // A start that was cut off before the founding left an identity and nothing else.
+        let holds_nothing = recovered.entries.is_empty() && recovered.snapshot.is_none();
+        let first_start = holds_nothing && !recovered.is_corrupt();
         if recovered.is_corrupt() {
             out.push(Output::Rewrite {
                 sequence: 0,
@@ -97,6 +107,7 @@
         }
         let mut raft = Raft::new(recovered, settings.timing, seed, now);
         raft.confirm_as_new();
+        raft.set_voters(settings.voters);
 
         if !first_start && old != raft.id() {
             out.push(Output::NewIdentity {
@@ -105,6 +116,7 @@
             });
         }
         let founding = (first_start && settings.bootstrap).then(BTreeSet::new);
+        let settings_peers = settings.peers.clone();
         let mut core = Self {
             settings,
             raft,
@@ -119,6 +131,9 @@
             plan_at: now,
             orphaned_since: BTreeMap::new(),
             founding,
+            founding_peers: settings_peers,
+            followers: Followers::default(),
+            led: false,
             starting: Vec::new(),
             demand: Demand::default(),
         };
@@ -139,6 +154,8 @@
                 self.propose(Origin::Local(tag), command, now, out);
             }
             Input::Synced { sequence } => self.raft.synced(sequence),
+            Input::Peers { peers } => self.settings.peers = peers,
+            Input::RunnersListed { rows } => self.on_listed(rows, now, out),
             Input::Stop => {
                 self.raft.transfer_leadership();
             }
@@ -220,6 +237,7 @@
     fn tick(&mut self, now: Duration, out: &mut Vec<Output>) {
         self.raft.tick(now);
         self.join_if_needed(now, out);
+        self.tick_fleet(now, out);
         for origin in self.proposals.overdue(now) {
             self.answer(origin, proposing::unknown_outcome(), out);
         }
@@ -290,6 +308,7 @@
 
     fn on_closed(&mut self, peer: &InstanceName, now: Duration, out: &mut Vec<Output>) {
         self.subscribers.closed(peer, now);
+        self.followers.closed(peer);
         for origin in self.proposals.lost_leader(peer) {
             self.answer(origin, proposing::unknown_outcome(), out);
         }
@@ -332,6 +351,8 @@
                 let message = Message::Shares(shares);
                 out.push(Output::Send { to: from, message });
             }
+            Message::Follow(follow) => self.on_follow(from, &follow, now, out),
+            Message::RunnerLoads(loads) => self.followers.reported(loads),
             Message::Load(load) => self.subscribers.get_mut(&from).load = Some(load),
             Message::OrderDone { version, .. } => {
                 if let Some(load) = &mut self.subscribers.get_mut(&from).load {
@@ -403,6 +424,7 @@
 
     fn apply(&mut self, entry: LogEntry, now: Duration, out: &mut Vec<Output>) {
         let before = self.state.configuration().revision;
+        let fleet_before = self.fleet_mark();
         let result = self.state.apply(&entry);
         if self.raft.is_leader() {
             if let Command::IssueOrder { side, version, .. } = &entry.command {
@@ -416,6 +438,9 @@
                 });
             }
         }
+        if let Command::OrderWeights { runner, weights } = &entry.command {
+            self.give_order(entry.index, *runner, weights, out);
+        }
         if let Some((origin, same)) = self.proposals.applied(entry.term, entry.index) {
             let result = if same {
                 result
@@ -425,6 +450,9 @@
             self.answer(origin, result, out);
         }
         self.note_revision(before, now, out);
+        if self.fleet_mark() != fleet_before {
+            self.push_fleet(now, out);
+        }
         self.answer_starting(out);
     }
 
--- a/crates/dotterelrudder_control/src/control_core/proposing.rs
+++ b/crates/dotterelrudder_control/src/control_core/proposing.rs
@@ -52,6 +52,8 @@
             | Command::Claim { at_ms, .. }
             | Command::FinishClaim { at_ms, .. }
             | Command::IssueOrder { at_ms, .. }
+            | Command::PublishWhole { at_ms, .. }
+            | Command::NameWeights { at_ms, .. }
             | Command::Drain { at_ms, .. } => *at_ms = self.wall_ms,
             _ => {}
         }
--- /dev/null
+++ b/crates/dotterelrudder_control/src/fleet/followers.rs
@@ -0,0 +1,216 @@
+//! The processes that follow the leader, and the soft state that it passes on to them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_wire::FleetView;
+use dotterelrudder_wire::Follow;
+use dotterelrudder_wire::Message;
+use dotterelrudder_wire::ModelWeights;
+use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::RunnerRow;
+
+use super::follower::Follower;
+use super::WeightWaves;
+use crate::Output;
+use crate::ReplicatedState;
+
+/// How often changed loads are passed on to entries; a tenth of the strictest objective is below
+/// what a load report is good for anyway.
+const PASS_LOADS_EVERY: Duration = Duration::from_millis(200);
+/// A process that asked nothing for this long doesn't follow any more: six times the period of its
+/// questions.
+const FORGET_AFTER: Duration = Duration::from_secs(3);
+
+/// Followers, the list of backend servers and their loads.
+#[derive(Debug, Default)]
+pub(crate) struct Followers {
+    by_name: BTreeMap<InstanceName, Follower>,
+    rows: Vec<RunnerRow>,
+    list_number: u64,
+    loads: BTreeMap<SocketAddr, RunnerLoad>,
+    changed: BTreeSet<SocketAddr>,
+    pass_at: Duration,
+    waves: WeightWaves,
+}
+
+impl Followers {
+    /// Answers a question with what is in force, and with the list if the asker lacks it.
+    pub(crate) fn answer(
+        &mut self,
+        from: InstanceName,
+        follow: &Follow,
+        state: &ReplicatedState,
+        controls: Vec<InstanceName>,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let known = self.by_name.get(&from);
+        let list_sent = known.map_or(0, |f| f.list_sent);
+        let entry_is_new = known.is_none() && follow.beside.is_none();
+        let follower = Follower {
+            asked: follow.asked,
+            asked_at: now,
+            held: follow.held,
+            beside: follow.beside,
+            list_sent,
+        };
+        self.by_name.insert(from.clone(), follower);
+        self.send_view(&from, state, controls, out);
+        self.send_list(&from, out);
+        if entry_is_new && !self.loads.is_empty() {
+            let loads = self.loads.values().cloned().collect();
+            let message = Message::RunnerLoads(loads);
+            out.push(Output::Send { to: from, message });
+        }
+    }
+
+    fn send_view(
+        &mut self,
+        to: &InstanceName,
+        state: &ReplicatedState,
+        controls: Vec<InstanceName>,
+        out: &mut Vec<Output>,
+    ) {
+        let entries = self.entry_count();
+        let Some(follower) = self.by_name.get_mut(to) else {
+            return;
+        };
+        let whole = state.whole_configuration();
+        let behind = follower.held < whole.version;
+        follower.held = follower.held.max(whole.version);
+        let view = FleetView {
+            asked: follower.asked,
+            version: whole.version,
+            configuration: behind.then(|| Box::new(whole.clone())),
+            weights: state.named_weights(),
+            controls,
+            entries,
+        };
+        out.push(Output::Send {
+            to: to.clone(),
+            message: Message::Fleet(Box::new(view)),
+        });
+    }
+
+    fn send_list(&mut self, to: &InstanceName, out: &mut Vec<Output>) {
+        let Some(follower) = self.by_name.get_mut(to) else {
+            return;
+        };
+        // A side needs no list: it knows its own runner.
+        if follower.list_sent == self.list_number || follower.beside.is_some() {
+            return;
+        }
+        follower.list_sent = self.list_number;
+        out.push(Output::Send {
+            to: to.clone(),
+            message: Message::Runners(self.rows.clone()),
+        });
+    }
+
+    /// Tells every follower of a change at once, without waiting for its next question.
+    pub(crate) fn push_view(
+        &mut self,
+        state: &ReplicatedState,
+        controls: &[InstanceName],
+        out: &mut Vec<Output>,
+    ) {
+        for name in self.by_name.keys().cloned().collect::<Vec<_>>() {
+            self.send_view(&name, state, controls.to_vec(), out);
+        }
+    }
+
+    /// Takes the platform's list and passes it on if it changed.
+    pub(crate) fn listed(&mut self, rows: Vec<RunnerRow>, out: &mut Vec<Output>) {
+        if rows == self.rows && self.list_number > 0 {
+            return;
+        }
+        self.rows = rows;
+        self.list_number += 1;
+        for name in self.by_name.keys().cloned().collect::<Vec<_>>() {
+            self.send_list(&name, out);
+        }
+    }
+
+    /// Takes the loads that a side reports.
+    pub(crate) fn reported(&mut self, loads: Vec<RunnerLoad>) {
+        for load in loads {
+            self.changed.insert(load.address);
+            self.loads.insert(load.address, load);
+        }
+    }
+
+    /// Forgets a process whose connection closed.
+    pub(crate) fn closed(&mut self, peer: &InstanceName) {
+        let gone = self.by_name.remove(peer);
+        if let Some(address) = gone.and_then(|f| f.beside) {
+            self.loads.remove(&address);
+        }
+    }
+
+    /// Forgets everything that only a leader may keep.
+    pub(crate) fn reset(&mut self) {
+        let list_number = self.list_number;
+        *self = Self::default();
+        // Numbers go on, so that a list of an earlier leadership isn't taken for the present one.
+        self.list_number = list_number;
+    }
+
+    /// Passes changed loads on and forgets who stopped asking.
+    pub(crate) fn tick(&mut self, now: Duration, out: &mut Vec<Output>) {
+        if now < self.pass_at {
+            return;
+        }
+        self.pass_at = now + PASS_LOADS_EVERY;
+        self.by_name.retain(|_, f| now < f.asked_at + FORGET_AFTER);
+        let changed = std::mem::take(&mut self.changed);
+        let loads: Vec<_> = changed.iter().filter_map(|a| self.loads.get(a)).collect();
+        if loads.is_empty() {
+            return;
+        }
+        let loads: Vec<RunnerLoad> = loads.into_iter().cloned().collect();
+        for (name, _) in self.by_name.iter().filter(|(_, f)| f.beside.is_none()) {
+            out.push(Output::Send {
+                to: name.clone(),
+                message: Message::RunnerLoads(loads.clone()),
+            });
+        }
+    }
+
+    /// Returns the orders to give now, so that all runners come to the named weights.
+    pub(crate) fn plan_weights(
+        &mut self,
+        now: Duration,
+        named: &[ModelWeights],
+    ) -> Vec<(SocketAddr, ModelWeights)> {
+        let loads = self.reachable_loads();
+        self.waves.plan(now, named, &loads)
+    }
+
+    fn reachable_loads(&self) -> Vec<RunnerLoad> {
+        let beside = self.by_name.values().filter_map(|f| f.beside);
+        beside.filter_map(|a| self.loads.get(&a)).cloned().collect()
+    }
+
+    /// Returns the side beside a runner.
+    pub(crate) fn side_of(&self, runner: SocketAddr) -> Option<InstanceName> {
+        let found = self.by_name.iter().find(|(_, f)| f.beside == Some(runner));
+        found.map(|(name, _)| name.clone())
+    }
+
+    /// Tells entries at once that a runner is about to load, so that they spare it.
+    pub(crate) fn mark_loading(&mut self, runner: SocketAddr) {
+        if let Some(load) = self.loads.get_mut(&runner) {
+            load.loading = true;
+            self.changed.insert(runner);
+            self.pass_at = Duration::ZERO;
+        }
+    }
+
+    fn entry_count(&self) -> u32 {
+        self.by_name.values().filter(|f| f.beside.is_none()).count() as u32
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/src/fleet/weight_waves.rs
@@ -0,0 +1,82 @@
+//! In which order runners load named weights.
+//!
+//! Load pattern: a version is named while every runner serves traffic. Each runner first finishes
+//! its runs and then loads; too many at once slow each other's load and leave too few for the
+//! traffic, too few at once leave requests on old weights for long.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelrudder_wire::ModelWeights;
+use dotterelrudder_wire::RunnerLoad;
+
+/// The share of a model's runners that finish their runs or load at once, in tenths. Finishing
+/// takes about as long as loading, so that half of them load at a time.
+const SHARE_AT_ONCE_TENTHS: usize = 4;
+/// Runners at once at least, for small services.
+const AT_ONCE_LEAST: usize = 2;
+/// An order without effect for this long is given again under a higher fencing number; twice the
+/// time that finishing long runs and loading take together.
+const REISSUE_AFTER: Duration = Duration::from_secs(5);
+
+/// The orders that were given and have not shown an effect yet.
+#[derive(Debug, Default)]
+pub struct WeightWaves {
+    given: BTreeMap<SocketAddr, (ModelWeights, Duration)>,
+}
+
+impl WeightWaves {
+    /// Returns the orders to give now; `loads` are those of the runners whose sides can be reached.
+    pub fn plan(
+        &mut self,
+        now: Duration,
+        named: &[ModelWeights],
+        loads: &[RunnerLoad],
+    ) -> Vec<(SocketAddr, ModelWeights)> {
+        let mut orders = Vec::new();
+        for wanted in named {
+            self.plan_model(now, wanted, loads, &mut orders);
+        }
+        orders
+    }
+
+    fn plan_model(
+        &mut self,
+        now: Duration,
+        wanted: &ModelWeights,
+        loads: &[RunnerLoad],
+        orders: &mut Vec<(SocketAddr, ModelWeights)>,
+    ) {
+        let serving: Vec<&RunnerLoad> = loads
+            .iter()
+            .filter(|load| load.version_of(&wanted.model).is_some())
+            .collect();
+        let behind = |load: &&&RunnerLoad| {
+            let held = load.version_of(&wanted.model);
+            held.is_some_and(|held| held < wanted.version) && load.answers && !load.leaving
+        };
+        for load in &serving {
+            let held = load.version_of(&wanted.model).unwrap_or(0);
+            let done = |given: &ModelWeights| given.model == wanted.model && held >= given.version;
+            if self.given.get(&load.address).is_some_and(|(g, _)| done(g)) {
+                self.given.remove(&load.address);
+            }
+        }
+        let at_once = (serving.len() * SHARE_AT_ONCE_TENTHS / 10).max(AT_ONCE_LEAST);
+        let pending = |load: &RunnerLoad| {
+            let given = self.given.get(&load.address);
+            given.is_some_and(|(g, at)| *g == *wanted && now < *at + REISSUE_AFTER)
+        };
+        let busy = serving.iter().filter(|l| pending(l)).count();
+        let waiting = serving.iter().filter(behind).filter(|l| !pending(l));
+        let next: Vec<SocketAddr> = waiting
+            .take(at_once.saturating_sub(busy))
+            .map(|l| l.address)
+            .collect();
+        for address in next {
+            self.given.insert(address, (wanted.clone(), now));
+            orders.push((address, wanted.clone()));
+        }
+    }
+}
--- a/crates/dotterelrudder_control/src/input.rs
+++ b/crates/dotterelrudder_control/src/input.rs
@@ -3,6 +3,7 @@
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::Message;
+use dotterelrudder_wire::RunnerRow;
 
 /// Who proposed a command and waits for its result.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,6 +59,16 @@
     },
     /// The process shall stop: hand over leadership.
     Stop,
+    /// The addresses of other control instances changed.
+    Peers {
+        /// All others that are known.
+        peers: Vec<InstanceName>,
+    },
+    /// The platform's list of backend servers was read.
+    RunnersListed {
+        /// The whole list.
+        rows: Vec<RunnerRow>,
+    },
     /// Wall-clock time, for audit rows and retention.
     Wall {
         /// Milliseconds since the epoch.
--- a/crates/dotterelrudder_control/src/lib.rs
+++ b/crates/dotterelrudder_control/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod control_core;
 mod demand;
+mod fleet;
 mod input;
 mod journal;
 mod order_planner;
@@ -18,6 +19,7 @@
 
 pub use control_core::ControlCore;
 pub use control_core::ControlSettings;
+pub use fleet::WeightWaves;
 pub use input::Input;
 pub use input::Origin;
 pub use journal::read_journal;
--- a/crates/dotterelrudder_control/src/raft/membership.rs
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -10,6 +10,10 @@
 use super::Raft;
 use super::RaftRole;
 
+/// How long a voter may be silent before a waiting learner takes its vote; beyond a restart, so
+/// that one isn't taken for a loss.
+const LOST_VOTER_AFTER: Duration = Duration::from_secs(3);
+
 impl Raft {
     pub(super) fn is_voter(&self, id: u64) -> bool {
         self.members.iter().any(|m| m.id == id && m.voter)
@@ -98,6 +102,23 @@
         self.propose(Command::Members { members }, now);
     }
 
+    /// Takes the vote of a replica that was silent for long, so that a waiting learner can have it.
+    fn remove_lost_voter(&mut self, now: Duration) {
+        let RaftRole::Leader { progress, .. } = &self.role else {
+            return;
+        };
+        let silent = |m: &&Member| {
+            let contact = progress.get(&m.id).map(|p| p.contact);
+            m.voter && m.id != self.id && contact.is_some_and(|at| now > at + LOST_VOTER_AFTER)
+        };
+        let Some(lost) = self.members.iter().find(silent).map(|m| m.id) else {
+            return;
+        };
+        let mut members = self.members.clone();
+        members.retain(|m| m.id != lost);
+        self.propose(Command::Members { members }, now);
+    }
+
     /// Takes the next step of a repair: the lost identity of an instance leaves once the new one
     /// has synced everything committed, and only then does the new one vote.
     pub(super) fn tick_membership(&mut self, now: Duration) {
@@ -114,6 +135,11 @@
         let Some(learner) = caught_up.cloned() else {
             return;
         };
+        let repaired = self.members.iter().any(|m| m.instance == learner.instance && m.voter);
+        if !repaired && self.target_voters.is_some_and(|t| self.voter_count() >= t) {
+            self.remove_lost_voter(now);
+            return;
+        }
         let same_instance = |m: &Member| m.instance == learner.instance && m.id != learner.id;
         let mut members = self.members.clone();
         if members.iter().any(same_instance) {
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -98,6 +98,7 @@
     boot_sent_at: Option<Duration>,
     peer_boots: BTreeMap<u64, (u64, u64)>,
     incoming_snapshot: Vec<u8>,
+    target_voters: Option<usize>,
     out: Vec<RaftOutput>,
 }
 
@@ -137,6 +138,7 @@
             boot_sent_at: None,
             peer_boots: recovered.peer_boots,
             incoming_snapshot: Vec::new(),
+            target_voters: None,
             out: Vec::new(),
         };
         raft.recompute_members();
@@ -169,6 +171,26 @@
         self.election_at = now;
     }
 
+    /// Sets how many replicas vote; further ones stay learners until a voter is lost.
+    pub fn set_voters(&mut self, voters: Option<usize>) {
+        self.target_voters = voters;
+    }
+
+    /// Returns how many replicas vote.
+    pub fn voter_count(&self) -> usize {
+        self.members.iter().filter(|m| m.voter).count()
+    }
+
+    /// Returns whether this replica leads, heard a quorum within the lease, and has applied an
+    /// entry of its own term, so that its state holds everything that was ever acknowledged.
+    pub fn leads_surely(&self, now: Duration) -> bool {
+        self.is_leader()
+            && self.confirmed
+            && self.is_fresh(now)
+            && self.applied == self.commit
+            && self.log.term_at(self.commit) == Some(self.term)
+    }
+
     /// Returns the replica's identity.
     pub fn id(&self) -> u64 {
         self.id
--- a/crates/dotterelrudder_control/src/state/mod.rs
+++ b/crates/dotterelrudder_control/src/state/mod.rs
@@ -7,15 +7,20 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use bytes::Bytes;
+use compact_str::CompactString;
+use dotterelrudder_config::whole::WholeConfiguration;
 use dotterelrudder_config::Configuration;
 use dotterelrudder_types::AttemptId;
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Revision;
 use dotterelrudder_types::WeightVersion;
 use dotterelrudder_wire::ClaimKey;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::CommandResult;
 use dotterelrudder_wire::LogEntry;
 use dotterelrudder_wire::Member;
+use dotterelrudder_wire::ModelWeights;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -50,6 +55,9 @@
     draining: BTreeSet<InstanceName>,
     members: Vec<Member>,
     audit: AuditTrail,
+    whole: WholeConfiguration,
+    whole_document: Bytes,
+    weights: BTreeMap<CompactString, u64>,
 }
 
 impl ReplicatedState {
@@ -58,6 +66,20 @@
         &self.configuration
     }
 
+    /// Returns the whole configuration in force; its version is 0 before the first.
+    pub fn whole_configuration(&self) -> &WholeConfiguration {
+        &self.whole
+    }
+
+    /// Returns the weight version that was named last for each model.
+    pub fn named_weights(&self) -> Vec<ModelWeights> {
+        let named = self.weights.iter().map(|(model, version)| ModelWeights {
+            model: model.clone(),
+            version: *version,
+        });
+        named.collect()
+    }
+
     /// Returns the index of the last entry applied.
     pub fn index(&self) -> u64 {
         self.index
@@ -164,6 +186,23 @@
                 author,
                 at_ms,
             } => self.drain(instance, *on, author, *at_ms),
+            Command::PublishWhole {
+                configuration,
+                document,
+                at_ms,
+            } => {
+                self.publish_whole(configuration, document, *at_ms);
+                CommandResult::Done
+            }
+            Command::ReadWhole => CommandResult::Whole {
+                version: self.whole.version,
+                document: self.whole_document.clone(),
+            },
+            Command::NameWeights { weights, at_ms } => {
+                self.name_weights(weights, *at_ms);
+                CommandResult::Done
+            }
+            Command::OrderWeights { .. } => CommandResult::Fence(entry.index),
             Command::Members { members } => {
                 self.members = members.clone();
                 CommandResult::Done
@@ -171,6 +210,38 @@
         }
     }
 
+    fn publish_whole(&mut self, configuration: &WholeConfiguration, document: &Bytes, at_ms: u64) {
+        let held = self.whole.version;
+        let accepted = configuration.version > held;
+        self.note_whole(held, accepted, at_ms, format!("version {}", configuration.version));
+        if accepted {
+            self.whole = configuration.clone();
+            self.whole_document = document.clone();
+        }
+    }
+
+    fn name_weights(&mut self, weights: &ModelWeights, at_ms: u64) {
+        let held = self.weights.get(&weights.model).copied().unwrap_or(0);
+        let accepted = weights.version > held;
+        let line = format!("weights {} of \"{}\"", weights.version, weights.model);
+        self.note_whole(self.whole.version, accepted, at_ms, line);
+        if accepted {
+            self.weights.insert(weights.model.clone(), weights.version);
+        }
+    }
+
+    fn note_whole(&mut self, held: u64, accepted: bool, at_ms: u64, line: String) {
+        self.audit.push(AuditRow {
+            index: self.index,
+            at_ms,
+            author: "operator".into(),
+            change_id: "".into(),
+            base: Revision(held),
+            outcome: if accepted { "accepted" } else { "not newer" }.into(),
+            lines: vec![line],
+        });
+    }
+
     fn drain(
         &mut self,
         instance: &InstanceName,
--- a/crates/dotterelrudder_daemon/src/control/actor.rs
+++ b/crates/dotterelrudder_daemon/src/control/actor.rs
@@ -1,9 +1,6 @@
 //! The actor that owns a control instance's core.
 
 use std::collections::HashMap;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
-use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelrudder_config::Configuration;
@@ -14,10 +11,12 @@
 use dotterelrudder_control::Output;
 use dotterelrudder_control::Record;
 use dotterelrudder_types::Clock;
+use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::Revision;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::CommandResult;
+use dotterelrudder_wire::RunnerRow;
 use ractor::Actor;
 use ractor::ActorProcessingErr;
 use ractor::ActorRef;
@@ -25,7 +24,9 @@
 use slog::warn;
 use slog::Logger;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
+use super::ControlStanding;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::metrics::Metrics;
@@ -73,6 +74,10 @@
     Status(oneshot::Sender<ControlStatus>),
     /// Asks how many live processes have a revision in force.
     CountInForce(Revision, oneshot::Sender<(usize, usize)>),
+    /// Other control instances became known or left.
+    Peers(Vec<InstanceName>),
+    /// The platform's list of backend servers was read.
+    Listed(Vec<RunnerRow>),
     /// The process shall stop.
     Stop,
 }
@@ -84,7 +89,7 @@
     pub(super) hub: LinkHub,
     pub(super) metrics: Metrics,
     pub(super) log: Logger,
-    pub(super) ready: Arc<AtomicBool>,
+    pub(super) standing: watch::Sender<ControlStanding>,
     pub(super) journal: std::sync::mpsc::Sender<JournalWrite>,
     pub(super) waiting: HashMap<u64, oneshot::Sender<CommandResult>>,
     pub(super) next_tag: u64,
@@ -150,11 +155,11 @@
             ControlMessage::CountInForce(revision, reply) => {
                 let _gone = reply.send(state.core.count_in_force(revision)).is_err();
             }
+            ControlMessage::Peers(peers) => state.step(Input::Peers { peers }),
+            ControlMessage::Listed(rows) => state.step(Input::RunnersListed { rows }),
             ControlMessage::Stop => state.step(Input::Stop),
         }
-        state
-            .ready
-            .store(state.core.is_fresh(now), Ordering::Relaxed);
+        state.publish_standing(now);
         Ok(())
     }
 }
@@ -171,6 +176,27 @@
 }
 
 impl ControlState {
+    /// Publishes what the daemon's other tasks go by, when it changed.
+    fn publish_standing(&mut self, now: Duration) {
+        let standing = ControlStanding {
+            fresh: self.core.is_fresh(now),
+            leads: self.core.leads_surely(now),
+            durable: self.core.has_enough_voters(),
+            controls: self.core.control_instances(),
+        };
+        self.standing.send_if_modified(|held| {
+            let changed = *held != standing;
+            if held.leads != standing.leads || held.controls != standing.controls {
+                info!(self.log, "standing in the log"; "leads" => standing.leads,
+                    "term" => self.core.raft().term(), "commit" => self.core.raft().commit(),
+                    "members" => format!("{:?}", standing.controls.iter().map(|c| c.as_str())
+                        .collect::<Vec<_>>()));
+            }
+            *held = standing;
+            changed
+        });
+    }
+
     fn step(&mut self, input: Input) {
         let mut out = Vec::new();
         self.core.handle(self.clock.now(), input, &mut out);
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/control/replica.rs
@@ -0,0 +1,216 @@
+//! A running replica of the log with its journal and its connections.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
+use std::time::Instant;
+
+use dotterelrudder_control::ControlCore;
+use dotterelrudder_control::ControlSettings;
+use dotterelrudder_control::ControlStatus;
+use dotterelrudder_types::Clock;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Refusal;
+use dotterelrudder_wire::Command;
+use dotterelrudder_wire::CommandResult;
+use dotterelrudder_wire::Hello;
+use dotterelrudder_wire::RunnerRow;
+use ractor::Actor;
+use ractor::ActorRef;
+use slog::crit;
+use slog::warn;
+use slog::Logger;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use super::actor::ControlActor;
+use super::actor::ControlMessage;
+use super::actor::ControlState;
+use super::actor::JournalWrite;
+use super::ControlStanding;
+use super::JournalFile;
+use crate::link::LinkHub;
+use crate::metrics::Metrics;
+use crate::start::build_hub;
+use crate::start::tick;
+use crate::system_clock::SystemClock;
+
+/// How long a stopping leader waits for its successor.
+const HANDOVER: Duration = Duration::from_millis(300);
+
+/// A running replica; clones share it.
+#[derive(Clone)]
+pub struct Replica {
+    pub(super) actor: ActorRef<ControlMessage>,
+    hub: LinkHub,
+    standing: watch::Receiver<ControlStanding>,
+}
+
+impl Replica {
+    /// Reads the journal in `folder` and starts the replica, which listens for other processes at
+    /// `listen`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system refused.
+    pub async fn start(
+        settings: ControlSettings,
+        hello: Hello,
+        listen: SocketAddr,
+        folder: &Path,
+        metrics: Metrics,
+        log: Logger,
+    ) -> Result<Self, String> {
+        let shown = folder.display();
+        let opened = JournalFile::open(folder).map_err(|e| format!("{shown}: {e}"));
+        let (journal, recovered) = opened?;
+        if let Some(damage) = &recovered.damage {
+            warn!(log, "journal is damaged"; "file" => %shown, "damage" => format!("{damage:?}"));
+        }
+        let (hub, slot) = build_hub(hello, log.clone(), ControlMessage::Link);
+        let clock = SystemClock::default();
+        let mut first = Vec::new();
+        let seed = rand::random();
+        let core = ControlCore::new(settings, recovered, seed, clock.now(), &mut first);
+        let (standing, watched) = watch::channel(ControlStanding::default());
+        let (writes, queue) = std::sync::mpsc::channel();
+        let state = ControlState {
+            core,
+            clock,
+            hub: hub.clone(),
+            metrics,
+            log: log.clone(),
+            standing,
+            journal: writes,
+            waiting: HashMap::new(),
+            next_tag: 0,
+            first,
+        };
+        let spawned = Actor::spawn(None, ControlActor, state).await;
+        let (actor, _handle) = spawned.map_err(|e| e.to_string())?;
+        slot.get_or_init(|| actor.clone());
+        let writer = actor.clone();
+        std::thread::spawn(move || write_journal(journal, &queue, &writer, &log));
+        hub.listen(listen).await?;
+        tokio::spawn(tick(actor.clone(), || ControlMessage::Tick));
+        Ok(Self {
+            actor,
+            hub,
+            standing: watched,
+        })
+    }
+
+    /// Returns the connections to other processes.
+    pub fn hub(&self) -> &LinkHub {
+        &self.hub
+    }
+
+    /// Returns how the replica stands now.
+    pub fn standing(&self) -> ControlStanding {
+        self.standing.borrow().clone()
+    }
+
+    /// Returns the changes of how the replica stands.
+    pub fn watch_standing(&self) -> watch::Receiver<ControlStanding> {
+        self.standing.clone()
+    }
+
+    /// Logs a command, here or at the leader, and waits for its result.
+    pub async fn propose(&self, command: Command) -> CommandResult {
+        let (reply, result) = oneshot::channel();
+        let sent = self
+            .actor
+            .send_message(ControlMessage::Propose(Box::new(command), reply));
+        if sent.is_err() {
+            let refusal = Refusal::new(ErrorKind::NotFresh, "the process is stopping");
+            return CommandResult::Refused(refusal);
+        }
+        result.await.unwrap_or_else(|_| {
+            let refusal = Refusal::new(ErrorKind::OutcomeUnknown, "the process is stopping");
+            CommandResult::Refused(refusal)
+        })
+    }
+
+    /// Returns the deployment as the replica sees it.
+    pub async fn status(&self) -> Option<ControlStatus> {
+        let (reply, status) = oneshot::channel();
+        let sent = self.actor.send_message(ControlMessage::Status(reply));
+        sent.ok()?;
+        status.await.ok()
+    }
+
+    /// Names the other control instances.
+    pub fn set_peers(&self, peers: Vec<InstanceName>) {
+        self.tell(ControlMessage::Peers(peers));
+    }
+
+    /// Takes the platform's list of backend servers.
+    pub fn listed(&self, rows: Vec<RunnerRow>) {
+        self.tell(ControlMessage::Listed(rows));
+    }
+
+    /// Hands leadership over before a planned stop.
+    pub async fn hand_over(&self) {
+        self.tell(ControlMessage::Stop);
+        tokio::time::sleep(HANDOVER).await;
+    }
+
+    fn tell(&self, message: ControlMessage) {
+        // The actor ends only with the process.
+        let _stopped = self.actor.send_message(message).is_err();
+    }
+}
+
+/// Writes what waits and syncs it once for all of it. Ends the process when the disk fails, since
+/// nothing may be acknowledged after that.
+fn write_journal(
+    mut journal: JournalFile,
+    queue: &Receiver<JournalWrite>,
+    actor: &ActorRef<ControlMessage>,
+    log: &Logger,
+) {
+    while let Ok(first) = queue.recv() {
+        let began = Instant::now();
+        let written = write_batch(&mut journal, first, queue);
+        match written {
+            Ok(sequence) => {
+                let synced = ControlMessage::Synced {
+                    sequence,
+                    took: began.elapsed(),
+                };
+                let _stopped = actor.send_message(synced).is_err();
+            }
+            Err(e) => {
+                crit!(log, "the journal can't be written"; "error" => e.to_string());
+                std::process::exit(1);
+            }
+        }
+    }
+}
+
+fn write_batch(
+    journal: &mut JournalFile,
+    first: JournalWrite,
+    queue: &Receiver<JournalWrite>,
+) -> std::io::Result<u64> {
+    let mut last = 0;
+    let mut next = Some(first);
+    while let Some(write) = next {
+        match write {
+            JournalWrite::Append { sequence, bytes } => {
+                journal.append(&bytes)?;
+                last = sequence;
+            }
+            JournalWrite::Rewrite { sequence, records } => {
+                journal.rewrite(&records)?;
+                last = sequence;
+            }
+        }
+        next = queue.try_recv().ok();
+    }
+    journal.sync()?;
+    Ok(last)
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/fleet/control.rs
@@ -0,0 +1,157 @@
+//! Starts a control instance of a fleet.
+
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use dotterelrudder_control::ControlSettings;
+use dotterelrudder_control::RaftTiming;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Revision;
+use dotterelrudder_types::Role;
+use dotterelrudder_wire::Hello;
+use dotterelrudder_wire::PROTOCOL_VERSION;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use slog::info;
+use slog::Logger;
+use tokio::sync::watch;
+
+use super::list_poller::ListPoller;
+use super::FleetControlFile;
+use super::ListDialect;
+use crate::control::Replica;
+use crate::http_server;
+use crate::http_server::AnswerBody;
+use crate::logging;
+use crate::metrics::Metrics;
+use crate::start::stop_signal;
+
+/// Entries of the log after which a snapshot replaces them; whole configurations are large.
+const SNAPSHOT_ENTRIES: usize = 64;
+
+/// Serves operators with calls of a platform's own.
+pub trait OperatorPort: Send + Sync + 'static {
+    /// Answers one call.
+    fn answer(
+        &self,
+        replica: Replica,
+        log: Logger,
+        req: Request<Incoming>,
+    ) -> impl Future<Output = Response<AnswerBody>> + Send;
+}
+
+/// Keeps connections to all control instances that the settings or the log name.
+struct Peers {
+    own: InstanceName,
+    seeds: Mutex<Vec<InstanceName>>,
+    replica: Replica,
+}
+
+impl Peers {
+    fn dial(&self) {
+        let seeds = self.seeds.lock().unwrap_or_else(|e| e.into_inner()).clone();
+        let mut names: BTreeSet<InstanceName> = seeds.into_iter().collect();
+        names.extend(self.replica.standing().controls);
+        names.remove(&self.own);
+        let targets = names
+            .iter()
+            .filter_map(|n| Some((n.clone(), n.as_str().parse::<SocketAddr>().ok()?)));
+        self.replica
+            .hub()
+            .set_mutual_targets(&targets.collect::<Vec<_>>());
+        self.replica.set_peers(names.into_iter().collect());
+    }
+}
+
+/// Runs a control instance until it was asked to stop.
+///
+/// # Errors
+///
+/// Returns what the system refused at the start.
+pub async fn run_control<P, D>(
+    file: FleetControlFile,
+    path: PathBuf,
+    port: P,
+    dialect: D,
+) -> Result<(), String>
+where
+    P: OperatorPort,
+    D: ListDialect,
+{
+    let log = logging::logger(Role::Control.as_str(), file.name.as_str());
+    let own = file.link_name();
+    let seeds = file.seeds.names();
+    let hello = Hello {
+        protocol: PROTOCOL_VERSION,
+        secret: file.secret.clone(),
+        name: own.clone(),
+        role: Role::Control,
+        data_centre: file.data_centre.clone(),
+        incarnation: rand::random(),
+        revision: Revision::default(),
+    };
+    let settings = ControlSettings {
+        name: own.clone(),
+        peers: seeds.iter().filter(|s| **s != own).cloned().collect(),
+        timing: RaftTiming {
+            snapshot_entries: SNAPSHOT_ENTRIES,
+            ..RaftTiming::default()
+        },
+        bootstrap: file.founds(),
+        voters: Some(file.voters()),
+    };
+    let metrics = Metrics::new()?;
+    let listen = SocketAddr::new(file.ip, file.seeds.link_port);
+    let (folder, shared) = (&file.data_folder, metrics.clone());
+    let replica = Replica::start(settings, hello, listen, folder, shared, log.clone()).await?;
+    let peers = Arc::new(Peers {
+        own,
+        seeds: Mutex::new(seeds),
+        replica: replica.clone(),
+    });
+    peers.dial();
+    let (dialing, mut changes) = (peers.clone(), replica.watch_standing());
+    tokio::spawn(async move {
+        while changes.changed().await.is_ok() {
+            dialing.dial();
+        }
+    });
+    let reloaded = peers.clone();
+    let watching = file.seeds.clone().watch(path, log.clone(), move |names| {
+        *reloaded.seeds.lock().unwrap_or_else(|e| e.into_inner()) = names;
+        reloaded.dial();
+    });
+    tokio::spawn(watching);
+    let poller = ListPoller {
+        replica: replica.clone(),
+        dialect: Arc::new(dialect),
+        address: file.instance_list,
+        period: file.list_period(),
+        log: log.clone(),
+    };
+    tokio::spawn(poller.run());
+    let standing = replica.watch_standing();
+    http_server::serve_admin(file.admin, metrics, move || standing.borrow().fresh).await?;
+    let (stop, stopped) = watch::channel(false);
+    let (port, serving, serving_log) = (Arc::new(port), replica.clone(), log.clone());
+    let connections = http_server::serve(file.operators, stopped, move |req| {
+        let (port, replica, log) = (port.clone(), serving.clone(), serving_log.clone());
+        async move { port.answer(replica, log, req).await }
+    })
+    .await?;
+    info!(log, "started"; "listen" => %listen, "operators" => %file.operators,
+        "founds" => file.founds(), "voters" => file.voters());
+
+    stop_signal().await?;
+    info!(log, "stopping");
+    replica.hand_over().await;
+    let _watched = stop.send(true);
+    connections.closed().await;
+    info!(log, "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -0,0 +1,140 @@
+//! How an entry or a side stays in contact with the leading control instance.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use dotterelrudder_follow::FleetFollower;
+use dotterelrudder_types::Clock;
+use dotterelrudder_types::DataCentre;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Revision;
+use dotterelrudder_types::Role;
+use dotterelrudder_wire::FleetView;
+use dotterelrudder_wire::Hello;
+use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::RunnerRow;
+use dotterelrudder_wire::WeightOrder;
+use dotterelrudder_wire::PROTOCOL_VERSION;
+use ractor::Actor;
+use ractor::ActorRef;
+use slog::Logger;
+
+use super::follower_actor::FollowerActor;
+use super::follower_actor::FollowerMessage;
+use super::follower_actor::FollowerState;
+use super::Seeds;
+use crate::start::build_hub;
+use crate::system_clock::SystemClock;
+
+/// How often the follower looks whether a question is due; a fifth of the time between two.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What the leading control instance told.
+#[derive(Debug)]
+pub enum FleetNews {
+    /// What is in force, and when the question was asked that this answers.
+    View(Box<FleetView>, Option<Duration>),
+    /// The platform's list of backend servers.
+    Runners(Vec<RunnerRow>),
+    /// Loads of runners.
+    Loads(Vec<RunnerLoad>),
+    /// An order for the runner beside this process.
+    Order(WeightOrder),
+}
+
+/// What a follower is started with.
+pub struct FollowerStart {
+    /// The process's name.
+    pub name: InstanceName,
+    /// Its role.
+    pub role: Role,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// The deployment's secret.
+    pub secret: compact_str::CompactString,
+    /// The control instances known at the start.
+    pub seeds: Seeds,
+    /// The settings file, which may name other seeds later.
+    pub path: PathBuf,
+    /// The runner beside a side.
+    pub beside: Option<SocketAddr>,
+    /// The clock that ages of confirmations count by.
+    pub clock: SystemClock,
+    /// The process's log.
+    pub log: Logger,
+}
+
+/// A running follower; clones share it.
+#[derive(Clone)]
+pub struct FollowerHandle {
+    actor: ActorRef<FollowerMessage>,
+}
+
+impl FollowerHandle {
+    /// Tells the leader about loads.
+    pub fn report(&self, loads: Vec<RunnerLoad>) {
+        // The actor ends only with the process.
+        let _stopped = self
+            .actor
+            .send_message(FollowerMessage::Report(loads))
+            .is_err();
+    }
+}
+
+/// Starts to follow; `news` is called for everything that the leader tells.
+///
+/// # Errors
+///
+/// Returns what the actor's runtime says when it can't start it.
+pub async fn start_follower<N>(start: FollowerStart, news: N) -> Result<FollowerHandle, String>
+where
+    N: Fn(FleetNews) + Send + Sync + 'static,
+{
+    let hello = Hello {
+        protocol: PROTOCOL_VERSION,
+        secret: start.secret,
+        name: start.name,
+        role: start.role,
+        data_centre: start.data_centre,
+        incarnation: rand::random(),
+        revision: Revision::default(),
+    };
+    let (hub, slot) = build_hub(hello, start.log.clone(), FollowerMessage::Link);
+    let names = start.seeds.names();
+    let first_number = rand::random::<u32>();
+    let now = start.clock.now();
+    let follower = FleetFollower::new(
+        names.clone(),
+        start.beside,
+        u64::from(first_number) << 32,
+        now,
+    );
+    let state = FollowerState {
+        follower,
+        seeds: names,
+        told: Vec::new(),
+        hub,
+        clock: start.clock,
+        held: 0,
+        last: None,
+        news: Box::new(news),
+        log: start.log.clone(),
+    };
+    let spawned = Actor::spawn(None, FollowerActor, state).await;
+    let (actor, _handle) = spawned.map_err(|e| e.to_string())?;
+    slot.get_or_init(|| actor.clone());
+    let ticking = actor.clone();
+    tokio::spawn(async move {
+        while ticking.send_message(FollowerMessage::Tick).is_ok() {
+            tokio::time::sleep(TICK).await;
+        }
+    });
+    let reloaded = actor.clone();
+    tokio::spawn(start.seeds.watch(start.path, start.log, move |names| {
+        let _stopped = reloaded
+            .send_message(FollowerMessage::Seeds(names))
+            .is_err();
+    }));
+    Ok(FollowerHandle { actor })
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -0,0 +1,150 @@
+//! The actor that follows the leading control instance.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use dotterelrudder_follow::FleetFollower;
+use dotterelrudder_types::Clock;
+use dotterelrudder_types::InstanceName;
+use dotterelrudder_wire::FleetView;
+use dotterelrudder_wire::Message;
+use dotterelrudder_wire::RunnerLoad;
+use ractor::Actor;
+use ractor::ActorProcessingErr;
+use ractor::ActorRef;
+use slog::info;
+use slog::warn;
+use slog::Logger;
+
+use super::FleetNews;
+use crate::link::LinkEvent;
+use crate::link::LinkHub;
+use crate::system_clock::SystemClock;
+
+/// What the actor is told.
+#[derive(Debug)]
+pub(super) enum FollowerMessage {
+    /// Time passed.
+    Tick,
+    /// Something happened on a connection.
+    Link(LinkEvent),
+    /// The settings name other control instances.
+    Seeds(Vec<InstanceName>),
+    /// Loads to tell the leader.
+    Report(Vec<RunnerLoad>),
+}
+
+/// What the actor owns.
+pub(super) struct FollowerState {
+    pub(super) follower: FleetFollower,
+    pub(super) seeds: Vec<InstanceName>,
+    pub(super) told: Vec<InstanceName>,
+    pub(super) hub: LinkHub,
+    pub(super) clock: SystemClock,
+    pub(super) held: u64,
+    pub(super) last: Option<InstanceName>,
+    pub(super) news: Box<dyn Fn(FleetNews) + Send + Sync>,
+    pub(super) log: Logger,
+}
+
+/// Runs a follower.
+pub(super) struct FollowerActor;
+
+impl Actor for FollowerActor {
+    type Msg = FollowerMessage;
+    type State = FollowerState;
+    type Arguments = FollowerState;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        state: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        state.dial();
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        message: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            FollowerMessage::Tick => state.ask(),
+            FollowerMessage::Link(event) => state.on_link(event),
+            FollowerMessage::Seeds(names) => {
+                state.seeds = names;
+                state.dial();
+            }
+            FollowerMessage::Report(loads) => {
+                if let Some(leader) = state.follower.asks() {
+                    state.hub.send(leader, Message::RunnerLoads(loads));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl FollowerState {
+    fn ask(&mut self) {
+        let now = self.clock.now();
+        let was = self.follower.in_contact();
+        if let Some((to, follow)) = self.follower.tick(now, self.held) {
+            self.hub.send(&to, Message::Follow(follow));
+        }
+        if was && !self.follower.in_contact() {
+            warn!(self.log, "leading control instance doesn't answer";
+                "instance" => self.last.as_ref().map_or("", |l| l.as_str()));
+        }
+    }
+
+    /// Keeps connections to the seeds and to those that the leader named.
+    fn dial(&self) {
+        let names: BTreeSet<&InstanceName> = self.seeds.iter().chain(&self.told).collect();
+        let targets = names
+            .into_iter()
+            .filter_map(|n| Some((n.clone(), n.as_str().parse::<SocketAddr>().ok()?)));
+        self.hub.set_targets(&targets.collect::<Vec<_>>());
+    }
+
+    fn on_link(&mut self, event: LinkEvent) {
+        let now = self.clock.now();
+        match event {
+            LinkEvent::Opened { .. } => self.ask(),
+            LinkEvent::Closed { peer } => self.follower.closed(now, &peer),
+            LinkEvent::Message { peer, message, .. } => match message {
+                Message::Fleet(view) => self.on_view(&peer, view),
+                Message::FollowElsewhere { leader } => {
+                    self.follower.elsewhere(now, &peer, leader.as_ref());
+                    self.ask();
+                }
+                Message::Runners(rows) => (self.news)(FleetNews::Runners(rows)),
+                Message::RunnerLoads(loads) => (self.news)(FleetNews::Loads(loads)),
+                Message::WeightOrder(order) => (self.news)(FleetNews::Order(order)),
+                _ => {}
+            },
+        }
+    }
+
+    fn on_view(&mut self, peer: &InstanceName, view: Box<FleetView>) {
+        let was = self.follower.in_contact();
+        let asked_at = self.follower.answered(&view);
+        if self.last.as_ref() != Some(peer) || !was && self.follower.in_contact() {
+            info!(self.log, "following the leading control instance";
+                "instance" => peer.as_str(), "version" => view.version);
+            self.last = Some(peer.clone());
+        }
+        if view.controls != self.told {
+            self.told = view.controls.clone();
+            let known: BTreeSet<_> = self.seeds.iter().chain(&self.told).cloned().collect();
+            self.follower.set_controls(known.into_iter().collect());
+            self.dial();
+        }
+        if view.configuration.is_some() {
+            self.held = self.held.max(view.version);
+        }
+        (self.news)(FleetNews::View(view, asked_at));
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/fleet/list_poller.rs
@@ -0,0 +1,96 @@
+//! Reads the platform's list of backend servers, at the leading control instance only.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use dotterelrudder_wire::RunnerRow;
+use http::Request;
+use http_body_util::Full;
+use slog::info;
+use slog::warn;
+use slog::Logger;
+
+use super::ListDialect;
+use crate::control::Replica;
+use crate::http_client::HttpClient;
+
+/// How long a call may take.
+const CALL_LIMIT: Duration = Duration::from_millis(800);
+/// Pages of one list at most, against a list that never ends.
+const MOST_PAGES: usize = 64;
+
+/// What the poller works with.
+pub(super) struct ListPoller<D> {
+    pub(super) replica: Replica,
+    pub(super) dialect: Arc<D>,
+    pub(super) address: SocketAddr,
+    pub(super) period: Duration,
+    pub(super) log: Logger,
+}
+
+impl<D> ListPoller<D>
+where
+    D: ListDialect,
+{
+    /// Reads the list for as long as the process lives, while its replica leads.
+    pub(super) async fn run(self) {
+        let client = HttpClient::default();
+        let mut standing = self.replica.watch_standing();
+        let mut reached = true;
+        let mut unreadable = 0;
+        loop {
+            if standing.wait_for(|s| s.leads).await.is_err() {
+                return;
+            }
+            match self.read(&client).await {
+                Ok((rows, damaged)) => {
+                    if !reached {
+                        info!(self.log, "instance list is back"; "address" => %self.address);
+                    }
+                    if damaged != unreadable {
+                        warn!(self.log, "entries of the instance list can't be read";
+                            "entries" => damaged, "readable" => rows.len());
+                    }
+                    (reached, unreadable) = (true, damaged);
+                    self.replica.listed(rows);
+                }
+                Err(e) => {
+                    if reached {
+                        warn!(self.log, "instance list is lost";
+                            "address" => %self.address, "error" => e);
+                    }
+                    reached = false;
+                }
+            }
+            tokio::time::sleep(self.period).await;
+        }
+    }
+
+    async fn read(&self, client: &HttpClient) -> Result<(Vec<RunnerRow>, usize), String> {
+        let mut rows = Vec::new();
+        let mut unreadable = 0;
+        let mut page: Option<CompactString> = None;
+        for _ in 0..MOST_PAGES {
+            let path = self.dialect.list_path(page.as_deref());
+            let req = Request::get(format!("http://{}{path}", self.address));
+            let req = req.body(Full::new(Bytes::new()));
+            let req = req.map_err(|e| e.to_string())?;
+            let fetched = client.fetch(req, CALL_LIMIT).await;
+            let (status, body) = fetched.map_err(|e| e.detail)?;
+            if status != 200 {
+                return Err(format!("status {status}"));
+            }
+            let read = self.dialect.read_list(&body)?;
+            rows.extend(read.rows);
+            unreadable += read.unreadable;
+            match read.next {
+                Some(next) => page = Some(next),
+                None => return Ok((rows, unreadable)),
+            }
+        }
+        Err(format!("more than {MOST_PAGES} pages"))
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/fleet/mod.rs
@@ -0,0 +1,31 @@
+//! Daemons for a deployment whose instances find each other from seeds; see
+//! docs/design/platform.md.
+
+mod control;
+mod control_file;
+mod dialects;
+mod follower;
+mod follower_actor;
+mod list_poller;
+mod seeds;
+mod side;
+mod side_file;
+mod watcher;
+
+pub use control::run_control;
+pub use control::OperatorPort;
+pub use control_file::FleetControlFile;
+pub use dialects::ListDialect;
+pub use dialects::ListPage;
+pub use dialects::OrderAnswer;
+pub use dialects::OrderCall;
+pub use dialects::RunnerDialect;
+pub use dialects::RunnerReport;
+pub use follower::start_follower;
+pub use follower::FleetNews;
+pub use follower::FollowerHandle;
+pub use follower::FollowerStart;
+pub use seeds::link_name;
+pub use seeds::Seeds;
+pub use side::run_side;
+pub use side_file::FleetSideFile;
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/fleet/side.rs
@@ -0,0 +1,65 @@
+//! Starts a side of a fleet: the observer and commander of the runner beside it.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use dotterelrudder_types::Role;
+use slog::info;
+
+use super::start_follower;
+use super::watcher::Watcher;
+use super::FleetNews;
+use super::FleetSideFile;
+use super::FollowerStart;
+use super::RunnerDialect;
+use crate::http_server;
+use crate::logging;
+use crate::metrics::Metrics;
+use crate::start::stop_signal;
+use crate::system_clock::SystemClock;
+
+/// Runs a side until it was asked to stop.
+///
+/// # Errors
+///
+/// Returns what the system refused at the start.
+pub async fn run_side<D>(file: FleetSideFile, path: PathBuf, dialect: D) -> Result<(), String>
+where
+    D: RunnerDialect,
+{
+    let log = logging::logger(Role::Side.as_str(), file.name.as_str());
+    let metrics = Metrics::new()?;
+    http_server::serve_admin(file.admin, metrics, || true).await?;
+    let (tx, orders) = tokio::sync::mpsc::unbounded_channel();
+    let start = FollowerStart {
+        name: file.name.clone(),
+        role: Role::Side,
+        data_centre: file.data_centre,
+        secret: file.secret,
+        seeds: file.seeds,
+        path,
+        beside: Some(file.runner),
+        clock: SystemClock::default(),
+        log: log.clone(),
+    };
+    let leader = start_follower(start, move |news| {
+        if let FleetNews::Order(order) = news {
+            // The receiver lives as long as the process.
+            let _stopped = tx.send(order).is_err();
+        }
+    })
+    .await?;
+    let watcher = Watcher {
+        dialect: Arc::new(dialect),
+        runner: file.runner,
+        holder: file.name.0,
+        leader,
+        orders,
+        log: log.clone(),
+    };
+    tokio::spawn(watcher.run());
+    info!(log, "started"; "runner" => %file.runner);
+    stop_signal().await?;
+    info!(log, "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/fleet/watcher.rs
@@ -0,0 +1,207 @@
+//! Reads a runner's report and carries orders to it; the runner has no other holder of orders.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::WeightOrder;
+use http::header::CONTENT_TYPE;
+use http::Request;
+use http_body_util::Full;
+use slog::info;
+use slog::warn;
+use slog::Logger;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::FollowerHandle;
+use super::OrderAnswer;
+use super::OrderCall;
+use super::RunnerDialect;
+use super::RunnerReport;
+use crate::http_client::HttpClient;
+
+/// How often the report is read; it is free on the runner's own machine.
+const READ_EVERY: Duration = Duration::from_millis(150);
+/// How long a report or the answer to an order may take on the runner's own machine.
+const CALL_LIMIT: Duration = Duration::from_millis(300);
+/// Reports without an answer after which the runner counts as down.
+const MISSES: u32 = 2;
+/// An unchanged report is told again this often, so that its age stays small.
+const TELL_EVERY: Duration = Duration::from_millis(600);
+/// How long an order without a clear answer is left to show an effect before it is sent again.
+const ORDER_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// The order in work.
+#[derive(Debug)]
+struct OrderInWork {
+    order: WeightOrder,
+    orders_taken: u64,
+    born_ms: u64,
+    waited: Duration,
+}
+
+/// Watches one runner.
+pub(super) struct Watcher<D> {
+    pub(super) dialect: Arc<D>,
+    pub(super) runner: SocketAddr,
+    pub(super) holder: CompactString,
+    pub(super) leader: FollowerHandle,
+    pub(super) orders: UnboundedReceiver<WeightOrder>,
+    pub(super) log: Logger,
+}
+
+impl<D> Watcher<D>
+where
+    D: RunnerDialect,
+{
+    /// Watches for as long as the process lives.
+    pub(super) async fn run(mut self) {
+        let client = HttpClient::default();
+        let mut told: Option<RunnerLoad> = None;
+        let mut silent_for = Duration::ZERO;
+        let mut misses = 0;
+        let mut work: Option<OrderInWork> = None;
+        loop {
+            let report = self.read_report(&client).await;
+            match &report {
+                Ok(report) => {
+                    if misses >= MISSES {
+                        info!(self.log, "runner answers again"; "runner" => %self.runner);
+                    }
+                    misses = 0;
+                    while let Ok(order) = self.orders.try_recv() {
+                        self.accept(order, report, &mut work);
+                    }
+                    self.advance(&client, report, &mut work).await;
+                }
+                Err(e) => {
+                    misses += 1;
+                    if misses == MISSES {
+                        warn!(self.log, "runner doesn't answer";
+                            "runner" => %self.runner, "error" => e.clone());
+                    }
+                }
+            }
+            let load = match report {
+                Ok(report) => Some(self.load_of(&report, work.is_some())),
+                Err(_) if misses >= MISSES => told.clone().map(|load| RunnerLoad {
+                    answers: false,
+                    ..load
+                }),
+                Err(_) => None,
+            };
+            if let Some(load) = load {
+                if told.as_ref() != Some(&load) || silent_for >= TELL_EVERY {
+                    self.leader.report(vec![load.clone()]);
+                    told = Some(load);
+                    silent_for = Duration::ZERO;
+                }
+            }
+            silent_for += READ_EVERY;
+            tokio::time::sleep(READ_EVERY).await;
+        }
+    }
+
+    async fn read_report(&self, client: &HttpClient) -> Result<RunnerReport, String> {
+        let path = self.dialect.report_path();
+        let req = Request::get(format!("http://{}{path}", self.runner));
+        let req = req.body(Full::new(Bytes::new()));
+        let req = req.map_err(|e| e.to_string())?;
+        let fetched = client.fetch(req, CALL_LIMIT).await;
+        let (status, body) = fetched.map_err(|e| e.detail)?;
+        if status != 200 {
+            return Err(format!("status {status}"));
+        }
+        self.dialect.read_report(&body)
+    }
+
+    fn load_of(&self, report: &RunnerReport, ordered: bool) -> RunnerLoad {
+        RunnerLoad {
+            address: self.runner,
+            born_ms: report.born_ms,
+            answers: true,
+            leaving: report.leaving,
+            loading: report.busy || ordered,
+            waiting: report.waiting,
+            running: report.running,
+            used_tokens: report.used_tokens,
+            total_tokens: report.total_tokens,
+            weights: report.weights.clone(),
+        }
+    }
+
+    /// Takes an order, unless one with a higher fencing number is in work.
+    fn accept(&self, order: WeightOrder, report: &RunnerReport, work: &mut Option<OrderInWork>) {
+        if work.as_ref().is_some_and(|w| w.order.fence >= order.fence) {
+            return;
+        }
+        info!(self.log, "order to load weights"; "runner" => %self.runner,
+            "model" => order.weights.model.as_str(), "version" => order.weights.version,
+            "fence" => order.fence);
+        *work = Some(OrderInWork {
+            order,
+            orders_taken: report.orders_taken,
+            born_ms: report.born_ms,
+            waited: ORDER_PATIENCE,
+        });
+    }
+
+    /// Sends the order in work, or sees whether it has shown an effect.
+    async fn advance(
+        &self,
+        client: &HttpClient,
+        report: &RunnerReport,
+        work: &mut Option<OrderInWork>,
+    ) {
+        let Some(current) = work else {
+            return;
+        };
+        let wanted = &current.order.weights;
+        let held = report.weights.iter().find(|w| w.model == wanted.model);
+        let done = held.is_some_and(|w| w.version >= wanted.version);
+        let restarted = report.born_ms != current.born_ms;
+        if done || restarted {
+            info!(self.log, "order ended"; "runner" => %self.runner, "done" => done,
+                "restarted" => restarted, "fence" => current.order.fence);
+            *work = None;
+            return;
+        }
+        current.waited += READ_EVERY;
+        if report.busy || current.waited < ORDER_PATIENCE {
+            return;
+        }
+        current.waited = Duration::ZERO;
+        current.orders_taken = report.orders_taken;
+        let call = OrderCall {
+            weights: wanted.clone(),
+            holder: self.holder.clone(),
+            fence: current.order.fence,
+            orders_taken: current.orders_taken,
+        };
+        let answer = self.send_order(client, &call).await;
+        info!(self.log, "order sent"; "runner" => %self.runner, "fence" => call.fence,
+            "orders_taken" => call.orders_taken, "answer" => format!("{answer:?}"));
+        if matches!(answer, Ok(OrderAnswer::Fenced | OrderAnswer::Refused)) {
+            // The leader gives a higher fencing number when it still wants the order.
+            *work = None;
+        }
+    }
+
+    async fn send_order(
+        &self,
+        client: &HttpClient,
+        call: &OrderCall,
+    ) -> Result<OrderAnswer, String> {
+        let (path, body) = self.dialect.write_order(call);
+        let req = Request::post(format!("http://{}{path}", self.runner))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)));
+        let req = req.map_err(|e| e.to_string())?;
+        let fetched = client.fetch(req, CALL_LIMIT).await;
+        let (status, _) = fetched.map_err(|e| e.detail)?;
+        Ok(self.dialect.read_order_answer(status))
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/gateway/pool.rs
@@ -0,0 +1,94 @@
+//! Kept connections to backend servers.
+//!
+//! New connections cost a server's time, so the one used last is used first and the number of
+//! kept ones follows the load.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use super::upstream::Upstream;
+
+/// How long a connection is kept idle when the server doesn't say.
+const KEEP_ALIVE: Duration = Duration::from_secs(4);
+/// Taken from what the server says, so that it doesn't close while a request is on its way.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_200);
+/// How long a connection may have been idle for a request that must not be repeated: its loss on
+/// a connection that the server just closed couldn't be mended.
+const FRESH_FOR: Duration = Duration::from_millis(1_500);
+/// Kept connections to one server at most.
+const MOST_KEPT: usize = 12;
+
+#[derive(Debug)]
+struct Kept {
+    upstream: Upstream,
+    since: Duration,
+}
+
+/// The connections that no request uses now.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    kept: Mutex<HashMap<SocketAddr, Vec<Kept>>>,
+}
+
+impl Pool {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Kept>>> {
+        self.kept.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Takes the connection used last, if one is usable.
+    pub(super) fn take(
+        &self,
+        address: SocketAddr,
+        may_repeat: bool,
+        now: Duration,
+    ) -> Option<Upstream> {
+        let mut kept = self.lock();
+        let list = kept.get_mut(&address)?;
+        while let Some(last) = list.pop() {
+            let idle = now.saturating_sub(last.since);
+            let limit = last.upstream.keep_alive.unwrap_or(KEEP_ALIVE);
+            let expired = idle + KEEP_ALIVE_MARGIN >= limit;
+            if expired || !last.upstream.is_usable() {
+                continue;
+            }
+            if !may_repeat && idle > FRESH_FOR {
+                list.push(last);
+                return None;
+            }
+            return Some(last.upstream);
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer is complete.
+    pub(super) fn give_back(&self, mut upstream: Upstream, now: Duration) {
+        upstream.reused = true;
+        let mut kept = self.lock();
+        let list = kept.entry(upstream.address).or_default();
+        if list.len() < MOST_KEPT {
+            list.push(Kept {
+                upstream,
+                since: now,
+            });
+        }
+    }
+
+    /// Closes the kept connections to a server that fell silent.
+    pub(super) fn forget(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
+    /// Closes connections that were idle for too long.
+    pub(super) fn sweep(&self, now: Duration) {
+        self.lock().retain(|_, list| {
+            list.retain(|k| {
+                let limit = k.upstream.keep_alive.unwrap_or(KEEP_ALIVE);
+                now.saturating_sub(k.since) + KEEP_ALIVE_MARGIN < limit && k.upstream.is_usable()
+            });
+            !list.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream.rs
@@ -0,0 +1,134 @@
+//! One connection to a backend server.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// How long connecting may take, a second packet included when the first one is lost.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// How often connecting is tried, against lost packets.
+const CONNECT_TRIES: usize = 2;
+/// How long sent bytes may stay unacknowledged before the connection counts as silent; three
+/// retransmissions within a region.
+const SILENT_AFTER: Duration = Duration::from_millis(1_000);
+/// The idle time before a kept connection is probed, and between probes.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// Ends a task when it is dropped, and with it the connection that the task drives.
+#[derive(Debug)]
+pub(super) struct EndOnDrop(tokio::task::JoinHandle<()>);
+
+impl Drop for EndOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Why a request could not be sent, or got no head of an answer.
+#[derive(Debug)]
+pub(super) enum SendFault {
+    /// The connection had closed before any byte of the request was written.
+    NotSent,
+    /// The connection broke after bytes of the request were written.
+    Broken(String),
+}
+
+/// An open connection. Dropping it closes the socket, which cancels what runs on it.
+#[derive(Debug)]
+pub(super) struct Upstream {
+    sender: http1::SendRequest<Full<Bytes>>,
+    _driver: EndOnDrop,
+    /// The server.
+    pub(super) address: SocketAddr,
+    /// Whether it served a request before.
+    pub(super) reused: bool,
+    /// How long the server says that it keeps the connection open while idle.
+    pub(super) keep_alive: Option<Duration>,
+}
+
+impl Upstream {
+    /// Connects to a server.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no connection came about.
+    pub(super) async fn connect(address: SocketAddr) -> Result<Self, String> {
+        let mut last = String::new();
+        for _ in 0..CONNECT_TRIES {
+            match timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
+                Ok(Ok(tcp)) => return Self::handshake(tcp, address).await,
+                Ok(Err(e)) => return Err(e.to_string()),
+                Err(_) => last = format!("no connection within {CONNECT_LIMIT:?}"),
+            }
+        }
+        Err(last)
+    }
+
+    async fn handshake(tcp: TcpStream, address: SocketAddr) -> Result<Self, String> {
+        tcp.set_nodelay(true).map_err(|e| e.to_string())?;
+        let socket = SockRef::from(&tcp);
+        socket
+            .set_tcp_user_timeout(Some(SILENT_AFTER))
+            .map_err(|e| e.to_string())?;
+        let probes = socket2::TcpKeepalive::new()
+            .with_time(PROBE_EVERY)
+            .with_interval(PROBE_EVERY)
+            .with_retries(2);
+        socket
+            .set_tcp_keepalive(&probes)
+            .map_err(|e| e.to_string())?;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(tcp))
+            .await
+            .map_err(|e| e.to_string())?;
+        let driver = tokio::spawn(async move {
+            // Its error reaches whoever waits for the answer.
+            let _ended = connection.await;
+        });
+        Ok(Self {
+            sender,
+            _driver: EndOnDrop(driver),
+            address,
+            reused: false,
+            keep_alive: None,
+        })
+    }
+
+    /// Returns whether a request can be sent now.
+    pub(super) fn is_usable(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+
+    /// Waits until the last answer is off the connection; false when it closed instead.
+    pub(super) async fn is_free(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether bytes of the request can have reached the server.
+    pub(super) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendFault> {
+        match self.sender.try_send_request(req).await {
+            Ok(response) => Ok(response),
+            Err(mut e) => match e.take_message() {
+                Some(_) => Err(SendFault::NotSent),
+                None => Err(SendFault::Broken(e.error().to_string())),
+            },
+        }
+    }
+}
--- a/crates/dotterelrudder_daemon/src/http_server.rs
+++ b/crates/dotterelrudder_daemon/src/http_server.rs
@@ -96,7 +96,7 @@
 }
 
 /// Waits until the server shall stop, or forever when nobody can stop it any more.
-async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
+pub async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
     if stop.wait_for(|stop| *stop).await.is_err() {
         std::future::pending::<()>().await;
     }
--- a/crates/dotterelrudder_daemon/src/lib.rs
+++ b/crates/dotterelrudder_daemon/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod arguments;
 pub mod control;
 pub mod entry;
+pub mod fleet;
+pub mod gateway;
 pub mod http_client;
 pub mod http_server;
 pub mod instance_list;
--- a/crates/dotterelrudder_daemon/src/link/connection.rs
+++ b/crates/dotterelrudder_daemon/src/link/connection.rs
@@ -32,7 +32,7 @@
 /// How often a connection is tested while an exchange waits on it.
 const PING_BUSY: Duration = Duration::from_millis(400);
 /// How often a connection is tested while nothing waits.
-const PING_IDLE: Duration = Duration::from_secs(3);
+const PING_IDLE: Duration = Duration::from_millis(1_200);
 /// How long an answer to a test may take before the connection counts as silent.
 const PONG_LIMIT: Duration = Duration::from_millis(1_000);
 /// Messages written at once at most.
--- a/crates/dotterelrudder_daemon/src/link/dialer.rs
+++ b/crates/dotterelrudder_daemon/src/link/dialer.rs
@@ -23,10 +23,32 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
 /// Keeps a connection to one process for as long as the task lives.
-pub(super) async fn dial(hub: LinkHub, name: InstanceName, address: SocketAddr) {
+///
+/// Waits `patience` first, and whenever the other process has connected meanwhile. A failure is
+/// logged once, until a connection has come about again.
+pub(super) async fn dial(
+    hub: LinkHub,
+    name: InstanceName,
+    address: SocketAddr,
+    patience: Duration,
+) {
     let mut pause = FIRST_PAUSE;
+    let mut told = false;
+    tokio::time::sleep(patience).await;
     loop {
-        match timeout(CONNECT_LIMIT * 3, connect(&hub, address)).await {
+        if hub.is_linked(&name) {
+            tokio::time::sleep(FIRST_PAUSE * 4 + patience).await;
+            continue;
+        }
+        let connected = timeout(CONNECT_LIMIT * 3, connect(&hub, address)).await;
+        let failed = !matches!(&connected, Ok(Ok((peer, _))) if peer.name == name);
+        if failed && told {
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+            continue;
+        }
+        told = failed;
+        match connected {
             Ok(Ok((peer, channel))) if peer.name == name => {
                 pause = FIRST_PAUSE;
                 connection::run(&hub, peer, channel).await;
--- a/crates/dotterelrudder_daemon/src/link/hub.rs
+++ b/crates/dotterelrudder_daemon/src/link/hub.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 
 use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
@@ -22,6 +23,10 @@
 use super::dialer;
 use super::listener;
 
+/// How long the process with the larger name leaves it to the other one to connect: several times
+/// what connecting within a region takes.
+const MUTUAL_PATIENCE: Duration = Duration::from_millis(400);
+
 /// What happens on connections.
 #[derive(Debug)]
 pub enum LinkEvent {
@@ -112,6 +117,26 @@
 
     /// Keeps connections to exactly these processes, beside those that others opened.
     pub fn set_targets(&self, targets: &[(InstanceName, SocketAddr)]) {
+        self.dial_all(targets, |_| Duration::ZERO);
+    }
+
+    /// Keeps connections to processes that may dial this one as well. The one with the smaller
+    /// name dials at once and the other only when that didn't help, so that they rarely meet.
+    pub fn set_mutual_targets(&self, targets: &[(InstanceName, SocketAddr)]) {
+        let own = self.shared.hello.name.clone();
+        self.dial_all(targets, |name| {
+            if own < *name {
+                Duration::ZERO
+            } else {
+                MUTUAL_PATIENCE
+            }
+        });
+    }
+
+    fn dial_all<P>(&self, targets: &[(InstanceName, SocketAddr)], patience: P)
+    where
+        P: Fn(&InstanceName) -> Duration,
+    {
         let mut dialers = lock(&self.shared.dialers);
         dialers.retain(|name, (address, task)| {
             let wanted = targets.iter().any(|(n, a)| n == name && a == address);
@@ -124,7 +149,8 @@
         });
         for (name, address) in targets.iter().filter(|(n, _)| *n != self.shared.hello.name) {
             if !dialers.contains_key(name) {
-                let task = tokio::spawn(dialer::dial(self.clone(), name.clone(), *address));
+                let dial = dialer::dial(self.clone(), name.clone(), *address, patience(name));
+                let task = tokio::spawn(dial);
                 dialers.insert(name.clone(), (*address, task.abort_handle()));
             }
         }
@@ -154,6 +180,11 @@
         lock(&self.shared.links).len()
     }
 
+    /// Returns whether a connection to the peer is open.
+    pub(super) fn is_linked(&self, peer: &InstanceName) -> bool {
+        lock(&self.shared.links).contains_key(peer)
+    }
+
     pub(super) fn revision(&self) -> Revision {
         Revision(self.shared.revision.load(Ordering::Relaxed))
     }
--- a/crates/dotterelrudder_daemon/src/logging.rs
+++ b/crates/dotterelrudder_daemon/src/logging.rs
@@ -1,4 +1,4 @@
-//! Logs as JSON lines on standard error; never a prompt, a key or an answer.
+//! Logs as JSON lines on standard output; never a prompt, a key or an answer.
 
 use slog::o;
 use slog::Drain;
@@ -9,7 +9,7 @@
 
 /// Builds the logger of a daemon.
 pub fn logger(role: &'static str, name: &str) -> Logger {
-    let drain = slog_json::Json::default(std::io::stderr()).fuse();
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
     let drain = slog_async::Async::new(drain)
         .chan_size(QUEUE_LINES)
         .build()
--- a/crates/dotterelrudder_daemon/src/start.rs
+++ b/crates/dotterelrudder_daemon/src/start.rs
@@ -1,6 +1,8 @@
 //! What the daemons' `main` functions share.
 
 use std::future::Future;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -26,7 +28,7 @@
 const TICK: Duration = Duration::from_millis(20);
 
 /// The exit code for wrong arguments.
-const EXIT_USAGE: u8 = 64;
+pub const EXIT_USAGE: u8 = 64;
 /// The exit code for wrong settings.
 const EXIT_SETTINGS: u8 = 78;
 /// The exit code when the system refuses something, such as an address in use.
@@ -47,7 +49,17 @@
         }
         Err(e) => return fail(program, &e, EXIT_USAGE),
     };
-    let settings = match read_settings::<S>(&path) {
+    run_settings(program, &path, check, |settings, _| run(settings))
+}
+
+/// Reads a settings file, then runs a daemon until it ends; only checks the file if `check` is set.
+pub fn run_settings<S, F, R>(program: &str, path: &Path, check: bool, run: F) -> ExitCode
+where
+    S: SettingsFile,
+    F: FnOnce(S, PathBuf) -> R,
+    R: Future<Output = Result<(), String>>,
+{
+    let settings = match read_settings::<S>(path) {
         Ok(settings) => settings,
         Err(e) => return fail(program, &e, EXIT_SETTINGS),
     };
@@ -59,7 +71,7 @@
         .enable_all()
         .build();
     let ended = match runtime {
-        Ok(runtime) => runtime.block_on(run(settings)),
+        Ok(runtime) => runtime.block_on(run(settings, path.to_owned())),
         Err(e) => Err(e.to_string()),
     };
     match ended {
@@ -68,7 +80,8 @@
     }
 }
 
-fn fail(program: &str, error: &str, code: u8) -> ExitCode {
+/// Ends a program with an error on standard error.
+pub fn fail(program: &str, error: &str, code: u8) -> ExitCode {
     eprintln!("{program}: {error}");
     ExitCode::from(code)
 }
--- a/crates/dotterelrudder_follow/src/lib.rs
+++ b/crates/dotterelrudder_follow/src/lib.rs
@@ -4,6 +4,8 @@
 
 mod config_follower;
 mod control_client;
+mod fleet_follower;
 
 pub use config_follower::ConfigFollower;
 pub use control_client::ControlClient;
+pub use fleet_follower::FleetFollower;
--- /dev/null
+++ b/crates/dotterelrudder_gateway/src/lib.rs
@@ -0,0 +1,49 @@
+//! Decisions of an entry that calls backend servers itself.
+//!
+//! [`Gateway`] is the whole role without input or output: which route and account a request has,
+//! which runner takes it, whether it may be sent again, and when it is refused. Each module tells
+//! the load pattern that it answers; docs/design/platform.md tells how they work together.
+
+mod affinity;
+mod answer_facts;
+mod caller_call;
+mod confirmed_lease;
+mod dialect;
+mod engine_estimate;
+mod event_splitter;
+mod gateway;
+mod gateway_settings;
+mod outbound_call;
+mod placement;
+pub mod prelude;
+mod prompt;
+mod retry_budget;
+mod route_table;
+mod run_outcome;
+mod runner_health;
+mod runner_state;
+mod runner_table;
+
+pub use affinity::rendezvous_rank;
+pub use answer_facts::AnswerFacts;
+pub use caller_call::CallerCall;
+pub use confirmed_lease::ConfirmedLease;
+pub use dialect::Dialect;
+pub use engine_estimate::EngineEstimate;
+pub use event_splitter::EventSplitter;
+pub use event_splitter::StreamEvent;
+pub use gateway::Admission;
+pub use gateway::Gateway;
+pub use gateway::PlacementQuery;
+pub use gateway_settings::GatewaySettings;
+pub use outbound_call::OutboundCall;
+pub use placement::Placement;
+pub use prompt::Prompt;
+pub use prompt::PromptPart;
+pub use retry_budget::RetryBudget;
+pub use route_table::RouteTable;
+pub use run_outcome::RunOutcome;
+pub use runner_health::RunnerHealth;
+pub use runner_state::RunnerState;
+pub use runner_table::RunnerKey;
+pub use runner_table::RunnerTable;
--- /dev/null
+++ b/crates/dotterelrudder_gateway/src/placement.rs
@@ -0,0 +1,32 @@
+//! Where a request goes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use dotterelrudder_types::DataCentre;
+
+use crate::RunnerKey;
+
+/// The runner that was chosen for a request, and what the request has to say to it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    /// The runner.
+    pub runner: RunnerKey,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Its present start.
+    pub identity: CompactString,
+    /// The weights that it serves of the request's model.
+    pub weights: Option<u64>,
+    /// Keeps apart the KV cache of accounts and weights.
+    pub cache_salt: Option<CompactString>,
+    /// Another runner that is expected to hold the session's KV cache.
+    pub fetch_from: Option<SocketAddr>,
+    /// The expected time to the first token.
+    pub expected: Duration,
+    /// Age of the runner's load report.
+    pub load_age: Option<Duration>,
+}
--- /dev/null
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -0,0 +1,190 @@
+//! What an entry knows of one runner.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::RunnerRow;
+
+use crate::Prompt;
+use crate::RunnerHealth;
+
+/// A load report older than this says nothing any more: several times the period of reports.
+const LOAD_AGE_LIMIT: Duration = Duration::from_millis(1_500);
+/// How long a session's KV cache is expected to stay in a runner's memory after its last use.
+const CACHED_FOR: Duration = Duration::from_secs(20);
+/// Sessions remembered for each runner, a few times what its memory can hold.
+const SESSIONS_KEPT: usize = 512;
+
+/// One start of a backend server.
+#[derive(Debug)]
+pub struct RunnerState {
+    /// How the platform lists it.
+    pub row: RunnerRow,
+    /// Whether the newest list holds it.
+    pub listed: bool,
+    /// What own calls say of it.
+    pub health: RunnerHealth,
+    load: Option<(RunnerLoad, Duration)>,
+    sessions: HashMap<CompactString, Duration>,
+    in_flight: u32,
+    unread: f64,
+    sent_since: u32,
+}
+
+impl RunnerState {
+    /// Starts with what the list tells.
+    pub fn new(row: RunnerRow) -> Self {
+        Self {
+            row,
+            listed: true,
+            health: RunnerHealth::default(),
+            load: None,
+            sessions: HashMap::new(),
+            in_flight: 0,
+            unread: 0.0,
+            sent_since: 0,
+        }
+    }
+
+    /// Takes a newer row; what was said to leave doesn't come back under the same identity.
+    pub fn update(&mut self, row: RunnerRow) {
+        let leaving = self.row.leaving || row.leaving;
+        if row.born_ms != self.row.born_ms {
+            *self = Self {
+                in_flight: self.in_flight,
+                unread: self.unread,
+                ..Self::new(row)
+            };
+            return;
+        }
+        let mut weights = row.weights.clone();
+        for held in &self.row.weights {
+            if let Some(w) = weights.iter_mut().find(|w| w.model == held.model) {
+                w.version = w.version.max(held.version);
+            }
+        }
+        self.row = RunnerRow {
+            leaving,
+            weights,
+            ..row
+        };
+        self.listed = true;
+    }
+
+    /// Takes a load report.
+    pub fn report(&mut self, load: RunnerLoad, now: Duration) {
+        if load.leaving {
+            self.row.leaving = true;
+        }
+        self.sent_since = 0;
+        self.load = Some((load, now));
+    }
+
+    fn fresh_load(&self, now: Duration) -> Option<&RunnerLoad> {
+        let (load, at) = self.load.as_ref()?;
+        (now.saturating_sub(*at) < LOAD_AGE_LIMIT).then_some(load)
+    }
+
+    /// Returns the age of the last load report, for logs.
+    pub fn load_age(&self, now: Duration) -> Option<Duration> {
+        self.load.as_ref().map(|(_, at)| now.saturating_sub(*at))
+    }
+
+    /// Returns whether the runner may take a request now.
+    pub fn is_open(&self, now: Duration) -> bool {
+        let answers = self.fresh_load(now).is_none_or(|load| load.answers);
+        self.listed && !self.row.leaving && answers && self.health.is_open(now)
+    }
+
+    /// Returns whether the runner is about to change its weights.
+    pub fn is_loading(&self, now: Duration) -> bool {
+        self.fresh_load(now).is_some_and(|load| load.loading)
+    }
+
+    /// Returns the weights that the runner serves of a model.
+    pub fn version_of(&self, model: &CompactString) -> Option<u64> {
+        let listed = self.row.weights.iter().find(|w| w.model == *model);
+        let told = self.load.as_ref().and_then(|(l, _)| l.version_of(model));
+        listed.map(|w| w.version).max(told)
+    }
+
+    /// Returns the requests in the runner's batch and queue, with own sends since its report.
+    pub fn batch(&self, now: Duration) -> f64 {
+        let reported = self.fresh_load(now).map(|l| l.running + l.waiting);
+        match reported {
+            Some(n) => f64::from(n.max(self.in_flight.min(n + self.sent_since)) + self.sent_since),
+            None => f64::from(self.in_flight),
+        }
+    }
+
+    /// Returns the requests that wait for a place at the runner.
+    pub fn waiting(&self, now: Duration) -> u32 {
+        self.fresh_load(now).map_or(0, |l| l.waiting)
+    }
+
+    /// Returns the share of the runner's memory in use with `tokens` more.
+    pub fn memory(&self, now: Duration, tokens: f64) -> f64 {
+        match self.fresh_load(now) {
+            Some(l) if l.total_tokens > 0 => {
+                (l.used_tokens as f64 + tokens) / l.total_tokens as f64
+            }
+            _ => 0.0,
+        }
+    }
+
+    /// Returns the own requests that the runner works on.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the prompt tokens of own requests whose first token hasn't come.
+    pub fn unread(&self) -> f64 {
+        self.unread
+    }
+
+    /// Returns whether the session's shared parts are expected in the runner's memory.
+    pub fn holds_session(&self, session: &CompactString, now: Duration) -> bool {
+        let used = self.sessions.get(session);
+        used.is_some_and(|at| now.saturating_sub(*at) < CACHED_FOR)
+    }
+
+    /// Returns the prompt tokens that the runner is expected to read of a prompt.
+    pub fn unread_tokens(&self, prompt: &Prompt, now: Duration) -> f64 {
+        let held = prompt
+            .session_part()
+            .is_some_and(|part| self.holds_session(&part.id, now));
+        let shared = if held { prompt.shared_tokens() } else { 0 };
+        f64::from(prompt.tokens.saturating_sub(shared))
+    }
+
+    /// Counts a request that is sent; returns the tokens to take back with [`Self::read`].
+    pub fn sent(&mut self, prompt: Option<&Prompt>, now: Duration) -> f64 {
+        self.in_flight += 1;
+        self.sent_since += 1;
+        let Some(prompt) = prompt else {
+            return 0.0;
+        };
+        let unread = self.unread_tokens(prompt, now);
+        self.unread += unread;
+        if let Some(part) = prompt.session_part() {
+            if self.sessions.len() >= SESSIONS_KEPT {
+                self.sessions
+                    .retain(|_, at| now.saturating_sub(*at) < CACHED_FOR / 2);
+            }
+            self.sessions.insert(part.id.clone(), now);
+        }
+        unread
+    }
+
+    /// Counts that a prompt was read, or won't be.
+    pub fn read(&mut self, unread: f64) {
+        self.unread = (self.unread - unread).max(0.0);
+    }
+
+    /// Counts that a request ended.
+    pub fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_gateway/src/runner_table.rs
@@ -0,0 +1,91 @@
+//! All runners that an entry knows.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use dotterelrudder_types::ServiceName;
+use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::RunnerRow;
+use slotmap::SlotMap;
+
+use crate::RunnerState;
+
+slotmap::new_key_type! {
+    /// Names a runner in the table of an entry.
+    pub struct RunnerKey;
+}
+
+/// The runners by key and by identity.
+#[derive(Debug, Default)]
+pub struct RunnerTable {
+    runners: SlotMap<RunnerKey, RunnerState>,
+    by_identity: HashMap<CompactString, RunnerKey>,
+}
+
+impl RunnerTable {
+    /// Takes the whole list of the platform.
+    pub fn listed(&mut self, rows: Vec<RunnerRow>) {
+        for runner in self.runners.values_mut() {
+            runner.listed = false;
+        }
+        for row in rows {
+            match self.by_identity.get(&row.identity) {
+                Some(key) => {
+                    if let Some(runner) = self.runners.get_mut(*key) {
+                        runner.update(row);
+                    }
+                }
+                None => {
+                    let identity = row.identity.clone();
+                    let key = self.runners.insert(RunnerState::new(row));
+                    self.by_identity.insert(identity, key);
+                }
+            }
+        }
+        self.runners.retain(|_, r| r.listed || r.in_flight() > 0);
+        let runners = &self.runners;
+        self.by_identity.retain(|_, key| runners.contains_key(*key));
+    }
+
+    /// Takes a load report, which names a runner by its address.
+    pub fn reported(&mut self, load: RunnerLoad, now: Duration) {
+        let matching = self.runners.values_mut().find(|r| {
+            let same_start =
+                load.born_ms == 0 || r.row.born_ms == 0 || load.born_ms == r.row.born_ms;
+            r.listed && r.row.address == load.address && same_start
+        });
+        if let Some(runner) = matching {
+            runner.report(load, now);
+        }
+    }
+
+    /// Returns a runner.
+    pub fn get(&self, key: RunnerKey) -> Option<&RunnerState> {
+        self.runners.get(key)
+    }
+
+    /// Returns a runner to change.
+    pub fn get_mut(&mut self, key: RunnerKey) -> Option<&mut RunnerState> {
+        self.runners.get_mut(key)
+    }
+
+    /// Returns the runners of a service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (RunnerKey, &'a RunnerState)> {
+        let all = self.runners.iter();
+        all.filter(move |(_, r)| r.listed && r.row.service == *service)
+    }
+
+    /// Returns how many runners are known.
+    pub fn len(&self) -> usize {
+        self.runners.len()
+    }
+
+    /// Returns whether no runner is known.
+    pub fn is_empty(&self) -> bool {
+        self.runners.is_empty()
+    }
+}
--- a/crates/dotterelrudder_types/src/account_key_hash.rs
+++ b/crates/dotterelrudder_types/src/account_key_hash.rs
@@ -7,7 +7,7 @@
 use subtle::ConstantTimeEq;
 
 /// SHA-256 of a bearer key; the key itself is never stored.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AccountKeyHash(pub [u8; 32]);
 
 impl AccountKeyHash {
--- a/crates/dotterelrudder_wire/src/command.rs
+++ b/crates/dotterelrudder_wire/src/command.rs
@@ -1,7 +1,10 @@
 //! Changes of the replicated state.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use compact_str::CompactString;
+use dotterelrudder_config::whole::WholeConfiguration;
 use dotterelrudder_config::ChangeSet;
 use dotterelrudder_types::AttemptId;
 use dotterelrudder_types::InstanceName;
@@ -11,6 +14,7 @@
 use serde::Serialize;
 
 use crate::ClaimKey;
+use crate::ModelWeights;
 use crate::Usage;
 
 /// A replica of the log.
@@ -120,4 +124,30 @@
         /// All members after the change.
         members: Vec<Member>,
     },
+    /// Publishes a whole configuration; a version that isn't higher than the one held changes
+    /// nothing.
+    PublishWhole {
+        /// The configuration.
+        configuration: Box<WholeConfiguration>,
+        /// The document as the operator sent it, for reading back.
+        document: Bytes,
+        /// When, in milliseconds of the wall clock.
+        at_ms: u64,
+    },
+    /// Reads the whole configuration behind everything that was logged before.
+    ReadWhole,
+    /// Names the weight version that a model's runners shall serve.
+    NameWeights {
+        /// The model and the version; one that isn't higher than the one held changes nothing.
+        weights: ModelWeights,
+        /// When, in milliseconds of the wall clock.
+        at_ms: u64,
+    },
+    /// Gives out a fencing number for an order to a runner.
+    OrderWeights {
+        /// The runner.
+        runner: SocketAddr,
+        /// What it shall load.
+        weights: ModelWeights,
+    },
 }
--- a/crates/dotterelrudder_wire/src/command_result.rs
+++ b/crates/dotterelrudder_wire/src/command_result.rs
@@ -1,5 +1,6 @@
 //! What a command gave once it was applied.
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::Revision;
@@ -31,6 +32,13 @@
     Claim(ClaimVerdict),
     /// The fencing number in force, or issued.
     Fence(u64),
+    /// The whole configuration in force.
+    Whole {
+        /// Its version; 0 when none was accepted.
+        version: u64,
+        /// The document as the operator sent it.
+        document: Bytes,
+    },
     /// The command wasn't applied.
     Refused(Refusal),
 }
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -7,6 +7,7 @@
 use dotterelrudder_types::AttemptId;
 use dotterelrudder_types::BlockKey;
 use dotterelrudder_types::ClientAccount;
+use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::Revision;
 use dotterelrudder_types::Tier;
@@ -16,11 +17,16 @@
 
 use crate::Command;
 use crate::CommandResult;
+use crate::FleetView;
+use crate::Follow;
 use crate::LoadReport;
 use crate::Piece;
 use crate::RaftMessage;
+use crate::RunnerLoad;
+use crate::RunnerRow;
 use crate::Start;
 use crate::Usage;
+use crate::WeightOrder;
 
 /// One message; docs/PROTOCOLS.md tells who sends which.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -196,6 +202,22 @@
         /// The message.
         message: Box<RaftMessage>,
     },
+
+    /// Asks the leading control instance for what is in force.
+    Follow(Follow),
+    /// Tells what is in force.
+    Fleet(Box<FleetView>),
+    /// The receiver of a [`Message::Follow`] doesn't lead or isn't sure that it does.
+    FollowElsewhere {
+        /// The instance that leads, as far as it is known.
+        leader: Option<InstanceName>,
+    },
+    /// The backend servers that the platform lists, all of them.
+    Runners(Vec<RunnerRow>),
+    /// The loads of runners that changed.
+    RunnerLoads(Vec<RunnerLoad>),
+    /// Orders a side to have its runner load weights.
+    WeightOrder(WeightOrder),
 }
 
 impl Message {
@@ -203,9 +225,10 @@
     /// often a connection is tested for silence.
     pub fn waiting_delta(&self) -> i32 {
         match self {
-            Self::Start(_) | Self::Propose { .. } | Self::GetBlock { .. } => 1,
+            Self::Start(_) | Self::Propose { .. } | Self::GetBlock { .. } | Self::Follow(_) => 1,
             Self::Finished { .. } | Self::Refused { .. } => -1,
             Self::Result { .. } | Self::Block { .. } => -1,
+            Self::Fleet(_) | Self::FollowElsewhere { .. } => -1,
             _ => 0,
         }
     }
