--- a/crates/dotterelrudder_control/src/control_core/fleet.rs
+++ b/crates/dotterelrudder_control/src/control_core/fleet.rs
@@ -12,9 +12,13 @@
 use dotterelrudder_wire::WeightOrder;
 
 use super::ControlCore;
+use crate::StoreNews;
 use crate::Origin;
 use crate::Output;
 
+/// Bits of a directory's number that count changes within a term.
+const DIRECTORY_NUMBER_BITS: u32 = 40;
+
 impl ControlCore {
     /// Returns whether this replica leads and can vouch for its state as the newest.
     pub fn leads_surely(&self, now: Duration) -> bool {
@@ -54,6 +58,44 @@
             .answer(from, follow, &self.state, controls, now, out);
     }
 
+    /// Returns the stores whose contents this replica has to read, as the leader.
+    pub fn stores_to_read(&self, now: Duration) -> Vec<SocketAddr> {
+        if self.leads_surely(now) {
+            self.followers.directory.stores(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    pub(super) fn on_store(&mut self, news: StoreNews, now: Duration) {
+        if !self.led {
+            return;
+        }
+        let directory = &mut self.followers.directory;
+        match news {
+            StoreNews::Listed {
+                store,
+                epoch,
+                clock_ms,
+                held,
+                partial,
+            } => {
+                directory.clock(now, store, clock_ms);
+                directory.listed(now, store, epoch, &held, &partial);
+            }
+            StoreNews::Changed {
+                store,
+                epoch,
+                clock_ms,
+                events,
+            } => {
+                directory.clock(now, store, clock_ms);
+                directory.events(now, store, epoch, &events);
+            }
+            StoreNews::Lost { store } => directory.lost(store),
+        }
+    }
+
     pub(super) fn on_listed(
         &mut self,
         rows: Vec<RunnerRow>,
@@ -74,7 +116,10 @@
     pub(super) fn push_fleet(&mut self, now: Duration, out: &mut Vec<Output>) {
         if self.raft.is_leader() && self.is_fresh(now) {
             let controls = self.control_instances();
-            self.followers.push_view(&self.state, &controls, out);
+            self.followers.push_view(&self.state, &controls, now, out);
+            self.followers
+                .directory
+                .configure(self.state.whole_configuration());
         }
     }
 
@@ -83,10 +128,20 @@
         if self.led && !leads {
             self.followers.reset();
         }
+        if leads && !self.led {
+            // Terms grow, so that no number of an earlier leader comes again.
+            let number = self.raft.term() << DIRECTORY_NUMBER_BITS;
+            self.followers.directory.lead(now, number);
+        }
         self.led = leads;
         if !leads || !self.leads_surely(now) {
             return;
         }
+        let directory = &mut self.followers.directory;
+        directory.configure(self.state.whole_configuration());
+        for order in directory.tick(now) {
+            out.push(Output::FreeParts(order));
+        }
         let named = self.state.named_weights();
         let orders = self.followers.plan_weights(now, &named);
         for (runner, weights) in orders {
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -155,6 +155,7 @@
             }
             Input::Synced { sequence } => self.raft.synced(sequence),
             Input::Peers { peers } => self.settings.peers = peers,
+            Input::Store(news) => self.on_store(news, now),
             Input::RunnersListed { rows } => self.on_listed(rows, now, out),
             Input::Stop => {
                 self.raft.transfer_leadership();
@@ -352,6 +353,7 @@
                 out.push(Output::Send { to: from, message });
             }
             Message::Follow(follow) => self.on_follow(from, &follow, now, out),
+            Message::PartsUsed(keys) => self.followers.directory.used(now, &keys),
             Message::RunnerLoads(loads) => self.followers.reported(loads),
             Message::Load(load) => self.subscribers.get_mut(&from).load = Some(load),
             Message::OrderDone { version, .. } => {
--- /dev/null
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -0,0 +1,433 @@
+//! Which parts of prompts the stores hold, and which of them leave when.
+//!
+//! A store keeps everything until it is told to free it and doesn't know who reads. Reading a part
+//! that is freed meanwhile, or written again after a restart of the store, would mix KV cache, so
+//! that a part passes through these states: written (nobody is told), held (entries may name it),
+//! withdrawn (entries are told to name it no more, fetches may be under way), freed.
+//!
+//! Entries use what they were told for [`DIRECTORY_LEASE`] and each fetch ends within
+//! [`FETCH_LIMIT`]; a part is freed only after both have passed.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelrudder_config::whole::WholeConfiguration;
+use dotterelrudder_types::DataCentre;
+use dotterelrudder_wire::DirectoryUpdate;
+use dotterelrudder_wire::PartKey;
+use dotterelrudder_wire::StoreStanding;
+use dotterelrudder_wire::StoredPart;
+
+use super::StoreEvent;
+
+/// How long after its question an entry may go by the directory; three periods of questions.
+pub const DIRECTORY_LEASE: Duration = Duration::from_millis(1_500);
+/// How long after it was sent a fetch may still end.
+pub const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
+/// Added for the estimate of the engines' clock and the way of messages.
+const MARGIN: Duration = Duration::from_millis(500);
+/// From the withdrawal of a part until it is freed.
+const FREE_AFTER: Duration = Duration::from_millis(3_000);
+/// How long an order to free may be under way.
+const FREE_WITHIN_MS: u64 = 500;
+/// How long news of a freed part may still be old.
+const TOMBSTONE: Duration = Duration::from_millis(1_500);
+/// A new leader waits this long before it tells anything, so that no order of an earlier leader
+/// is still under way.
+const TAKEOVER: Duration = Duration::from_millis(1_000);
+/// The share of a store at which parts begin to leave.
+const FULL: f64 = 0.90;
+/// The share of a store down to which parts leave then.
+const FILL_TO: f64 = 0.82;
+/// A part that is being written for this long was broken off.
+const BROKEN_OFF_AFTER: Duration = Duration::from_secs(6);
+/// Parts in one order to free at most.
+const MOST_FREED: usize = 64;
+
+const _: () = assert!(
+    FREE_AFTER.as_millis()
+        >= DIRECTORY_LEASE.as_millis() + FETCH_LIMIT.as_millis() + MARGIN.as_millis()
+);
+
+#[derive(Debug, Clone)]
+struct Part {
+    tokens: u32,
+    used_at: Duration,
+    withdrawn_at: Option<Duration>,
+}
+
+#[derive(Debug)]
+struct Store {
+    data_centre: DataCentre,
+    capacity: u64,
+    link_mbps: f64,
+    epoch: Option<u64>,
+    accepts_from: Duration,
+    parts: HashMap<PartKey, Part>,
+    partial: HashMap<PartKey, (u32, Duration)>,
+    freed: HashMap<PartKey, Duration>,
+}
+
+/// An order to free parts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FreeParts {
+    /// The store.
+    pub store: SocketAddr,
+    /// The start of the store that the order is for.
+    pub epoch: u64,
+    /// The engines' clock after which the order must not be carried out, in milliseconds.
+    pub until_ms: u64,
+    /// The parts.
+    pub parts: Vec<PartKey>,
+}
+
+/// The directory that a leader keeps.
+#[derive(Debug, Default)]
+pub struct CacheDirectory {
+    led_since: Option<Duration>,
+    stores: BTreeMap<SocketAddr, Store>,
+    clocks: BTreeMap<SocketAddr, i64>,
+    number: u64,
+    pending: DirectoryUpdate,
+    changed: bool,
+}
+
+impl CacheDirectory {
+    /// Starts as a leader; numbers go on from `number`, which no earlier leader used.
+    pub fn lead(&mut self, now: Duration, number: u64) {
+        *self = Self {
+            led_since: Some(now),
+            number: number.max(1),
+            ..Self::default()
+        };
+    }
+
+    /// Ends leading.
+    pub fn resign(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Takes the stores that a configuration declares.
+    pub fn configure(&mut self, cfg: &WholeConfiguration) {
+        let declared: Vec<_> = cfg.services.iter().filter_map(|s| s.store.as_ref()).collect();
+        let gone: Vec<SocketAddr> = self
+            .stores
+            .keys()
+            .filter(|a| !declared.iter().any(|d| d.address == **a))
+            .copied()
+            .collect();
+        for address in gone {
+            self.withdraw_all(address);
+            self.stores.remove(&address);
+            self.changed = true;
+        }
+        for store in declared.iter().filter(|s| s.managed) {
+            self.stores.entry(store.address).or_insert_with(|| {
+                self.changed = true;
+                Store {
+                    data_centre: store.data_centre.clone(),
+                    capacity: store.cache_tokens,
+                    link_mbps: store.link_mbps,
+                    epoch: None,
+                    accepts_from: Duration::MAX,
+                    parts: HashMap::new(),
+                    partial: HashMap::new(),
+                    freed: HashMap::new(),
+                }
+            });
+        }
+    }
+
+    /// Returns the stores to read, once orders of an earlier leader can't be under way.
+    pub fn stores(&self, now: Duration) -> Vec<SocketAddr> {
+        let since = self.led_since.unwrap_or(Duration::MAX);
+        if now < since.saturating_add(TAKEOVER) {
+            return Vec::new();
+        }
+        self.stores.keys().copied().collect()
+    }
+
+    /// Learns a store's clock.
+    pub fn clock(&mut self, now: Duration, store: SocketAddr, clock_ms: u64) {
+        if clock_ms > 0 {
+            let ahead = clock_ms as i64 - now.as_millis() as i64;
+            self.clocks.insert(store, ahead);
+        }
+    }
+
+    /// Returns the engines' clock, rather too early than too late; 0 when it is unknown.
+    pub fn engine_clock_ms(&self, now: Duration) -> u64 {
+        // A late answer tells an earlier time than it is, and a single clock may be ahead.
+        let ahead = self.clocks.values().min();
+        ahead.map_or(0, |a| (now.as_millis() as i64 + a).max(0) as u64)
+    }
+
+    /// Takes all that a store holds.
+    pub fn listed(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        epoch: u64,
+        held: &[(PartKey, u32)],
+        partial: &[(PartKey, u32)],
+    ) {
+        self.see_epoch(now, address, epoch);
+        let known: Vec<PartKey> = match self.stores.get(&address) {
+            Some(store) => store.parts.keys().cloned().collect(),
+            None => return,
+        };
+        for key in known {
+            if !held.iter().any(|(k, _)| *k == key) {
+                self.remove(address, &key);
+            }
+        }
+        for (key, tokens) in held {
+            self.add(now, address, key, *tokens);
+        }
+        if let Some(store) = self.stores.get_mut(&address) {
+            let seen = |key: &PartKey, done: u32| match store.partial.get(key) {
+                Some((before, since)) if *before == done => *since,
+                _ => now,
+            };
+            let partial = partial.iter();
+            store.partial = partial
+                .map(|(key, done)| (key.clone(), (*done, seen(key, *done))))
+                .collect();
+        }
+    }
+
+    /// Takes what changed at a store.
+    pub fn events(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        epoch: u64,
+        events: &[StoreEvent],
+    ) {
+        self.see_epoch(now, address, epoch);
+        for event in events {
+            if event.held {
+                self.add(now, address, &event.key, event.tokens);
+            } else {
+                self.remove(address, &event.key);
+            }
+        }
+    }
+
+    /// Learns that a store doesn't answer; nothing is fetched from it until it does.
+    pub fn lost(&mut self, address: SocketAddr) {
+        self.withdraw_all(address);
+        if let Some(store) = self.stores.get_mut(&address) {
+            store.epoch = None;
+            store.accepts_from = Duration::MAX;
+            self.changed = true;
+        }
+    }
+
+    /// A start of the store that wasn't known holds nothing of before. Nothing is saved to it
+    /// until no entry can name a part any more that it held before.
+    fn see_epoch(&mut self, now: Duration, address: SocketAddr, epoch: u64) {
+        let known = self.stores.get(&address).map(|s| s.epoch);
+        if known.is_none() || known == Some(Some(epoch)) {
+            return;
+        }
+        self.withdraw_all(address);
+        if let Some(store) = self.stores.get_mut(&address) {
+            store.epoch = Some(epoch);
+            store.accepts_from = now + FREE_AFTER;
+            store.partial.clear();
+            self.changed = true;
+        }
+    }
+
+    fn withdraw_all(&mut self, address: SocketAddr) {
+        if let Some(store) = self.stores.get_mut(&address) {
+            let keys = store.parts.drain().map(|(key, _)| (address, key));
+            self.pending.removed.extend(keys);
+        }
+    }
+
+    fn add(&mut self, now: Duration, address: SocketAddr, key: &PartKey, tokens: u32) {
+        let Some(store) = self.stores.get_mut(&address) else {
+            return;
+        };
+        let entombed = store.freed.get(key).is_some_and(|at| now < *at + TOMBSTONE);
+        if entombed || store.parts.contains_key(key) {
+            return;
+        }
+        store.partial.remove(key);
+        store.parts.insert(
+            key.clone(),
+            Part {
+                tokens,
+                used_at: now,
+                withdrawn_at: None,
+            },
+        );
+        self.pending.added.push(StoredPart {
+            store: address,
+            key: key.clone(),
+            tokens,
+        });
+    }
+
+    fn remove(&mut self, address: SocketAddr, key: &PartKey) {
+        let store = self.stores.get_mut(&address);
+        if store.is_some_and(|s| s.parts.remove(key).is_some()) {
+            self.pending.removed.push((address, key.clone()));
+        }
+    }
+
+    /// Learns which parts requests used.
+    pub fn used(&mut self, now: Duration, keys: &[PartKey]) {
+        for store in self.stores.values_mut() {
+            for key in keys {
+                if let Some(part) = store.parts.get_mut(key) {
+                    part.used_at = now;
+                }
+            }
+        }
+    }
+
+    /// Withdraws what has to leave and returns the orders that are due.
+    pub fn tick(&mut self, now: Duration) -> Vec<FreeParts> {
+        let clock = self.engine_clock_ms(now);
+        let mut orders = Vec::new();
+        for (address, store) in &mut self.stores {
+            let accepts = store.accepts_from <= now;
+            if accepts && store.accepts_from > Duration::ZERO {
+                store.accepts_from = Duration::ZERO;
+                self.changed = true;
+            }
+            store.freed.retain(|_, at| now < *at + TOMBSTONE);
+            let withdrawn = store.choose_leaving(now);
+            let removed = withdrawn.into_iter().map(|key| (*address, key));
+            self.pending.removed.extend(removed);
+            let Some(epoch) = store.epoch.filter(|_| clock > 0) else {
+                continue;
+            };
+            let parts = store.take_due(now);
+            if !parts.is_empty() {
+                orders.push(FreeParts {
+                    store: *address,
+                    epoch,
+                    until_ms: clock + FREE_WITHIN_MS,
+                    parts,
+                });
+            }
+        }
+        orders
+    }
+
+    /// Takes the changes since the last call, if there are any.
+    pub fn take_update(&mut self) -> Option<DirectoryUpdate> {
+        let nothing = self.pending.added.is_empty() && self.pending.removed.is_empty();
+        if nothing && !self.changed {
+            return None;
+        }
+        self.changed = false;
+        let from = self.number;
+        self.number += 1;
+        let pending = std::mem::take(&mut self.pending);
+        Some(DirectoryUpdate {
+            from,
+            number: self.number,
+            stores: self.standings(),
+            ..pending
+        })
+    }
+
+    /// Returns the whole directory for an entry that holds another number.
+    pub fn whole(&self) -> DirectoryUpdate {
+        let parts = self.stores.iter().flat_map(|(address, store)| {
+            let held = store.parts.iter();
+            held.filter(|(_, p)| p.withdrawn_at.is_none())
+                .map(|(key, part)| StoredPart {
+                    store: *address,
+                    key: key.clone(),
+                    tokens: part.tokens,
+                })
+        });
+        DirectoryUpdate {
+            from: 0,
+            number: self.number,
+            stores: self.standings(),
+            added: parts.collect(),
+            removed: Vec::new(),
+        }
+    }
+
+    /// Returns the number of the directory; 0 while none is led.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    fn standings(&self) -> Vec<StoreStanding> {
+        let stores = self.stores.iter().filter(|(_, s)| s.epoch.is_some());
+        stores
+            .map(|(address, s)| StoreStanding {
+                address: *address,
+                data_centre: s.data_centre.clone(),
+                capacity: s.capacity,
+                link_mbps: s.link_mbps,
+                accepts: s.accepts_from == Duration::ZERO,
+            })
+            .collect()
+    }
+}
+
+impl Store {
+    /// Withdraws the parts that were used least lately while the store is nearly full.
+    fn choose_leaving(&mut self, now: Duration) -> Vec<PartKey> {
+        let held: u64 = self.parts.values().map(|p| u64::from(p.tokens)).sum();
+        let leaving = self.parts.values().filter(|p| p.withdrawn_at.is_some());
+        let leaving: u64 = leaving.map(|p| u64::from(p.tokens)).sum();
+        let mut staying = held - leaving;
+        if staying as f64 <= self.capacity as f64 * FULL {
+            return Vec::new();
+        }
+        let mut by_age: Vec<(Duration, PartKey, u64)> = self
+            .parts
+            .iter()
+            .filter(|(_, p)| p.withdrawn_at.is_none())
+            .map(|(key, p)| (p.used_at, key.clone(), u64::from(p.tokens)))
+            .collect();
+        by_age.sort_unstable();
+        let target = (self.capacity as f64 * FILL_TO) as u64;
+        let mut chosen = Vec::new();
+        for (_, key, tokens) in by_age {
+            if staying <= target {
+                break;
+            }
+            staying -= tokens;
+            if let Some(part) = self.parts.get_mut(&key) {
+                part.withdrawn_at = Some(now);
+            }
+            chosen.push(key);
+        }
+        chosen
+    }
+
+    /// Takes the parts that nobody can be reading any more, and those whose writing broke off.
+    fn take_due(&mut self, now: Duration) -> Vec<PartKey> {
+        let due = |p: &Part| p.withdrawn_at.is_some_and(|at| now >= at + FREE_AFTER);
+        let mut parts: Vec<PartKey> = self
+            .parts
+            .iter()
+            .filter(|(_, p)| due(p))
+            .map(|(key, _)| key.clone())
+            .take(MOST_FREED)
+            .collect();
+        let broken = self.partial.iter();
+        let broken = broken.filter(|(_, (_, since))| now >= *since + BROKEN_OFF_AFTER);
+        parts.extend(broken.map(|(key, _)| key.clone()).take(MOST_FREED));
+        for key in &parts {
+            self.parts.remove(key);
+            self.partial.remove(key);
+            self.freed.insert(key.clone(), now);
+        }
+        parts
+    }
+}
--- a/crates/dotterelrudder_control/src/fleet/follower.rs
+++ b/crates/dotterelrudder_control/src/fleet/follower.rs
@@ -14,6 +14,8 @@
     pub(crate) held: u64,
     /// The backend server that it stands beside; none for an entry.
     pub(crate) beside: Option<SocketAddr>,
+    /// The number of the directory of stored parts that it was sent or said to hold.
+    pub(crate) directory: u64,
     /// The number of the list of backend servers that it was sent.
     pub(crate) list_sent: u64,
 }
--- a/crates/dotterelrudder_control/src/fleet/followers.rs
+++ b/crates/dotterelrudder_control/src/fleet/followers.rs
@@ -14,6 +14,7 @@
 use dotterelrudder_wire::RunnerRow;
 
 use super::follower::Follower;
+use super::CacheDirectory;
 use super::WeightWaves;
 use crate::Output;
 use crate::ReplicatedState;
@@ -35,6 +36,7 @@
     changed: BTreeSet<SocketAddr>,
     pass_at: Duration,
     waves: WeightWaves,
+    pub(crate) directory: CacheDirectory,
 }
 
 impl Followers {
@@ -56,10 +58,12 @@
             asked_at: now,
             held: follow.held,
             beside: follow.beside,
+            directory: follow.directory,
             list_sent,
         };
         self.by_name.insert(from.clone(), follower);
-        self.send_view(&from, state, controls, out);
+        self.send_directory(&from, out);
+        self.send_view(&from, state, controls, now, out);
         self.send_list(&from, out);
         if entry_is_new && !self.loads.is_empty() {
             let loads = self.loads.values().cloned().collect();
@@ -73,8 +77,10 @@
         to: &InstanceName,
         state: &ReplicatedState,
         controls: Vec<InstanceName>,
+        now: Duration,
         out: &mut Vec<Output>,
     ) {
+        let clock = self.directory.engine_clock_ms(now);
         let entries = self.entry_count();
         let Some(follower) = self.by_name.get_mut(to) else {
             return;
@@ -88,6 +94,8 @@
             configuration: behind.then(|| Box::new(whole.clone())),
             weights: state.named_weights(),
             controls,
+            directory: follower.directory,
+            engine_clock_ms: clock,
             entries,
         };
         out.push(Output::Send {
@@ -111,15 +119,48 @@
         });
     }
 
+    /// Brings an entry to the present directory, if it holds another one.
+    fn send_directory(&mut self, to: &InstanceName, out: &mut Vec<Output>) {
+        let number = self.directory.number();
+        let Some(follower) = self.by_name.get_mut(to) else {
+            return;
+        };
+        if follower.beside.is_some() || follower.directory == number {
+            return;
+        }
+        follower.directory = number;
+        out.push(Output::Send {
+            to: to.clone(),
+            message: Message::Directory(Box::new(self.directory.whole())),
+        });
+    }
+
+    /// Passes changes of the directory on to entries.
+    fn pass_directory(&mut self, out: &mut Vec<Output>) {
+        let Some(update) = self.directory.take_update() else {
+            return;
+        };
+        for (name, follower) in self.by_name.iter_mut().filter(|(_, f)| f.beside.is_none()) {
+            if follower.directory == update.from {
+                follower.directory = update.number;
+                out.push(Output::Send {
+                    to: name.clone(),
+                    message: Message::Directory(Box::new(update.clone())),
+                });
+            }
+        }
+    }
+
     /// Tells every follower of a change at once, without waiting for its next question.
     pub(crate) fn push_view(
         &mut self,
         state: &ReplicatedState,
         controls: &[InstanceName],
+        now: Duration,
         out: &mut Vec<Output>,
     ) {
         for name in self.by_name.keys().cloned().collect::<Vec<_>>() {
-            self.send_view(&name, state, controls.to_vec(), out);
+            self.send_view(&name, state, controls.to_vec(), now, out);
         }
     }
 
@@ -166,6 +207,7 @@
         }
         self.pass_at = now + PASS_LOADS_EVERY;
         self.by_name.retain(|_, f| now < f.asked_at + FORGET_AFTER);
+        self.pass_directory(out);
         let changed = std::mem::take(&mut self.changed);
         let loads: Vec<_> = changed.iter().filter_map(|a| self.loads.get(a)).collect();
         if loads.is_empty() {
--- a/crates/dotterelrudder_control/src/fleet/mod.rs
+++ b/crates/dotterelrudder_control/src/fleet/mod.rs
@@ -2,9 +2,16 @@
 //! servers the platform lists, their loads, and which runners load weights; see
 //! docs/design/platform.md.
 
+mod cache_directory;
 mod follower;
 mod followers;
+mod store_event;
 mod weight_waves;
 
+pub use cache_directory::CacheDirectory;
+pub use cache_directory::FreeParts;
+pub use cache_directory::DIRECTORY_LEASE;
+pub use cache_directory::FETCH_LIMIT;
 pub(crate) use followers::Followers;
+pub use store_event::StoreEvent;
 pub use weight_waves::WeightWaves;
--- a/crates/dotterelrudder_control/src/lib.rs
+++ b/crates/dotterelrudder_control/src/lib.rs
@@ -19,9 +19,15 @@
 
 pub use control_core::ControlCore;
 pub use control_core::ControlSettings;
+pub use fleet::CacheDirectory;
+pub use fleet::FreeParts;
+pub use fleet::StoreEvent;
 pub use fleet::WeightWaves;
+pub use fleet::DIRECTORY_LEASE;
+pub use fleet::FETCH_LIMIT;
 pub use input::Input;
 pub use input::Origin;
+pub use input::StoreNews;
 pub use journal::read_journal;
 pub use journal::Damage;
 pub use journal::Record;
--- a/crates/dotterelrudder_control/src/output.rs
+++ b/crates/dotterelrudder_control/src/output.rs
@@ -5,6 +5,7 @@
 use dotterelrudder_wire::CommandResult;
 use dotterelrudder_wire::Message;
 
+use crate::FreeParts;
 use crate::Record;
 
 /// One effect, to be carried out in order.
@@ -38,6 +39,8 @@
         /// The result.
         result: CommandResult,
     },
+    /// Have a store free parts.
+    FreeParts(FreeParts),
     /// A configuration came into force here.
     InForce {
         /// Its revision.
--- a/crates/dotterelrudder_daemon/src/control/actor.rs
+++ b/crates/dotterelrudder_daemon/src/control/actor.rs
@@ -7,9 +7,11 @@
 use dotterelrudder_control::AuditRow;
 use dotterelrudder_control::ControlCore;
 use dotterelrudder_control::ControlStatus;
+use dotterelrudder_control::FreeParts;
 use dotterelrudder_control::Input;
 use dotterelrudder_control::Output;
 use dotterelrudder_control::Record;
+use dotterelrudder_control::StoreNews;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Refusal;
@@ -23,6 +25,7 @@
 use slog::info;
 use slog::warn;
 use slog::Logger;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
@@ -78,6 +81,8 @@
     Peers(Vec<InstanceName>),
     /// The platform's list of backend servers was read.
     Listed(Vec<RunnerRow>),
+    /// A store told what it holds, or doesn't answer.
+    Store(StoreNews),
     /// The process shall stop.
     Stop,
 }
@@ -90,6 +95,7 @@
     pub(super) metrics: Metrics,
     pub(super) log: Logger,
     pub(super) standing: watch::Sender<ControlStanding>,
+    pub(super) frees: mpsc::UnboundedSender<FreeParts>,
     pub(super) journal: std::sync::mpsc::Sender<JournalWrite>,
     pub(super) waiting: HashMap<u64, oneshot::Sender<CommandResult>>,
     pub(super) next_tag: u64,
@@ -157,6 +163,7 @@
             }
             ControlMessage::Peers(peers) => state.step(Input::Peers { peers }),
             ControlMessage::Listed(rows) => state.step(Input::RunnersListed { rows }),
+            ControlMessage::Store(news) => state.step(Input::Store(news)),
             ControlMessage::Stop => state.step(Input::Stop),
         }
         state.publish_standing(now);
@@ -183,6 +190,7 @@
             leads: self.core.leads_surely(now),
             durable: self.core.has_enough_voters(),
             controls: self.core.control_instances(),
+            stores: self.core.stores_to_read(now),
         };
         self.standing.send_if_modified(|held| {
             let changed = *held != standing;
@@ -227,6 +235,12 @@
                     self.hub.set_revision(revision);
                     self.metrics.set_revision(revision.0);
                 }
+                Output::FreeParts(order) => {
+                    info!(self.log, "stored parts to free"; "store" => %order.store,
+                        "parts" => order.parts.len(), "epoch" => order.epoch);
+                    // Nobody listens where no store is read; the parts then stay.
+                    let _unheard = self.frees.send(order).is_err();
+                }
                 Output::NewIdentity { old, new } => {
                     warn!(self.log, "the disk can't be trusted, joining under a new identity";
                         "old" => format!("{old:016x}"), "new" => format!("{new:016x}"));
--- a/crates/dotterelrudder_daemon/src/control/replica.rs
+++ b/crates/dotterelrudder_daemon/src/control/replica.rs
@@ -4,12 +4,16 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::mpsc::Receiver;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
 use dotterelrudder_control::ControlCore;
 use dotterelrudder_control::ControlSettings;
 use dotterelrudder_control::ControlStatus;
+use dotterelrudder_control::FreeParts;
+use dotterelrudder_control::StoreNews;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::InstanceName;
@@ -23,6 +27,7 @@
 use slog::crit;
 use slog::warn;
 use slog::Logger;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
@@ -47,6 +52,7 @@
     pub(super) actor: ActorRef<ControlMessage>,
     hub: LinkHub,
     standing: watch::Receiver<ControlStanding>,
+    freeing: Arc<Mutex<Option<mpsc::UnboundedReceiver<FreeParts>>>>,
 }
 
 impl Replica {
@@ -76,6 +82,7 @@
         let seed = rand::random();
         let core = ControlCore::new(settings, recovered, seed, clock.now(), &mut first);
         let (standing, watched) = watch::channel(ControlStanding::default());
+        let (frees, freeing) = mpsc::unbounded_channel();
         let (writes, queue) = std::sync::mpsc::channel();
         let state = ControlState {
             core,
@@ -84,6 +91,7 @@
             metrics,
             log: log.clone(),
             standing,
+            frees,
             journal: writes,
             waiting: HashMap::new(),
             next_tag: 0,
@@ -100,6 +108,7 @@
             actor,
             hub,
             standing: watched,
+            freeing: Arc::new(Mutex::new(Some(freeing))),
         })
     }
 
@@ -152,6 +161,17 @@
         self.tell(ControlMessage::Listed(rows));
     }
 
+    /// Takes what a store told.
+    pub fn store_told(&self, news: StoreNews) {
+        self.tell(ControlMessage::Store(news));
+    }
+
+    /// Takes the orders to free stored parts, once.
+    pub fn take_frees(&self) -> Option<mpsc::UnboundedReceiver<FreeParts>> {
+        let mut freeing = self.freeing.lock().unwrap_or_else(|e| e.into_inner());
+        freeing.take()
+    }
+
     /// Hands leadership over before a planned stop.
     pub async fn hand_over(&self) {
         self.tell(ControlMessage::Stop);
--- a/crates/dotterelrudder_daemon/src/fleet/control.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/control.rs
@@ -23,7 +23,9 @@
 
 use super::list_poller::ListPoller;
 use super::FleetControlFile;
+use super::store_reader::read_stores;
 use super::ListDialect;
+use super::StoreDialect;
 use crate::control::Replica;
 use crate::http_server;
 use crate::http_server::AnswerBody;
@@ -81,7 +83,7 @@
 ) -> Result<(), String>
 where
     P: OperatorPort,
-    D: ListDialect,
+    D: ListDialect + StoreDialect,
 {
     let log = logging::logger(Role::Control.as_str(), file.name.as_str());
     let own = file.link_name();
@@ -127,9 +129,11 @@
         reloaded.dial();
     });
     tokio::spawn(watching);
+    let dialect = Arc::new(dialect);
+    tokio::spawn(read_stores(replica.clone(), dialect.clone(), log.clone()));
     let poller = ListPoller {
         replica: replica.clone(),
-        dialect: Arc::new(dialect),
+        dialect: dialect.clone(),
         address: file.instance_list,
         period: file.list_period(),
         log: log.clone(),
--- a/crates/dotterelrudder_daemon/src/fleet/dialects.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/dialects.rs
@@ -1,7 +1,10 @@
 //! How the platform's list and a runner's own interface are written on the wire.
 
 use compact_str::CompactString;
+use dotterelrudder_control::FreeParts;
+use dotterelrudder_control::StoreEvent;
 use dotterelrudder_wire::ModelWeights;
+use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::RunnerRow;
 
 /// A page of the platform's list of backend servers.
@@ -28,6 +31,65 @@
     fn read_list(&self, body: &[u8]) -> Result<ListPage, String>;
 }
 
+/// What changed at a store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreChanges {
+    /// The store's present start.
+    pub epoch: u64,
+    /// Where the next call goes on.
+    pub next: u64,
+    /// Whether changes are missing before these.
+    pub gap: bool,
+    /// The engines' clock in milliseconds; 0 when it isn't told.
+    pub clock_ms: u64,
+    /// The changes, in order.
+    pub events: Vec<StoreEvent>,
+}
+
+/// All that a store holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreContents {
+    /// The store's present start.
+    pub epoch: u64,
+    /// Where calls for changes go on.
+    pub next: u64,
+    /// The engines' clock in milliseconds; 0 when it isn't told.
+    pub clock_ms: u64,
+    /// Parts that it holds whole, with their tokens.
+    pub held: Vec<(PartKey, u32)>,
+    /// Parts that are being written, with the tokens written.
+    pub partial: Vec<(PartKey, u32)>,
+}
+
+/// Translates the interface of a store.
+pub trait StoreDialect: Send + Sync + 'static {
+    /// Returns the path of a call for changes.
+    fn changes_path(&self, since: u64) -> String;
+
+    /// Returns the header that has a call for changes wait for them.
+    fn wait_header(&self, wait: std::time::Duration) -> (&'static str, String);
+
+    /// Reads changes.
+    ///
+    /// # Errors
+    ///
+    /// Returns why they can't be read.
+    fn read_changes(&self, body: &[u8]) -> Result<StoreChanges, String>;
+
+    /// Returns the path of the list of all parts.
+    fn contents_path(&self) -> &'static str;
+
+    /// Reads the list of all parts.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be read.
+    fn read_contents(&self, body: &[u8]) -> Result<StoreContents, String>;
+
+    /// Writes an order to free parts as path and body.
+    fn write_free(&self, order: &FreeParts) -> (&'static str, Vec<u8>);
+}
+
 /// What a runner says of itself.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RunnerReport {
--- a/crates/dotterelrudder_daemon/src/fleet/follower.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -10,8 +10,10 @@
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Revision;
 use dotterelrudder_types::Role;
+use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::FleetView;
 use dotterelrudder_wire::Hello;
+use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRow;
 use dotterelrudder_wire::WeightOrder;
@@ -37,6 +39,8 @@
     View(Box<FleetView>, Option<Duration>),
     /// The platform's list of backend servers.
     Runners(Vec<RunnerRow>),
+    /// Changes of the directory of stored parts.
+    Directory(Box<DirectoryUpdate>),
     /// Loads of runners.
     Loads(Vec<RunnerLoad>),
     /// An order for the runner beside this process.
@@ -72,6 +76,15 @@
 }
 
 impl FollowerHandle {
+    /// Tells the leader which stored parts were used.
+    pub fn report_used(&self, parts: Vec<PartKey>) {
+        // The actor ends only with the process.
+        let _stopped = self
+            .actor
+            .send_message(FollowerMessage::Used(parts))
+            .is_err();
+    }
+
     /// Tells the leader about loads.
     pub fn report(&self, loads: Vec<RunnerLoad>) {
         // The actor ends only with the process.
@@ -117,6 +130,7 @@
         hub,
         clock: start.clock,
         held: 0,
+        directory: 0,
         last: None,
         news: Box::new(news),
         log: start.log.clone(),
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -6,8 +6,10 @@
 use dotterelrudder_follow::FleetFollower;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::FleetView;
 use dotterelrudder_wire::Message;
+use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::RunnerLoad;
 use ractor::Actor;
 use ractor::ActorProcessingErr;
@@ -32,6 +34,8 @@
     Seeds(Vec<InstanceName>),
     /// Loads to tell the leader.
     Report(Vec<RunnerLoad>),
+    /// Stored parts that were used, to tell the leader.
+    Used(Vec<PartKey>),
 }
 
 /// What the actor owns.
@@ -42,6 +46,7 @@
     pub(super) hub: LinkHub,
     pub(super) clock: SystemClock,
     pub(super) held: u64,
+    pub(super) directory: u64,
     pub(super) last: Option<InstanceName>,
     pub(super) news: Box<dyn Fn(FleetNews) + Send + Sync>,
     pub(super) log: Logger,
@@ -77,11 +82,8 @@
                 state.seeds = names;
                 state.dial();
             }
-            FollowerMessage::Report(loads) => {
-                if let Some(leader) = state.follower.asks() {
-                    state.hub.send(leader, Message::RunnerLoads(loads));
-                }
-            }
+            FollowerMessage::Report(loads) => state.tell_leader(Message::RunnerLoads(loads)),
+            FollowerMessage::Used(parts) => state.tell_leader(Message::PartsUsed(parts)),
         }
         Ok(())
     }
@@ -91,7 +93,7 @@
     fn ask(&mut self) {
         let now = self.clock.now();
         let was = self.follower.in_contact();
-        if let Some((to, follow)) = self.follower.tick(now, self.held) {
+        if let Some((to, follow)) = self.follower.tick(now, self.held, self.directory) {
             self.hub.send(&to, Message::Follow(follow));
         }
         if was && !self.follower.in_contact() {
@@ -100,6 +102,12 @@
         }
     }
 
+    fn tell_leader(&self, message: Message) {
+        if let Some(leader) = self.follower.asks() {
+            self.hub.send(leader, message);
+        }
+    }
+
     /// Keeps connections to the seeds and to those that the leader named.
     fn dial(&self) {
         let names: BTreeSet<&InstanceName> = self.seeds.iter().chain(&self.told).collect();
@@ -121,6 +129,7 @@
                     self.ask();
                 }
                 Message::Runners(rows) => (self.news)(FleetNews::Runners(rows)),
+                Message::Directory(update) => self.on_directory(*update),
                 Message::RunnerLoads(loads) => (self.news)(FleetNews::Loads(loads)),
                 Message::WeightOrder(order) => (self.news)(FleetNews::Order(order)),
                 _ => {}
@@ -128,6 +137,13 @@
         }
     }
 
+    /// Passes an update on if it fits; else the whole directory comes with the next answer.
+    fn on_directory(&mut self, update: DirectoryUpdate) {
+        let fits = update.from == 0 || update.from == self.directory;
+        self.directory = if fits { update.number } else { 0 };
+        (self.news)(FleetNews::Directory(Box::new(update)));
+    }
+
     fn on_view(&mut self, peer: &InstanceName, view: Box<FleetView>) {
         let was = self.follower.in_contact();
         let asked_at = self.follower.answered(&view);
--- a/crates/dotterelrudder_daemon/src/fleet/mod.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod seeds;
 mod side;
 mod side_file;
+mod store_reader;
 mod watcher;
 
 pub use control::run_control;
@@ -21,6 +22,9 @@
 pub use dialects::OrderCall;
 pub use dialects::RunnerDialect;
 pub use dialects::RunnerReport;
+pub use dialects::StoreChanges;
+pub use dialects::StoreContents;
+pub use dialects::StoreDialect;
 pub use follower::start_follower;
 pub use follower::FleetNews;
 pub use follower::FollowerHandle;
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/fleet/store_reader.rs
@@ -0,0 +1,180 @@
+//! Reads what stores hold and has them free parts, at the leading control instance only.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dotterelrudder_control::FreeParts;
+use dotterelrudder_control::StoreNews;
+use http::header::CONTENT_TYPE;
+use http::Request;
+use http_body_util::Full;
+use slog::info;
+use slog::warn;
+use slog::Logger;
+use tokio::task::AbortHandle;
+
+use super::StoreDialect;
+use crate::control::Replica;
+use crate::http_client::HttpClient;
+
+/// How long a call for changes waits for some; calls that wait less cost the store more.
+const WAIT: Duration = Duration::from_millis(400);
+/// How long a call may take beyond its wait.
+const CALL_LIMIT: Duration = Duration::from_millis(500);
+/// The pause after a call that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(250);
+/// How often everything is listed anew, since a few changes are never told.
+const LIST_EVERY: Duration = Duration::from_secs(10);
+
+/// Reads the stores that the replica asks for, for as long as the process lives.
+pub(super) async fn read_stores<D>(replica: Replica, dialect: Arc<D>, log: Logger)
+where
+    D: StoreDialect,
+{
+    if let Some(mut frees) = replica.take_frees() {
+        let (dialect, log) = (dialect.clone(), log.clone());
+        tokio::spawn(async move {
+            let client = HttpClient::default();
+            while let Some(order) = frees.recv().await {
+                let (client, dialect, log) = (client.clone(), dialect.clone(), log.clone());
+                tokio::spawn(async move { free(&client, &*dialect, &order, &log).await });
+            }
+        });
+    }
+    let mut standing = replica.watch_standing();
+    let mut readers: BTreeMap<SocketAddr, AbortHandle> = BTreeMap::new();
+    loop {
+        let wanted = standing.borrow_and_update().stores.clone();
+        readers.retain(|address, task| {
+            let keep = wanted.contains(address);
+            if !keep {
+                task.abort();
+            }
+            keep
+        });
+        for address in wanted {
+            readers.entry(address).or_insert_with(|| {
+                let reader = StoreReader {
+                    replica: replica.clone(),
+                    dialect: dialect.clone(),
+                    store: address,
+                    client: HttpClient::default(),
+                    log: log.clone(),
+                };
+                tokio::spawn(reader.run()).abort_handle()
+            });
+        }
+        if standing.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn free<D>(client: &HttpClient, dialect: &D, order: &FreeParts, log: &Logger)
+where
+    D: StoreDialect,
+{
+    let (path, body) = dialect.write_free(order);
+    let req = Request::post(format!("http://{}{path}", order.store))
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)));
+    let answered = match req {
+        Ok(req) => client.fetch(req, CALL_LIMIT).await.map_err(|e| e.detail),
+        Err(e) => Err(e.to_string()),
+    };
+    // What wasn't freed shows in the next list and is chosen again.
+    match answered {
+        Ok((status, _)) => info!(log, "stored parts freed"; "store" => %order.store,
+            "parts" => order.parts.len(), "status" => status),
+        Err(e) => warn!(log, "stored parts not freed"; "store" => %order.store, "error" => e),
+    }
+}
+
+struct StoreReader<D> {
+    replica: Replica,
+    dialect: Arc<D>,
+    store: SocketAddr,
+    client: HttpClient,
+    log: Logger,
+}
+
+impl<D> StoreReader<D>
+where
+    D: StoreDialect,
+{
+    async fn run(self) {
+        let mut reached = true;
+        loop {
+            let Err(e) = self.follow(&mut reached).await;
+            if reached {
+                warn!(self.log, "store is lost"; "store" => %self.store, "error" => e);
+                self.replica
+                    .store_told(StoreNews::Lost { store: self.store });
+            }
+            reached = false;
+            tokio::time::sleep(FAILED_PAUSE).await;
+        }
+    }
+
+    /// Lists everything and follows the changes until a call fails.
+    async fn follow(&self, reached: &mut bool) -> Result<std::convert::Infallible, String> {
+        loop {
+            let body = self.get(self.dialect.contents_path(), None).await?;
+            let contents = self.dialect.read_contents(&body)?;
+            if !*reached {
+                info!(self.log, "store is back"; "store" => %self.store);
+            }
+            *reached = true;
+            let (mut next, epoch) = (contents.next, contents.epoch);
+            self.replica.store_told(StoreNews::Listed {
+                store: self.store,
+                epoch,
+                clock_ms: contents.clock_ms,
+                held: contents.held,
+                partial: contents.partial,
+            });
+            let mut since_list = Duration::ZERO;
+            while since_list < LIST_EVERY {
+                let path = self.dialect.changes_path(next);
+                let body = self.get(&path, Some(WAIT)).await?;
+                let changes = self.dialect.read_changes(&body)?;
+                if changes.epoch != epoch || changes.gap {
+                    break;
+                }
+                next = changes.next;
+                let quick = !changes.events.is_empty();
+                self.replica.store_told(StoreNews::Changed {
+                    store: self.store,
+                    epoch,
+                    clock_ms: changes.clock_ms,
+                    events: changes.events,
+                });
+                since_list += WAIT;
+                if quick {
+                    // Gathers what comes close together.
+                    tokio::time::sleep(WAIT / 4).await;
+                }
+            }
+        }
+    }
+
+    async fn get(&self, path: &str, wait: Option<Duration>) -> Result<Bytes, String> {
+        let mut req = Request::get(format!("http://{}{path}", self.store));
+        if let Some(wait) = wait {
+            let (name, value) = self.dialect.wait_header(wait);
+            req = req.header(name, value);
+        }
+        let req = req.body(Full::new(Bytes::new()));
+        let req = req.map_err(|e| e.to_string())?;
+        let limit = CALL_LIMIT + wait.unwrap_or_default();
+        let fetched = self.client.fetch(req, limit).await;
+        let (status, body) = fetched.map_err(|e| e.detail)?;
+        if status != 200 {
+            return Err(format!("status {status}"));
+        }
+        Ok(body)
+    }
+}
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -32,6 +32,9 @@
 const BALANCER_NOTICES: Duration = Duration::from_millis(2_300);
 /// Left of the grace at a planned stop when the process ends by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// How often the leader is told which stored parts were used; parts leave after many seconds
+/// without use.
+const TELL_USED_EVERY: Duration = Duration::from_secs(1);
 /// How often idle connections to backend servers are looked through.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
@@ -69,7 +72,7 @@
         log: log.clone(),
     };
     let told = serving.clone();
-    start_follower(start, move |news| take_news(&told, news)).await?;
+    let follower = start_follower(start, move |news| take_news(&told, news)).await?;
 
     let (ready_serving, ready_path) = (serving.clone(), file.ready_path.clone());
     let is_ready = Arc::new(move || {
@@ -92,6 +95,16 @@
     http_server::serve_admin(file.admin, metrics, move || is_ready()).await?;
     let (close, closed) = watch::channel(false);
     let callers = accept_callers(file.listen, serving.clone(), closed).await?;
+    let using = serving.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(TELL_USED_EVERY).await;
+            let used = using.gateway().take_used_parts();
+            if !used.is_empty() {
+                follower.report_used(used);
+            }
+        }
+    });
     let sweeping = serving.clone();
     tokio::spawn(async move {
         loop {
@@ -140,6 +153,7 @@
                 "leaving" => leaving);
             gateway.on_runners(rows);
         }
+        FleetNews::Directory(update) => gateway.on_directory(*update),
         FleetNews::Loads(loads) => gateway.on_loads(now, loads),
         // Orders go to sides.
         FleetNews::Order(_) => {}
--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -370,7 +370,7 @@
             identity: placement.identity.clone(),
             weights: placement.weights,
             cache_salt: placement.cache_salt.clone(),
-            fetch_from: placement.fetch_from,
+            cache: placement.cache.clone(),
             account: admission.account.as_ref().map(|a| a.name.clone()),
             time_left: left,
             urgency: is_model.then(|| self.gateway().urgency(admission)),
--- a/crates/dotterelrudder_follow/src/fleet_follower.rs
+++ b/crates/dotterelrudder_follow/src/fleet_follower.rs
@@ -70,8 +70,14 @@
         self.in_contact
     }
 
-    /// Returns the next question when it is due. `held` is the version in force here.
-    pub fn tick(&mut self, now: Duration, held: u64) -> Option<(InstanceName, Follow)> {
+    /// Returns the next question when it is due. `held` is the version in force
+    /// here, `directory` the number of the directory of stored parts.
+    pub fn tick(
+        &mut self,
+        now: Duration,
+        held: u64,
+        directory: u64,
+    ) -> Option<(InstanceName, Follow)> {
         if self.answer_due.is_some_and(|due| now >= due) {
             self.ask_next(now);
         }
@@ -89,6 +95,7 @@
         let follow = Follow {
             asked: self.number,
             held,
+            directory,
             beside: self.beside,
         };
         Some((to, follow))
--- a/crates/dotterelrudder_gateway/src/gateway.rs
+++ b/crates/dotterelrudder_gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +15,9 @@
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::ServiceName;
+use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::FleetView;
+use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRow;
 use rand::Rng;
@@ -22,6 +25,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::rendezvous_rank;
+use crate::CachePlan;
 use crate::CallerCall;
 use crate::ConfirmedLease;
 use crate::EngineEstimate;
@@ -34,6 +38,7 @@
 use crate::RunnerKey;
 use crate::RunnerState;
 use crate::RunnerTable;
+use crate::StoredParts;
 
 /// Added to the expected time of a runner in another data centre, for what crossing costs.
 const CROSSING: Duration = Duration::from_millis(4);
@@ -55,6 +60,8 @@
 const HOME_SAVES: f64 = 0.6;
 /// The same for the second runner in the session's order.
 const SECOND_SAVES: f64 = 0.2;
+/// What fetching a part costs, as a share of reading it: links against the engines' reading.
+const FETCH_COST: f64 = 0.4;
 /// When a caller may come back to a service without open runners.
 const RETRY_WHEN_OPEN: Duration = Duration::from_millis(300);
 
@@ -99,6 +106,7 @@
     budgets: HashMap<ServiceName, RetryBudget>,
     entries: u32,
     estimate: EngineEstimate,
+    stored: StoredParts,
     rng: ChaCha8Rng,
 }
 
@@ -116,6 +124,7 @@
             budgets: HashMap::new(),
             entries: 1,
             estimate: EngineEstimate::default(),
+            stored: StoredParts::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -137,6 +146,10 @@
             }
         }
         self.entries = view.entries.max(1);
+        if let Some(at) = asked_at {
+            self.stored
+                .confirm(view.directory, at, view.engine_clock_ms, now);
+        }
         // A view of an older version than the one held doesn't confirm what is held.
         if self.configuration.version >= view.version {
             if let Some(at) = asked_at {
@@ -163,6 +176,16 @@
         self.runners.listed(rows);
     }
 
+    /// Takes changes of the directory of stored parts.
+    pub fn on_directory(&mut self, update: DirectoryUpdate) {
+        self.stored.update(update);
+    }
+
+    /// Takes the stored parts that requests used since the last call.
+    pub fn take_used_parts(&mut self) -> Vec<PartKey> {
+        self.stored.take_used()
+    }
+
     /// Takes load reports.
     pub fn on_loads(&mut self, now: Duration, loads: Vec<RunnerLoad>) {
         for load in loads {
@@ -281,19 +304,70 @@
             return Err(refusal);
         };
         let weights = query.prompt.and_then(|p| runner.version_of(&p.model));
+        let load_age = runner.load_age(now);
+        let row = runner.row.clone();
+        let salt = query.prompt.map(|_| cache_salt(weights, query.account));
+        let cache = match (query.prompt, &salt) {
+            (Some(prompt), Some(salt)) => self.plan_cache(now, prompt, salt, key, &row),
+            _ => CachePlan::default(),
+        };
         Ok(Placement {
             runner: key,
-            address: runner.row.address,
-            data_centre: runner.row.data_centre.clone(),
-            identity: runner.row.identity.clone(),
+            address: row.address,
+            data_centre: row.data_centre,
+            identity: row.identity,
             weights,
-            cache_salt: query.prompt.map(|_| cache_salt(weights, query.account)),
-            fetch_from: None,
+            cache_salt: salt,
+            cache,
             expected,
-            load_age: runner.load_age(now),
+            load_age,
         })
     }
 
+    /// Plans where the prompt's KV cache comes from: a store, or else the runner that read the
+    /// session's part last.
+    fn plan_cache(
+        &mut self,
+        now: Duration,
+        prompt: &Prompt,
+        salt: &CompactString,
+        chosen: RunnerKey,
+        row: &RunnerRow,
+    ) -> CachePlan {
+        let mut plan = self.stored.plan(now, prompt, salt, &row.data_centre);
+        let Some(session) = prompt.session_part() else {
+            return plan;
+        };
+        let place = prompt.parts.iter().position(|p| p.id == session.id);
+        let Some(place) = place.filter(|i| i + 1 < prompt.parts.len()) else {
+            return plan;
+        };
+        if plan.fetch.is_empty() {
+            plan.fetch = prompt.parts.iter().map(|_| None).collect();
+            plan.save = plan.fetch.clone();
+        }
+        if plan.fetch[place].is_none() {
+            plan.fetch[place] = self.peer_source(now, &session.id, chosen, &row.service);
+        }
+        plan
+    }
+
+    /// Returns another runner that used a session lately.
+    fn peer_source(
+        &self,
+        now: Duration,
+        session: &CompactString,
+        chosen: RunnerKey,
+        service: &ServiceName,
+    ) -> Option<SocketAddr> {
+        let peers = self.runners.of_service(service);
+        let holding = peers.filter(|(key, r)| {
+            *key != chosen && r.is_open(now) && !r.is_loading(now) && r.holds_session(session, now)
+        });
+        let last = holding.max_by_key(|(_, r)| r.session_used(session));
+        last.map(|(_, r)| r.row.address)
+    }
+
     /// Returns the runners of a session in its order of preference.
     fn home_order(&self, query: &PlacementQuery<'_>) -> Vec<RunnerKey> {
         let Some(part) = query.prompt.and_then(Prompt::session_part) else {
@@ -367,7 +441,14 @@
         let held = prompt
             .session_part()
             .is_some_and(|part| runner.holds_session(&part.id, now));
-        if !held {
+        let stored = prompt.session_part().is_some_and(|part| {
+            let salt = cache_salt(runner.version_of(&prompt.model), None);
+            let part = part.id.clone();
+            self.stored.is_usable(now) && self.stored.holds(&PartKey { salt, part })
+        });
+        if !held && stored {
+            unread -= f64::from(prompt.shared_tokens()) * (1.0 - FETCH_COST);
+        } else if !held {
             let saves = match home {
                 Some(0) => HOME_SAVES,
                 Some(_) => SECOND_SAVES,
--- a/crates/dotterelrudder_gateway/src/lib.rs
+++ b/crates/dotterelrudder_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod affinity;
 mod answer_facts;
+mod cache_plan;
 mod caller_call;
 mod confirmed_lease;
 mod dialect;
@@ -23,9 +24,11 @@
 mod runner_health;
 mod runner_state;
 mod runner_table;
+mod stored_parts;
 
 pub use affinity::rendezvous_rank;
 pub use answer_facts::AnswerFacts;
+pub use cache_plan::CachePlan;
 pub use caller_call::CallerCall;
 pub use confirmed_lease::ConfirmedLease;
 pub use dialect::Dialect;
@@ -47,3 +50,4 @@
 pub use runner_state::RunnerState;
 pub use runner_table::RunnerKey;
 pub use runner_table::RunnerTable;
+pub use stored_parts::StoredParts;
--- a/crates/dotterelrudder_gateway/src/outbound_call.rs
+++ b/crates/dotterelrudder_gateway/src/outbound_call.rs
@@ -1,11 +1,12 @@
 //! A request as it goes to a backend server.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use dotterelrudder_types::ClientAccount;
 
+use crate::CachePlan;
+
 /// What the gateway adds to a caller's request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct OutboundCall {
@@ -15,8 +16,8 @@
     pub weights: Option<u64>,
     /// Keeps apart the KV cache of requests that must not share it.
     pub cache_salt: Option<CompactString>,
-    /// Where KV cache that the runner lacks can be fetched.
-    pub fetch_from: Option<SocketAddr>,
+    /// Where the prompt's KV cache comes from and goes to.
+    pub cache: CachePlan,
     /// The client account that the caller's key belongs to.
     pub account: Option<ClientAccount>,
     /// How long the backend server may work on it.
--- a/crates/dotterelrudder_gateway/src/placement.rs
+++ b/crates/dotterelrudder_gateway/src/placement.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use dotterelrudder_types::DataCentre;
 
+use crate::CachePlan;
 use crate::RunnerKey;
 
 /// The runner that was chosen for a request, and what the request has to say to it.
@@ -23,8 +24,8 @@
     pub weights: Option<u64>,
     /// Keeps apart the KV cache of accounts and weights.
     pub cache_salt: Option<CompactString>,
-    /// Another runner that is expected to hold the session's KV cache.
-    pub fetch_from: Option<SocketAddr>,
+    /// Where the prompt's KV cache comes from and goes to.
+    pub cache: CachePlan,
     /// The expected time to the first token.
     pub expected: Duration,
     /// Age of the runner's load report.
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -150,6 +150,11 @@
         used.is_some_and(|at| now.saturating_sub(*at) < CACHED_FOR)
     }
 
+    /// Returns when the session was used last at the runner.
+    pub fn session_used(&self, session: &CompactString) -> Option<Duration> {
+        self.sessions.get(session).copied()
+    }
+
     /// Returns the prompt tokens that the runner is expected to read of a prompt.
     pub fn unread_tokens(&self, prompt: &Prompt, now: Duration) -> f64 {
         let held = prompt
--- /dev/null
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -0,0 +1,186 @@
+//! What an entry knows of the stores, and what it makes of it for a request.
+//!
+//! Load pattern: far more sessions are in use than the runners' memories hold, so that a prompt's
+//! shared parts are mostly gone when its next request comes. Whatever is shared is saved once, at
+//! its first reading, and fetched from then on; fetching a part costs a fraction of reading it.
+//!
+//! A part may be named only while the leader vouches for the directory, and only for a time that
+//! ends before the leader frees anything that it withdrew; see docs/design/platform.md.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelrudder_types::DataCentre;
+use dotterelrudder_wire::DirectoryUpdate;
+use dotterelrudder_wire::PartKey;
+use dotterelrudder_wire::StoreStanding;
+use smallvec::SmallVec;
+
+use crate::rendezvous_rank;
+use crate::CachePlan;
+use crate::ConfirmedLease;
+use crate::Prompt;
+
+/// How long the directory may be used after the leader was asked; the leader's own figure.
+const LEASE: Duration = Duration::from_millis(1_500);
+/// How long a fetch may take after the request was sent; the leader's own figure.
+const FETCH_LIMIT_MS: u64 = 1_000;
+/// How long a part isn't saved again by this entry, until the directory tells of it.
+const SAVE_PAUSE: Duration = Duration::from_secs(3);
+/// Parts shorter than this are read faster than a transfer is set up.
+const LEAST_TOKENS: u32 = 64;
+/// Saves remembered at most.
+const SAVES_KEPT: usize = 4_096;
+
+/// The directory of stored parts as the leader told it.
+#[derive(Debug, Default)]
+pub struct StoredParts {
+    number: u64,
+    lease: ConfirmedLease,
+    stores: Vec<StoreStanding>,
+    parts: HashMap<PartKey, SmallVec<[SocketAddr; 2]>>,
+    clock: Option<(u64, Duration)>,
+    saving: HashMap<PartKey, Duration>,
+    used: HashSet<PartKey>,
+}
+
+impl StoredParts {
+    /// Takes an update; false when it doesn't fit what is held, which is then dropped.
+    pub fn update(&mut self, update: DirectoryUpdate) -> bool {
+        if update.from == 0 {
+            self.parts.clear();
+            self.lease = ConfirmedLease::default();
+        } else if update.from != self.number {
+            self.number = 0;
+            self.parts.clear();
+            self.stores.clear();
+            return false;
+        }
+        self.number = update.number;
+        self.stores = update.stores;
+        for part in update.added {
+            let places = self.parts.entry(part.key).or_default();
+            if !places.contains(&part.store) {
+                places.push(part.store);
+            }
+        }
+        for (store, key) in update.removed {
+            if let Some(places) = self.parts.get_mut(&key) {
+                places.retain(|s| *s != store);
+                if places.is_empty() {
+                    self.parts.remove(&key);
+                }
+            }
+        }
+        true
+    }
+
+    /// Learns that the leader confirms a directory, and the engines' clock.
+    pub fn confirm(&mut self, number: u64, asked_at: Duration, clock_ms: u64, now: Duration) {
+        if number == self.number && number > 0 {
+            self.lease.confirm(asked_at);
+        }
+        if clock_ms > 0 {
+            self.clock = Some((clock_ms, now));
+        }
+    }
+
+    /// Returns whether the directory may be used.
+    pub fn is_usable(&self, now: Duration) -> bool {
+        self.number > 0 && self.clock.is_some() && self.lease.holds(now, LEASE)
+    }
+
+    /// Returns whether a part can be fetched from a store.
+    pub fn holds(&self, key: &PartKey) -> bool {
+        self.parts.contains_key(key)
+    }
+
+    /// Returns how many parts can be fetched.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Returns whether nothing can be fetched.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    /// Plans fetches and saves for a request to a runner in a data centre.
+    pub fn plan(
+        &mut self,
+        now: Duration,
+        prompt: &Prompt,
+        salt: &str,
+        near: &DataCentre,
+    ) -> CachePlan {
+        let mut plan = CachePlan::default();
+        if !self.is_usable(now) {
+            return plan;
+        }
+        let shared = prompt.parts.len().saturating_sub(1);
+        for (i, part) in prompt.parts.iter().enumerate() {
+            let key = PartKey {
+                salt: salt.into(),
+                part: part.id.clone(),
+            };
+            let shared = i < shared && part.tokens >= LEAST_TOKENS;
+            let fetch = if shared { self.source(&key, near) } else { None };
+            let save = if shared && fetch.is_none() {
+                self.save_place(now, &key)
+            } else {
+                None
+            };
+            if fetch.is_some() {
+                self.used.insert(key);
+            }
+            plan.fetch.push(fetch);
+            plan.save.push(save);
+        }
+        plan.until_ms = self
+            .clock
+            .map(|(ms, at)| ms + now.saturating_sub(at).as_millis() as u64 + FETCH_LIMIT_MS);
+        plan
+    }
+
+    /// Returns the store to fetch a part from, one near the runner first.
+    fn source(&self, key: &PartKey, near: &DataCentre) -> Option<SocketAddr> {
+        let places = self.parts.get(key)?;
+        let is_near = |a: &&SocketAddr| {
+            let store = self.stores.iter().find(|s| s.address == **a);
+            store.is_some_and(|s| s.data_centre == *near)
+        };
+        places.iter().find(is_near).or(places.first()).copied()
+    }
+
+    /// Returns the store that a part belongs to: by hash, in proportion to what each can hold, so
+    /// that entries agree without talking.
+    fn save_place(&mut self, now: Duration, key: &PartKey) -> Option<SocketAddr> {
+        let saved = self.saving.get(key);
+        if saved.is_some_and(|at| now.saturating_sub(*at) < SAVE_PAUSE) {
+            return None;
+        }
+        let accepting = self.stores.iter().filter(|s| s.accepts && s.capacity > 0);
+        let place = accepting
+            .map(|s| {
+                let rank = rendezvous_rank(&key.part, &s.address.to_string());
+                // The weighted form of rendezvous hashing: -weight / ln(uniform).
+                let uniform = (rank as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+                (-(s.capacity as f64) / uniform.ln(), s.address)
+            })
+            .max_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, address)| address)?;
+        if self.saving.len() >= SAVES_KEPT {
+            self.saving
+                .retain(|_, at| now.saturating_sub(*at) < SAVE_PAUSE);
+        }
+        self.saving.insert(key.clone(), now);
+        Some(place)
+    }
+
+    /// Takes the parts that were used since the last call.
+    pub fn take_used(&mut self) -> Vec<PartKey> {
+        self.used.drain().collect()
+    }
+}
--- a/crates/dotterelrudder_wire/src/fleet/fleet_view.rs
+++ b/crates/dotterelrudder_wire/src/fleet/fleet_view.rs
@@ -20,6 +20,10 @@
     pub weights: Vec<ModelWeights>,
     /// The control instances that hold the log.
     pub controls: Vec<InstanceName>,
+    /// The number of the directory of stored parts that the leader has told the receiver.
+    pub directory: u64,
+    /// The clock of runners and stores when the view was sent, in milliseconds; 0 when unknown.
+    pub engine_clock_ms: u64,
     /// How many entries follow, which share what is allowed to all of them together.
     pub entries: u32,
 }
--- a/crates/dotterelrudder_wire/src/fleet/follow.rs
+++ b/crates/dotterelrudder_wire/src/fleet/follow.rs
@@ -12,6 +12,8 @@
     pub asked: u64,
     /// The version of the whole configuration that the sender has in force.
     pub held: u64,
+    /// The number of the directory of stored parts that the sender holds; 0 for none.
+    pub directory: u64,
     /// The backend server that a side stands beside; none for an entry.
     pub beside: Option<SocketAddr>,
 }
--- a/crates/dotterelrudder_wire/src/fleet/mod.rs
+++ b/crates/dotterelrudder_wire/src/fleet/mod.rs
@@ -1,15 +1,23 @@
 //! What control tells of the whole deployment: see docs/design/platform.md.
 
+mod directory_update;
 mod fleet_view;
 mod follow;
 mod model_weights;
+mod part_key;
 mod runner_load;
 mod runner_row;
+mod store_standing;
+mod stored_part;
 mod weight_order;
 
+pub use directory_update::DirectoryUpdate;
 pub use fleet_view::FleetView;
 pub use follow::Follow;
 pub use model_weights::ModelWeights;
+pub use part_key::PartKey;
 pub use runner_load::RunnerLoad;
 pub use runner_row::RunnerRow;
+pub use store_standing::StoreStanding;
+pub use stored_part::StoredPart;
 pub use weight_order::WeightOrder;
--- /dev/null
+++ b/crates/dotterelrudder_wire/src/fleet/store_standing.rs
@@ -0,0 +1,22 @@
+//! How a store stands.
+
+use std::net::SocketAddr;
+
+use dotterelrudder_types::DataCentre;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A store that entries may name to runners.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StoreStanding {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Tokens of KV cache that it holds.
+    pub capacity: u64,
+    /// Megabits a second of its link.
+    pub link_mbps: f64,
+    /// Whether parts may be saved to it now.
+    pub accepts: bool,
+}
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -17,9 +17,11 @@
 
 use crate::Command;
 use crate::CommandResult;
+use crate::DirectoryUpdate;
 use crate::FleetView;
 use crate::Follow;
 use crate::LoadReport;
+use crate::PartKey;
 use crate::Piece;
 use crate::RaftMessage;
 use crate::RunnerLoad;
@@ -216,6 +218,10 @@
     Runners(Vec<RunnerRow>),
     /// The loads of runners that changed.
     RunnerLoads(Vec<RunnerLoad>),
+    /// Changes of the directory of stored parts.
+    Directory(Box<DirectoryUpdate>),
+    /// Parts that the sender's requests used lately, so that stores keep them.
+    PartsUsed(Vec<PartKey>),
     /// Orders a side to have its runner load weights.
     WeightOrder(WeightOrder),
 }
