Bound fetches by the objective and leave slow stores out

Cause: fetches queued at a store whose link was slowed, up to a second, while reading the prompt would have been in time. Ruled out: rejections by runners; the 175 counted were cancels by the entry's own patience.

--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -211,7 +211,8 @@
         audit.attempts.append(&mut log.notes);
         match ended {
             Ended::Whole(head, body) => self.pass_on(head, whole(body)),
-            Ended::Stream(begun, log) => {
+            Ended::Stream(begun, mut log) => {
+                audit.attempts.append(&mut log.notes);
                 let took = self.now().saturating_sub(job.began);
                 self.metrics.record_first_token(took.as_secs_f64());
                 self.stream(job, *begun, log)
@@ -239,6 +240,7 @@
                 prompt: job.call.prompt.as_ref(),
                 account: job.admission.account.as_deref(),
                 tried: &log.tried,
+                objective: route.objective,
                 left,
             };
             let placed = self.gateway().place(now, &query);
@@ -326,6 +328,7 @@
                 OfferEnd::Declined(reason)
             }
             FirstPart::Failed(AttemptEnd::Lost { outcome, reason }) => {
+                self.gateway().learn(placement, took);
                 run.end(outcome);
                 OfferEnd::Lost(reason)
             }
@@ -341,7 +344,10 @@
                 OfferEnd::Ended(Ended::Whole(head, body))
             }
             FirstPart::Begun(head, part, body, upstream) => {
-                self.gateway().first_part(placement.runner, unread);
+                let mut gateway = self.gateway();
+                gateway.first_part(placement.runner, unread);
+                gateway.learn(placement, took);
+                drop(gateway);
                 let text = format!("began after {} ms", took.as_millis());
                 log.notes.push(note(placement, &text));
                 let begun = Begun {
--- a/crates/dotterelrudder_gateway/src/gateway.rs
+++ b/crates/dotterelrudder_gateway/src/gateway.rs
@@ -89,6 +89,8 @@
     pub account: Option<&'a AccountEntry>,
     /// Runners that were tried.
     pub tried: &'a [RunnerKey],
+    /// The time within which a first part is on time.
+    pub objective: Duration,
     /// How long the caller still waits.
     pub left: Duration,
 }
@@ -308,7 +310,7 @@
         let row = runner.row.clone();
         let salt = query.prompt.map(|_| cache_salt(weights, query.account));
         let cache = match (query.prompt, &salt) {
-            (Some(prompt), Some(salt)) => self.plan_cache(now, prompt, salt, key, &row),
+            (Some(prompt), Some(salt)) => self.plan_cache(now, query, prompt, salt, key, &row),
             _ => CachePlan::default(),
         };
         Ok(Placement {
@@ -329,12 +331,15 @@
     fn plan_cache(
         &mut self,
         now: Duration,
+        query: &PlacementQuery<'_>,
         prompt: &Prompt,
         salt: &CompactString,
         chosen: RunnerKey,
         row: &RunnerRow,
     ) -> CachePlan {
-        let mut plan = self.stored.plan(now, prompt, salt, &row.data_centre);
+        let mut plan = self
+            .stored
+            .plan(now, prompt, salt, &row.data_centre, query.objective);
         let Some(session) = prompt.session_part() else {
             return plan;
         };
@@ -470,6 +475,17 @@
         found.map_or(0.0, |r| r.sent(prompt, now))
     }
 
+    /// Learns when the first part of an answer came, against what was expected.
+    pub fn learn(&mut self, placement: &Placement, took: Duration) {
+        let added = took.saturating_sub(placement.expected);
+        let mut sources: Vec<SocketAddr> = placement.cache.fetch.iter().flatten().copied().collect();
+        sources.sort_unstable();
+        sources.dedup();
+        for source in sources {
+            self.stored.note_fetch(source, added);
+        }
+    }
+
     /// Counts that a runner began to answer.
     pub fn first_part(&mut self, runner: RunnerKey, unread: f64) {
         if let Some(r) = self.runners.get_mut(runner) {
--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -22,13 +22,20 @@
 use crate::CachePlan;
 use crate::ConfirmedLease;
 use crate::Prompt;
+use crate::StorePace;
 
 /// How long the directory may be used after the leader was asked; the leader's own figure.
 const LEASE: Duration = Duration::from_millis(1_500);
-/// How long a fetch may take after the request was sent; the leader's own figure.
-const FETCH_LIMIT_MS: u64 = 1_000;
+/// How long a fetch may take at most after the request was sent; the leader's own figure.
+const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
+/// The share of the objective that fetching may take; the rest is for reading and the first step.
+const FETCH_SHARE: f64 = 0.5;
+/// A fetch that can't take longer than this isn't worth asking for.
+const LEAST_FETCH: Duration = Duration::from_millis(40);
 /// How long a part isn't saved again by this entry, until the directory tells of it.
 const SAVE_PAUSE: Duration = Duration::from_secs(3);
+/// The share of the limit of a fetch up to which a store's mean is affordable; fetches scatter.
+const AFFORDABLE: f64 = 0.6;
 /// Parts shorter than this are read faster than a transfer is set up.
 const LEAST_TOKENS: u32 = 64;
 /// Saves remembered at most.
@@ -44,6 +51,7 @@
     clock: Option<(u64, Duration)>,
     saving: HashMap<PartKey, Duration>,
     used: HashSet<PartKey>,
+    paces: HashMap<SocketAddr, StorePace>,
 }
 
 impl StoredParts {
@@ -114,11 +122,13 @@
         prompt: &Prompt,
         salt: &str,
         near: &DataCentre,
+        objective: Duration,
     ) -> CachePlan {
         let mut plan = CachePlan::default();
         if !self.is_usable(now) {
             return plan;
         }
+        let limit = objective.mul_f64(FETCH_SHARE).clamp(LEAST_FETCH, FETCH_LIMIT);
         let shared = prompt.parts.len().saturating_sub(1);
         for (i, part) in prompt.parts.iter().enumerate() {
             let key = PartKey {
@@ -126,13 +136,14 @@
                 part: part.id.clone(),
             };
             let shared = i < shared && part.tokens >= LEAST_TOKENS;
-            let fetch = if shared { self.source(&key, near) } else { None };
-            let save = if shared && fetch.is_none() {
+            let stored = shared && self.holds(&key);
+            let fetch = if stored { self.source(now, &key, near, limit) } else { None };
+            let save = if shared && !stored {
                 self.save_place(now, &key)
             } else {
                 None
             };
-            if fetch.is_some() {
+            if stored {
                 self.used.insert(key);
             }
             plan.fetch.push(fetch);
@@ -140,18 +151,33 @@
         }
         plan.until_ms = self
             .clock
-            .map(|(ms, at)| ms + now.saturating_sub(at).as_millis() as u64 + FETCH_LIMIT_MS);
+            .map(|(ms, at)| ms + (now.saturating_sub(at) + limit).as_millis() as u64);
         plan
     }
 
+    /// Learns what fetches from a store added to the time to a first token.
+    pub fn note_fetch(&mut self, store: SocketAddr, added: Duration) {
+        if self.stores.iter().any(|s| s.address == store) {
+            self.paces.entry(store).or_default().note(added);
+        }
+    }
+
     /// Returns the store to fetch a part from, one near the runner first.
-    fn source(&self, key: &PartKey, near: &DataCentre) -> Option<SocketAddr> {
+    fn source(
+        &mut self,
+        now: Duration,
+        key: &PartKey,
+        near: &DataCentre,
+        limit: Duration,
+    ) -> Option<SocketAddr> {
         let places = self.parts.get(key)?;
         let is_near = |a: &&SocketAddr| {
             let store = self.stores.iter().find(|s| s.address == **a);
             store.is_some_and(|s| s.data_centre == *near)
         };
-        places.iter().find(is_near).or(places.first()).copied()
+        let source = places.iter().find(is_near).or(places.first()).copied()?;
+        let pace = self.paces.entry(source).or_default();
+        pace.admits(now, limit.mul_f64(AFFORDABLE)).then_some(source)
     }
 
     /// Returns the store that a part belongs to: by hash, in proportion to what each can hold, so
