Leave stores out by no learned pace

Cause: what a fetch added was told from the first token, which loaded runners delay as well, so that stores were blamed, prompts were read instead, and runners were loaded more.

--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -328,7 +328,6 @@
                 OfferEnd::Declined(reason)
             }
             FirstPart::Failed(AttemptEnd::Lost { outcome, reason }) => {
-                self.gateway().learn(placement, took);
                 run.end(outcome);
                 OfferEnd::Lost(reason)
             }
@@ -344,10 +343,7 @@
                 OfferEnd::Ended(Ended::Whole(head, body))
             }
             FirstPart::Begun(head, part, body, upstream) => {
-                let mut gateway = self.gateway();
-                gateway.first_part(placement.runner, unread);
-                gateway.learn(placement, took);
-                drop(gateway);
+                self.gateway().first_part(placement.runner, unread);
                 let text = format!("began after {} ms", took.as_millis());
                 log.notes.push(note(placement, &text));
                 let begun = Begun {
--- a/crates/dotterelrudder_gateway/src/gateway.rs
+++ b/crates/dotterelrudder_gateway/src/gateway.rs
@@ -475,17 +475,6 @@
         found.map_or(0.0, |r| r.sent(prompt, now))
     }
 
-    /// Learns when the first part of an answer came, against what was expected.
-    pub fn learn(&mut self, placement: &Placement, took: Duration) {
-        let added = took.saturating_sub(placement.expected);
-        let mut sources: Vec<SocketAddr> = placement.cache.fetch.iter().flatten().copied().collect();
-        sources.sort_unstable();
-        sources.dedup();
-        for source in sources {
-            self.stored.note_fetch(source, added);
-        }
-    }
-
     /// Counts that a runner began to answer.
     pub fn first_part(&mut self, runner: RunnerKey, unread: f64) {
         if let Some(r) = self.runners.get_mut(runner) {
--- a/crates/dotterelrudder_gateway/src/lib.rs
+++ b/crates/dotterelrudder_gateway/src/lib.rs
@@ -24,7 +24,6 @@
 mod runner_health;
 mod runner_state;
 mod runner_table;
-mod store_pace;
 mod stored_parts;
 
 pub use affinity::rendezvous_rank;
@@ -51,5 +50,4 @@
 pub use runner_state::RunnerState;
 pub use runner_table::RunnerKey;
 pub use runner_table::RunnerTable;
-pub use store_pace::StorePace;
 pub use stored_parts::StoredParts;
--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -22,7 +22,6 @@
 use crate::CachePlan;
 use crate::ConfirmedLease;
 use crate::Prompt;
-use crate::StorePace;
 
 /// How long the directory may be used after the leader was asked; the leader's own figure.
 const LEASE: Duration = Duration::from_millis(1_500);
@@ -34,8 +33,6 @@
 const LEAST_FETCH: Duration = Duration::from_millis(40);
 /// How long a part isn't saved again by this entry, until the directory tells of it.
 const SAVE_PAUSE: Duration = Duration::from_secs(3);
-/// The share of the limit of a fetch up to which a store's mean is affordable; fetches scatter.
-const AFFORDABLE: f64 = 0.6;
 /// Parts shorter than this are read faster than a transfer is set up.
 const LEAST_TOKENS: u32 = 64;
 /// Saves remembered at most.
@@ -51,7 +48,6 @@
     clock: Option<(u64, Duration)>,
     saving: HashMap<PartKey, Duration>,
     used: HashSet<PartKey>,
-    paces: HashMap<SocketAddr, StorePace>,
 }
 
 impl StoredParts {
@@ -137,7 +133,7 @@
             };
             let shared = i < shared && part.tokens >= LEAST_TOKENS;
             let stored = shared && self.holds(&key);
-            let fetch = if stored { self.source(now, &key, near, limit) } else { None };
+            let fetch = if stored { self.source(&key, near) } else { None };
             let save = if shared && !stored {
                 self.save_place(now, &key)
             } else {
@@ -155,20 +151,11 @@
         plan
     }
 
-    /// Learns what fetches from a store added to the time to a first token.
-    pub fn note_fetch(&mut self, store: SocketAddr, added: Duration) {
-        if self.stores.iter().any(|s| s.address == store) {
-            self.paces.entry(store).or_default().note(added);
-        }
-    }
-
     /// Returns the store to fetch a part from, one near the runner first.
     fn source(
-        &mut self,
-        now: Duration,
+        &self,
         key: &PartKey,
         near: &DataCentre,
-        limit: Duration,
     ) -> Option<SocketAddr> {
         let places = self.parts.get(key)?;
         let is_near = |a: &&SocketAddr| {
@@ -176,8 +163,7 @@
             store.is_some_and(|s| s.data_centre == *near)
         };
         let source = places.iter().find(is_near).or(places.first()).copied()?;
-        let pace = self.paces.entry(source).or_default();
-        pace.admits(now, limit.mul_f64(AFFORDABLE)).then_some(source)
+        Some(source)
     }
 
     /// Returns the store that a part belongs to: by hash, in proportion to what each can hold, so
