--- a/crates/dotterelrudder_control/src/fleet/cache_directory.rs
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -22,25 +22,26 @@
 
 use super::StoreEvent;
 
-/// How long after its question an entry may go by the directory; three periods of questions.
-pub const DIRECTORY_LEASE: Duration = Duration::from_millis(1_500);
+/// How long after its question an entry may go by the directory: as long as it takes until a new
+/// leader has read the stores after the loss of one.
+pub const DIRECTORY_LEASE: Duration = Duration::from_millis(3_200);
 /// How long after it was sent a fetch may still end.
-pub const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
+pub const FETCH_LIMIT: Duration = Duration::from_millis(700);
 /// Added for the estimate of the engines' clock and the way of messages.
 const MARGIN: Duration = Duration::from_millis(500);
 /// From the withdrawal of a part until it is freed.
-const FREE_AFTER: Duration = Duration::from_millis(3_000);
+const FREE_AFTER: Duration = Duration::from_millis(4_400);
 /// How long an order to free may be under way.
 const FREE_WITHIN_MS: u64 = 500;
 /// How long news of a freed part may still be old.
 const TOMBSTONE: Duration = Duration::from_millis(1_500);
 /// A new leader waits this long before it tells anything, so that no order of an earlier leader
 /// is still under way.
-const TAKEOVER: Duration = Duration::from_millis(1_000);
+const TAKEOVER: Duration = Duration::from_millis(700);
 /// The share of a store at which parts begin to leave.
-const FULL: f64 = 0.90;
+const FULL: f64 = 0.95;
 /// The share of a store down to which parts leave then.
-const FILL_TO: f64 = 0.82;
+const FILL_TO: f64 = 0.90;
 /// A part that is being written for this long was broken off.
 const BROKEN_OFF_AFTER: Duration = Duration::from_secs(6);
 /// Parts in one order to free at most.
--- a/crates/dotterelrudder_gateway/src/gateway.rs
+++ b/crates/dotterelrudder_gateway/src/gateway.rs
@@ -60,8 +60,8 @@
 const HOME_SAVES: f64 = 0.6;
 /// The same for the second runner in the session's order.
 const SECOND_SAVES: f64 = 0.2;
-/// What fetching a part costs, as a share of reading it: links against the engines' reading.
-const FETCH_COST: f64 = 0.4;
+/// How much a fetch counts against its own time on the link, for those that wait behind it.
+const LINK_SHARED: f64 = 2.0;
 /// When a caller may come back to a service without open runners.
 const RETRY_WHEN_OPEN: Duration = Duration::from_millis(300);
 
@@ -291,7 +291,7 @@
                 }
                 continue;
             }
-            let expected = self.expected(now, runner, query.prompt, home_place(&home, key));
+            let expected = self.expected(now, runner, query, home_place(&home, key));
             let tie = rendezvous_rank(query.service.as_str(), &runner.row.identity);
             if best.is_none_or(|(e, t, _)| (expected, t) < (e, tie)) {
                 best = Some((expected, tie, key));
@@ -404,12 +404,13 @@
         &self,
         now: Duration,
         runner: &RunnerState,
-        prompt: Option<&Prompt>,
+        query: &PlacementQuery<'_>,
         home: Option<usize>,
     ) -> Duration {
+        let prompt = query.prompt;
         let near = runner.row.data_centre == self.settings.data_centre;
         let mut expected = match prompt {
-            Some(prompt) => self.expected_first_token(now, runner, prompt, home),
+            Some(prompt) => self.expected_first_token(now, runner, prompt, query.account, home),
             None => {
                 let slots = f64::from(runner.row.slots.max(1));
                 let rounds = 1.0 + runner.batch(now) / slots;
@@ -435,24 +436,39 @@
         expected + FAILING.mul_f64(runner.health.failing())
     }
 
+    fn fetch_ms(
+        &self,
+        now: Duration,
+        runner: &RunnerState,
+        prompt: &Prompt,
+        account: Option<&AccountEntry>,
+    ) -> Option<f64> {
+        let salt = cache_salt(runner.version_of(&prompt.model), account);
+        let service = &runner.row.service;
+        let services = self.configuration.services.iter();
+        let mut engines = services.filter(|s| s.name == *service);
+        let bytes = engines.find_map(|s| s.engine.as_ref())?.token_bytes;
+        self.stored
+            .fetch_ms(now, prompt, &salt, &runner.row.data_centre, bytes)
+    }
+
     fn expected_first_token(
         &self,
         now: Duration,
         runner: &RunnerState,
         prompt: &Prompt,
+        account: Option<&AccountEntry>,
         home: Option<usize>,
     ) -> Duration {
         let mut unread = runner.unread_tokens(prompt, now);
         let held = prompt
             .session_part()
             .is_some_and(|part| runner.holds_session(&part.id, now));
-        let stored = prompt.session_part().is_some_and(|part| {
-            let salt = cache_salt(runner.version_of(&prompt.model), None);
-            let part = part.id.clone();
-            self.stored.is_usable(now) && self.stored.holds(&PartKey { salt, part })
-        });
-        if !held && stored {
-            unread -= f64::from(prompt.shared_tokens()) * (1.0 - FETCH_COST);
+        let fetch_ms = self.fetch_ms(now, runner, prompt, account);
+        if let Some(ms) = fetch_ms.filter(|_| !held) {
+            // A link is shared, so that its use delays others as well.
+            let as_read = ms * LINK_SHARED * self.estimate.read_rate;
+            unread -= f64::from(prompt.shared_tokens()) - as_read;
         } else if !held {
             let saves = match home {
                 Some(0) => HOME_SAVES,
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -31,6 +31,7 @@
     in_flight: u32,
     unread: f64,
     sent_since: u32,
+    sent_tokens: f64,
 }
 
 impl RunnerState {
@@ -45,6 +46,7 @@
             in_flight: 0,
             unread: 0.0,
             sent_since: 0,
+            sent_tokens: 0.0,
         }
     }
 
@@ -79,6 +81,7 @@
             self.row.leaving = true;
         }
         self.sent_since = 0;
+        self.sent_tokens = 0.0;
         self.load = Some((load, now));
     }
 
@@ -128,7 +131,7 @@
     pub fn memory(&self, now: Duration, tokens: f64) -> f64 {
         match self.fresh_load(now) {
             Some(l) if l.total_tokens > 0 => {
-                (l.used_tokens as f64 + tokens) / l.total_tokens as f64
+                (l.used_tokens as f64 + self.sent_tokens + tokens) / l.total_tokens as f64
             }
             _ => 0.0,
         }
@@ -172,6 +175,7 @@
             return 0.0;
         };
         let unread = self.unread_tokens(prompt, now);
+        self.sent_tokens += prompt.peak_tokens() as f64;
         self.unread += unread;
         if let Some(part) = prompt.session_part() {
             if self.sessions.len() >= SESSIONS_KEPT {
--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -24,15 +24,17 @@
 use crate::Prompt;
 
 /// How long the directory may be used after the leader was asked; the leader's own figure.
-const LEASE: Duration = Duration::from_millis(1_500);
+const LEASE: Duration = Duration::from_millis(3_200);
 /// How long a fetch may take at most after the request was sent; the leader's own figure.
-const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
+const FETCH_LIMIT: Duration = Duration::from_millis(700);
 /// The share of the objective that fetching may take; the rest is for reading and the first step.
 const FETCH_SHARE: f64 = 0.5;
 /// A fetch that can't take longer than this isn't worth asking for.
 const LEAST_FETCH: Duration = Duration::from_millis(40);
 /// How long a part isn't saved again by this entry, until the directory tells of it.
 const SAVE_PAUSE: Duration = Duration::from_secs(3);
+/// How much longer a transfer between data centres takes.
+const CROSSING_TIMES: f64 = 2.0;
 /// Parts shorter than this are read faster than a transfer is set up.
 const LEAST_TOKENS: u32 = 64;
 /// Saves remembered at most.
@@ -191,6 +193,36 @@
         Some(place)
     }
 
+    /// Returns how long fetching a prompt's shared parts takes a runner in a data centre, in
+    /// milliseconds; none when they aren't all stored.
+    pub fn fetch_ms(
+        &self,
+        now: Duration,
+        prompt: &Prompt,
+        salt: &str,
+        near: &DataCentre,
+        token_bytes: u64,
+    ) -> Option<f64> {
+        let shared = prompt.parts.len().checked_sub(1)?;
+        if shared == 0 || !self.is_usable(now) {
+            return None;
+        }
+        let mut total = 0.0;
+        for part in prompt.parts.iter().take(shared) {
+            let key = PartKey {
+                salt: salt.into(),
+                part: part.id.clone(),
+            };
+            let source = self.source(&key, near)?;
+            let store = self.stores.iter().find(|s| s.address == source)?;
+            let bits = f64::from(part.tokens) * token_bytes as f64 * 8.0;
+            let link = bits / (store.link_mbps.max(1.0) * 1_000.0);
+            let crossing = if store.data_centre == *near { 1.0 } else { CROSSING_TIMES };
+            total += link * crossing;
+        }
+        Some(total)
+    }
+
     /// Takes the parts that were used since the last call.
     pub fn take_used(&mut self) -> Vec<PartKey> {
         self.used.drain().collect()
