--- a/crates/dotterelrudder_config/src/whole/store_traits.rs
+++ b/crates/dotterelrudder_config/src/whole/store_traits.rs
@@ -17,6 +17,8 @@
     pub cache_tokens: u64,
     /// Megabits a second of its link.
     pub link_mbps: f64,
+    /// Milliseconds that each transfer waits before it begins.
+    pub first_ms: f64,
     /// Whether it keeps everything until it is told to free it.
     pub managed: bool,
 }
--- a/crates/dotterelrudder_control/src/fleet/cache_directory.rs
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -64,6 +64,7 @@
     data_centre: DataCentre,
     capacity: u64,
     link_mbps: f64,
+    first_ms: f64,
     epoch: Option<u64>,
     accepts_from: Duration,
     parts: HashMap<PartKey, Part>,
@@ -131,6 +132,7 @@
                     data_centre: store.data_centre.clone(),
                     capacity: store.cache_tokens,
                     link_mbps: store.link_mbps,
+                    first_ms: store.first_ms,
                     epoch: None,
                     accepts_from: Duration::MAX,
                     parts: HashMap::new(),
@@ -373,6 +375,8 @@
                 data_centre: s.data_centre.clone(),
                 capacity: s.capacity,
                 link_mbps: s.link_mbps,
+                first_ms: s.first_ms,
+                fill: s.fill(),
                 accepts: s.accepts_from == Duration::ZERO,
             })
             .collect()
@@ -380,6 +384,12 @@
 }
 
 impl Store {
+    /// Returns the share of the capacity in use.
+    fn fill(&self) -> f32 {
+        let held: u64 = self.parts.values().map(|p| u64::from(p.tokens)).sum();
+        held as f32 / self.capacity.max(1) as f32
+    }
+
     /// Withdraws the parts that were used least lately while the store is nearly full.
     fn choose_leaving(&mut self, now: Duration) -> Vec<PartKey> {
         let held: u64 = self.parts.values().map(|p| u64::from(p.tokens)).sum();
--- /dev/null
+++ b/crates/dotterelrudder_control/tests/cache_directory.rs
@@ -0,0 +1,169 @@
+//! When stored parts may be read and freed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelrudder_config::whole::ServiceEndpoint;
+use dotterelrudder_config::whole::StoreTraits;
+use dotterelrudder_config::whole::WholeConfiguration;
+use dotterelrudder_control::CacheDirectory;
+use dotterelrudder_control::StoreEvent;
+use dotterelrudder_control::DIRECTORY_LEASE;
+use dotterelrudder_control::FETCH_LIMIT;
+use dotterelrudder_wire::PartKey;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn store() -> SocketAddr {
+    "172.20.0.1:80".parse().unwrap()
+}
+
+fn key(part: &str) -> PartKey {
+    PartKey { salt: "v1".into(), part: part.into() }
+}
+
+fn event(part: &str, held: bool) -> StoreEvent {
+    StoreEvent { key: key(part), tokens: 100, held }
+}
+
+fn configuration() -> WholeConfiguration {
+    WholeConfiguration {
+        services: vec![ServiceEndpoint {
+            name: "store".into(),
+            health_path: "".into(),
+            max_connections: 0,
+            engine: None,
+            store: Some(StoreTraits {
+                address: store(),
+                data_centre: "north".into(),
+                cache_tokens: 1_000,
+                link_mbps: 33_000.0,
+                first_ms: 6.0,
+                managed: true,
+            }),
+        }],
+        ..WholeConfiguration::default()
+    }
+}
+
+/// A directory that leads since 0 and read an empty store at 1 s.
+fn directory() -> CacheDirectory {
+    let mut directory = CacheDirectory::default();
+    directory.lead(ms(0), 1 << 40);
+    directory.configure(&configuration());
+    directory.clock(ms(1_000), store(), 50_000);
+    directory.listed(ms(1_000), store(), 7, &[], &[]);
+    directory
+}
+
+#[test]
+fn a_new_leader_reads_stores_once_earlier_orders_can_t_come() {
+    let mut directory = CacheDirectory::default();
+    directory.lead(ms(0), 1);
+    directory.configure(&configuration());
+    assert!(directory.stores(ms(600)).is_empty());
+    assert_eq!(directory.stores(ms(700)), [store()]);
+}
+
+#[test]
+fn a_part_is_told_once_it_is_whole() {
+    let mut directory = directory();
+    directory.take_update();
+    directory.listed(ms(1_100), store(), 7, &[], &[(key("a"), 16)]);
+    assert_eq!(directory.take_update(), None);
+    directory.events(ms(1_200), store(), 7, &[event("a", true)]);
+    let update = directory.take_update().unwrap();
+    assert_eq!(update.added.len(), 1);
+    assert_eq!(update.number, update.from + 1);
+}
+
+/// No order to free a part goes out before every entry that was told of it has stopped naming it
+/// and every fetch has ended.
+#[test]
+fn a_withdrawn_part_is_freed_after_the_last_fetch() {
+    let mut directory = directory();
+    for n in 0..10 {
+        directory.events(ms(2_000 + n), store(), 7, &[event(&format!("p{n}"), true)]);
+    }
+    directory.used(ms(2_500), &[key("p0")]);
+    directory.take_update();
+    assert!(directory.tick(ms(3_000)).is_empty());
+    let withdrawn = directory.take_update().unwrap().removed;
+    // The least lately used leave, down to the share that is kept filled.
+    assert_eq!(withdrawn, [(store(), key("p1"))]);
+    let safe = ms(3_000) + DIRECTORY_LEASE + FETCH_LIMIT;
+    assert!(directory.tick(safe).is_empty());
+    let orders = directory.tick(safe + ms(500));
+    assert_eq!(orders[0].parts, [key("p1")]);
+    assert_eq!(orders[0].epoch, 7);
+    // The order is void once it is late, by the engines' clock.
+    let clock = directory.engine_clock_ms(safe + ms(500));
+    assert_eq!(orders[0].until_ms, clock + 500);
+}
+
+/// News of a part that was freed since must not bring it back: it may be being written anew.
+#[test]
+fn late_news_of_a_freed_part_is_passed_over() {
+    let mut directory = directory();
+    for n in 0..10 {
+        directory.events(ms(2_000 + n), store(), 7, &[event(&format!("p{n}"), true)]);
+    }
+    directory.tick(ms(3_000));
+    let freed = directory.tick(ms(7_400));
+    assert_eq!(freed[0].parts, [key("p0")]);
+    directory.take_update();
+    directory.events(ms(7_500), store(), 7, &[event("p0", true)]);
+    directory.listed(ms(7_600), store(), 7, &[(key("p0"), 100)], &[]);
+    let update = directory.take_update();
+    assert!(update.is_none_or(|u| u.added.is_empty()));
+    directory.events(ms(9_000), store(), 7, &[event("p0", true)]);
+    assert_eq!(directory.take_update().unwrap().added.len(), 1);
+}
+
+/// A store that restarted holds nothing, and takes nothing until no entry names it any more as the
+/// holder of what it lost.
+#[test]
+fn a_restarted_store_is_empty_and_takes_nothing_yet() {
+    let mut directory = directory();
+    directory.events(ms(2_000), store(), 7, &[event("a", true)]);
+    directory.tick(ms(6_000));
+    assert!(directory.take_update().unwrap().stores[0].accepts);
+    directory.events(ms(7_000), store(), 8, &[]);
+    let update = directory.take_update().unwrap();
+    assert_eq!(update.removed, [(store(), key("a"))]);
+    assert!(!update.stores[0].accepts);
+    directory.tick(ms(7_000) + DIRECTORY_LEASE + FETCH_LIMIT);
+    assert_eq!(directory.take_update(), None);
+    directory.tick(ms(7_000) + DIRECTORY_LEASE + FETCH_LIMIT + ms(500));
+    assert!(directory.take_update().unwrap().stores[0].accepts);
+}
+
+#[test]
+fn a_lost_store_is_withdrawn_at_once() {
+    let mut directory = directory();
+    directory.events(ms(2_000), store(), 7, &[event("a", true)]);
+    directory.take_update();
+    directory.lost(store());
+    let update = directory.take_update().unwrap();
+    assert_eq!(update.removed, [(store(), key("a"))]);
+    assert!(update.stores.is_empty());
+}
+
+#[test]
+fn parts_whose_writing_broke_off_are_freed() {
+    let mut directory = directory();
+    for at in [2_000, 5_000, 8_001] {
+        directory.listed(ms(at), store(), 7, &[], &[(key("a"), 16), (key("b"), at as u32)]);
+    }
+    assert_eq!(directory.tick(ms(8_001))[0].parts, [key("a")]);
+}
+
+/// A clock that runs ahead at one store doesn't lengthen the time for fetches.
+#[test]
+fn the_earliest_clock_counts() {
+    let mut directory = directory();
+    directory.clock(ms(2_000), "172.20.0.2:80".parse().unwrap(), 90_000);
+    assert_eq!(directory.engine_clock_ms(ms(2_000)), 51_000);
+}
--- /dev/null
+++ b/crates/dotterelrudder_control/tests/weight_waves.rs
@@ -0,0 +1,82 @@
+//! In which order runners load named weights.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelrudder_control::WeightWaves;
+use dotterelrudder_wire::ModelWeights;
+use dotterelrudder_wire::RunnerLoad;
+
+fn weights(version: u64) -> ModelWeights {
+    ModelWeights { model: "m".into(), version }
+}
+
+fn load(n: u16, version: u64) -> RunnerLoad {
+    RunnerLoad {
+        address: SocketAddr::from(([10, 0, 0, n as u8], 80)),
+        born_ms: 1,
+        answers: true,
+        leaving: false,
+        loading: false,
+        waiting: 0,
+        running: 3,
+        used_tokens: 0,
+        total_tokens: 1,
+        weights: vec![weights(version)],
+    }
+}
+
+fn at(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+/// Load pattern: nine runners serve traffic, each takes 2.2 s to finish its runs and load. All
+/// hold the new weights within 10 s, and never more than four are away at once.
+#[test]
+fn all_runners_come_to_the_named_weights_in_time() {
+    let mut loads: Vec<RunnerLoad> = (1..=9).map(|n| load(n, 1)).collect();
+    let mut waves = WeightWaves::default();
+    let mut away: Vec<(SocketAddr, f64)> = Vec::new();
+    let mut now = 0.0;
+    while loads.iter().any(|l| l.weights[0].version < 2) {
+        assert!(now < 7.0, "{loads:?}");
+        for (address, _) in waves.plan(at(now), &[weights(2)], &loads) {
+            away.push((address, now + 2.2));
+        }
+        assert!(away.len() <= 4);
+        away.retain(|(address, until)| {
+            let done = now >= *until;
+            if done {
+                let load = loads.iter_mut().find(|l| l.address == *address).unwrap();
+                load.weights = vec![weights(2)];
+            }
+            !done
+        });
+        now += 0.1;
+    }
+}
+
+#[test]
+fn an_order_without_effect_is_given_again_later() {
+    let (mut waves, loads) = (WeightWaves::default(), vec![load(1, 1)]);
+    assert_eq!(waves.plan(at(0.0), &[weights(2)], &loads).len(), 1);
+    assert!(waves.plan(at(4.9), &[weights(2)], &loads).is_empty());
+    assert_eq!(waves.plan(at(5.0), &[weights(2)], &loads).len(), 1);
+}
+
+/// A version that is named before the one before is in place goes straight to the newest.
+#[test]
+fn a_newer_version_overtakes_one_in_work() {
+    let (mut waves, loads) = (WeightWaves::default(), vec![load(1, 1)]);
+    waves.plan(at(0.0), &[weights(2)], &loads);
+    let orders = waves.plan(at(0.5), &[weights(3)], &loads);
+    assert_eq!(orders[0].1, weights(3));
+}
+
+#[test]
+fn runners_that_leave_or_don_t_answer_get_no_order() {
+    let (mut leaving, mut silent) = (load(1, 1), load(2, 1));
+    (leaving.leaving, silent.answers) = (true, false);
+    let orders = WeightWaves::default().plan(at(0.0), &[weights(2)], &[leaving, silent]);
+    assert!(orders.is_empty());
+}
--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -635,11 +635,13 @@
 fn note(placement: &Placement, text: &str) -> String {
     let age = placement.load_age.map_or(-1, |a| a.as_millis() as i64);
     format!(
-        "{} {} expected {} ms, load {} ms old: {}",
+        "{} {} expected {} ms, load {} ms old, {} fetched, {} saved: {}",
         placement.identity,
         placement.address,
         placement.expected.as_millis(),
         age,
+        placement.cache.fetch.iter().flatten().count(),
+        placement.cache.save.iter().flatten().count(),
         text
     )
 }
--- a/crates/dotterelrudder_gateway/src/gateway.rs
+++ b/crates/dotterelrudder_gateway/src/gateway.rs
@@ -60,6 +60,8 @@
 const HOME_SAVES: f64 = 0.6;
 /// The same for the second runner in the session's order.
 const SECOND_SAVES: f64 = 0.2;
+/// How often the home of a session still holds what it read; memories turn over in seconds.
+const HOME_HOLDS: f64 = 0.35;
 /// How much a fetch counts against its own time on the link, for those that wait behind it.
 const LINK_SHARED: f64 = 2.0;
 /// When a caller may come back to a service without open runners.
@@ -379,14 +381,33 @@
             return Vec::new();
         };
         let runners = self.runners.of_service(query.service);
-        let mut ranked: Vec<(u64, RunnerKey)> = runners
+        let mut ranked: Vec<((bool, u64), RunnerKey)> = runners
             .filter(|(_, r)| !r.row.leaving)
-            .map(|(key, r)| (rendezvous_rank(&part.id, &r.row.identity), key))
+            .map(|(key, r)| {
+                let rank = rendezvous_rank(&part.id, &r.row.identity);
+                ((self.is_near_store(query, r, &part.id), rank), key)
+            })
             .collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         ranked.into_iter().take(2).map(|(_, key)| key).collect()
     }
 
+    /// Returns whether a session's part is stored in the runner's data centre.
+    fn is_near_store(
+        &self,
+        query: &PlacementQuery<'_>,
+        runner: &RunnerState,
+        part: &CompactString,
+    ) -> bool {
+        let Some(prompt) = query.prompt else {
+            return false;
+        };
+        let salt = cache_salt(runner.version_of(&prompt.model), query.account);
+        let part = part.clone();
+        let place = self.stored.data_centre_of(&PartKey { salt, part });
+        place == Some(&runner.row.data_centre)
+    }
+
     /// Returns whether a runner's weights may still begin a request.
     fn serves_weights(&self, now: Duration, runner: &RunnerState, prompt: Option<&Prompt>) -> bool {
         let Some(prompt) = prompt else {
@@ -467,7 +488,8 @@
         let fetch_ms = self.fetch_ms(now, runner, prompt, account);
         if let Some(ms) = fetch_ms.filter(|_| !held) {
             // A link is shared, so that its use delays others as well.
-            let as_read = ms * LINK_SHARED * self.estimate.read_rate;
+            let missing = if home == Some(0) { 1.0 - HOME_HOLDS } else { 1.0 };
+            let as_read = ms * LINK_SHARED * missing * self.estimate.read_rate;
             unread -= f64::from(prompt.shared_tokens()) - as_read;
         } else if !held {
             let saves = match home {
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -13,7 +13,7 @@
 /// A load report older than this says nothing any more: several times the period of reports.
 const LOAD_AGE_LIMIT: Duration = Duration::from_millis(1_500);
 /// How long a session's KV cache is expected to stay in a runner's memory after its last use.
-const CACHED_FOR: Duration = Duration::from_secs(20);
+const CACHED_FOR: Duration = Duration::from_secs(4);
 /// Sessions remembered for each runner, a few times what its memory can hold.
 const SESSIONS_KEPT: usize = 512;
 
--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -35,6 +35,12 @@
 const SAVE_PAUSE: Duration = Duration::from_secs(3);
 /// How much longer a transfer between data centres takes.
 const CROSSING_TIMES: f64 = 2.0;
+/// Parts up to this length wait longer for a transfer to begin than for its bytes, at the slower
+/// stores of today's deployments.
+const SHORT_PART_TOKENS: u32 = 4_096;
+/// The share of a store's capacity beyond which nothing more is sent to it; the leader frees parts
+/// at a little more.
+const STORE_FULL: f32 = 0.94;
 /// Parts shorter than this are read faster than a transfer is set up.
 const LEAST_TOKENS: u32 = 64;
 /// Saves remembered at most.
@@ -137,7 +143,7 @@
             let stored = shared && self.holds(&key);
             let fetch = if stored { self.source(&key, near) } else { None };
             let save = if shared && !stored {
-                self.save_place(now, &key)
+                self.save_place(now, &key, part.tokens)
             } else {
                 None
             };
@@ -168,23 +174,23 @@
         Some(source)
     }
 
-    /// Returns the store that a part belongs to: by hash, in proportion to what each can hold, so
-    /// that entries agree without talking.
-    fn save_place(&mut self, now: Duration, key: &PartKey) -> Option<SocketAddr> {
+    /// Returns the store that a part is saved to.
+    ///
+    /// Short parts go to the fastest stores while these have room, since waiting for a transfer to
+    /// begin costs them most; long ones go to the others. Within a tier a hash decides in
+    /// proportion to the capacities, so that entries agree without talking.
+    fn save_place(&mut self, now: Duration, key: &PartKey, tokens: u32) -> Option<SocketAddr> {
         let saved = self.saving.get(key);
         if saved.is_some_and(|at| now.saturating_sub(*at) < SAVE_PAUSE) {
             return None;
         }
-        let accepting = self.stores.iter().filter(|s| s.accepts && s.capacity > 0);
-        let place = accepting
-            .map(|s| {
-                let rank = rendezvous_rank(&key.part, &s.address.to_string());
-                // The weighted form of rendezvous hashing: -weight / ln(uniform).
-                let uniform = (rank as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-                (-(s.capacity as f64) / uniform.ln(), s.address)
-            })
-            .max_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, address)| address)?;
+        let fastest = self.stores.iter().map(|s| s.link_mbps).fold(0.0, f64::max);
+        let is_short = tokens <= SHORT_PART_TOKENS;
+        let open = |s: &&StoreStanding| s.accepts && s.capacity > 0 && s.fill < STORE_FULL;
+        let in_tier = |s: &&StoreStanding| (s.link_mbps >= fastest) == is_short;
+        let open_stores = || self.stores.iter().filter(open);
+        let place = choose_by_capacity(open_stores().filter(in_tier), key)
+            .or_else(|| choose_by_capacity(open_stores(), key))?;
         if self.saving.len() >= SAVES_KEPT {
             self.saving
                 .retain(|_, at| now.saturating_sub(*at) < SAVE_PAUSE);
@@ -193,6 +199,13 @@
         Some(place)
     }
 
+    /// Returns the data centre of the store that a part can be fetched from.
+    pub fn data_centre_of(&self, key: &PartKey) -> Option<&DataCentre> {
+        let places = self.parts.get(key)?;
+        let store = self.stores.iter().find(|s| places.contains(&s.address))?;
+        Some(&store.data_centre)
+    }
+
     /// Returns how long fetching a prompt's shared parts takes a runner in a data centre, in
     /// milliseconds; none when they aren't all stored.
     pub fn fetch_ms(
@@ -218,7 +231,7 @@
             let bits = f64::from(part.tokens) * token_bytes as f64 * 8.0;
             let link = bits / (store.link_mbps.max(1.0) * 1_000.0);
             let crossing = if store.data_centre == *near { 1.0 } else { CROSSING_TIMES };
-            total += link * crossing;
+            total += store.first_ms + link * crossing;
         }
         Some(total)
     }
@@ -228,3 +241,18 @@
         self.used.drain().collect()
     }
 }
+
+/// Draws a store by rendezvous hashing, weighted by capacity.
+fn choose_by_capacity<'a, I>(stores: I, key: &PartKey) -> Option<SocketAddr>
+where
+    I: Iterator<Item = &'a StoreStanding>,
+{
+    let scored = stores.map(|s| {
+        let rank = rendezvous_rank(&key.part, &s.address.to_string());
+        // The weighted form of rendezvous hashing: -weight / ln(uniform).
+        let uniform = (rank as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        (-(s.capacity as f64) / uniform.ln(), s.address)
+    });
+    let best = scored.max_by(|a, b| a.0.total_cmp(&b.0));
+    best.map(|(_, address)| address)
+}
--- /dev/null
+++ b/crates/dotterelrudder_gateway/tests/admission.rs
@@ -0,0 +1,65 @@
+//! Which requests are served, by what an entry holds.
+
+mod support;
+
+use dotterelrudder_types::ErrorKind;
+use support::*;
+
+#[test]
+fn an_entry_without_configuration_serves_nothing() {
+    let mut gateway = dotterelrudder_gateway::Gateway::new(settings(), 7);
+    let refusal = gateway.admit(ms(0), &call("/long/x", "k1")).unwrap_err();
+    assert_eq!(refusal.kind, ErrorKind::NotReady);
+    assert!(!gateway.is_ready(ms(0)));
+}
+
+#[test]
+fn routes_and_keys_decide() {
+    let mut gateway = gateway(1);
+    let admitted = gateway.admit(ms(1), &call("/long/x", "k2")).unwrap();
+    assert_eq!(admitted.account.unwrap().name.as_str(), "bakery");
+    let kind = |path: &str, key: &str, gateway: &mut dotterelrudder_gateway::Gateway| {
+        gateway.admit(ms(1), &call(path, key)).unwrap_err().kind
+    };
+    assert_eq!(kind("/nowhere/", "k1", &mut gateway), ErrorKind::UnknownModel);
+    assert_eq!(kind("/long/x", "k9", &mut gateway), ErrorKind::UnknownKey);
+}
+
+/// An entry that hears nothing of control can't know whether a key was taken away.
+#[test]
+fn a_key_counts_only_while_control_confirms() {
+    let mut gateway = gateway(1);
+    assert!(gateway.admit(ms(3_499), &call("/long/x", "k1")).is_ok());
+    let refusal = gateway.admit(ms(3_500), &call("/long/x", "k1")).unwrap_err();
+    assert_eq!(refusal.kind, ErrorKind::NotReady);
+    assert!(!gateway.is_ready(ms(3_500)));
+    gateway.on_view(ms(3_600), view(1), Some(ms(3_550)));
+    assert!(gateway.admit(ms(3_600), &call("/long/x", "k1")).is_ok());
+}
+
+/// An answer that was on its way while the process stood still proves nothing about the time
+/// since: the lease counts from the question.
+#[test]
+fn a_late_answer_confirms_no_more_than_its_question() {
+    let mut gateway = gateway(1);
+    gateway.on_view(ms(9_000), view(1), Some(ms(500)));
+    assert!(!gateway.is_ready(ms(9_000)));
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let mut gateway = gateway(1);
+    assert!(gateway.on_view(ms(1), view(5), Some(ms(1))));
+    assert!(!gateway.on_view(ms(2), view(4), Some(ms(2))));
+    assert_eq!(gateway.configuration().version, 5);
+}
+
+/// A view without the configuration that it names doesn't confirm the older one held.
+#[test]
+fn a_newer_version_that_hasn_t_come_isn_t_confirmed() {
+    let mut gateway = gateway(1);
+    let mut newer = view(9);
+    newer.configuration = None;
+    gateway.on_view(ms(4_000), newer, Some(ms(4_000)));
+    assert!(!gateway.is_ready(ms(4_000)));
+}
--- /dev/null
+++ b/crates/dotterelrudder_gateway/tests/placement.rs
@@ -0,0 +1,143 @@
+//! Where requests go.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use dotterelrudder_gateway::RunOutcome;
+use dotterelrudder_gateway::RunnerKey;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_wire::ModelWeights;
+use support::*;
+
+#[test]
+fn entries_agree_on_the_home_of_a_session() {
+    let (service, mut a, mut b) = (engines(), gateway(9), gateway(9));
+    for session in 0..50 {
+        let prompt = prompt(&format!("s{session}"), 8_000, 2_000);
+        let query = query(&service, Some(&prompt), &[]);
+        let (here, there) = (a.place(ms(1), &query).unwrap(), b.place(ms(1), &query).unwrap());
+        assert_eq!(here.identity, there.identity);
+    }
+}
+
+#[test]
+fn a_leaving_or_silent_runner_gets_nothing() {
+    let (service, mut gateway) = (engines(), gateway(2));
+    let mut leaving = row(1, "engines", "north");
+    leaving.leaving = true;
+    gateway.on_runners(vec![leaving, row(2, "engines", "north")]);
+    for n in 0..20 {
+        let prompt = prompt(&format!("s{n}"), 1_000, 10);
+        let placed = gateway.place(ms(1), &query(&service, Some(&prompt), &[])).unwrap();
+        assert_eq!(placed.identity, "i-2");
+    }
+    // The list may still show it as taking work; the earlier word holds.
+    gateway.on_runners(vec![row(1, "engines", "north"), row(2, "engines", "north")]);
+    let mut silent = load(2, 0, 0);
+    silent.answers = false;
+    gateway.on_loads(ms(2), vec![silent]);
+    let prompt = prompt("s", 1_000, 10);
+    let refusal = gateway.place(ms(3), &query(&service, Some(&prompt), &[])).unwrap_err();
+    assert_eq!(refusal.kind, ErrorKind::NoBackendServer);
+    assert!(refusal.is_not_run() && refusal.retry_after.is_some());
+}
+
+#[test]
+fn an_unreachable_runner_is_left_out_until_it_may_be_back() {
+    let (service, mut gateway) = (engines(), gateway(1));
+    let prompt = prompt("s", 1_000, 10);
+    let placed = gateway.place(ms(0), &query(&service, Some(&prompt), &[])).unwrap();
+    gateway.sent(ms(0), placed.runner, Some(&prompt));
+    gateway.ended(ms(0), placed.runner, RunOutcome::Unreachable);
+    let refusal = gateway.place(ms(10), &query(&service, Some(&prompt), &[])).unwrap_err();
+    assert_eq!(refusal.retry_after, Some(ms(990)));
+    assert!(gateway.place(ms(1_000), &query(&service, Some(&prompt), &[])).is_ok());
+}
+
+/// Requests begin on named weights once the time for older ones is up, wherever there is room.
+#[test]
+fn older_weights_take_requests_for_a_while_only() {
+    let (service, mut gateway) = (engines(), gateway(2));
+    let mut named = view(1);
+    named.weights = weights(2);
+    gateway.on_view(ms(100), named, Some(ms(100)));
+    let prompt = prompt("s", 1_000, 10);
+    let placed = gateway.place(ms(200), &query(&service, Some(&prompt), &[])).unwrap();
+    assert_eq!(placed.weights, Some(1));
+    let mut newer = load(2, 30, 0);
+    newer.weights = vec![ModelWeights { model: MODEL.into(), version: 2 }];
+    gateway.on_loads(ms(300), vec![newer]);
+    let placed = gateway.place(ms(300), &query(&service, Some(&prompt), &[])).unwrap();
+    assert_eq!((placed.identity.as_str(), placed.weights), ("i-2", Some(2)));
+    let tried: [RunnerKey; 1] = [placed.runner];
+    let refused = gateway.place(ms(9_000), &query(&service, Some(&prompt), &tried));
+    assert!(refused.is_err());
+}
+
+#[test]
+fn cache_is_kept_apart_by_weights_and_isolated_accounts() {
+    let (service, mut gateway) = (engines(), gateway(1));
+    let prompt = prompt("s", 1_000, 10);
+    let accounts = configuration(1).accounts;
+    let mut salts = Vec::new();
+    for account in [None, Some(&accounts[0]), Some(&accounts[1])] {
+        let mut query = query(&service, Some(&prompt), &[]);
+        query.account = account;
+        salts.push(gateway.place(ms(1), &query).unwrap().cache_salt.unwrap());
+    }
+    assert_eq!(salts, ["v1", "v1", "v1.bakery"]);
+}
+
+/// Load pattern: a burst of long prompts of one session arrives within one period of load reports.
+/// Without counting own sends all of them would queue at the home while others are idle.
+#[test]
+fn a_burst_of_one_session_spills_over_to_idle_runners() {
+    let (service, mut gateway) = (engines(), gateway(9));
+    gateway.on_loads(ms(0), (1..=9).map(|n| load(n, 0, 0)).collect());
+    let prompt = prompt("s", 8_000, 3_000);
+    let mut sent: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..24 {
+        let placed = gateway.place(ms(1), &query(&service, Some(&prompt), &[])).unwrap();
+        gateway.sent(ms(1), placed.runner, Some(&prompt));
+        *sent.entry(placed.identity.to_string()).or_default() += 1;
+    }
+    let most = sent.values().max().copied().unwrap();
+    assert!(sent.len() >= 6, "{sent:?}");
+    assert!(most <= 6, "{sent:?}");
+}
+
+/// Load pattern: a runner's memory is full of running requests, so that one more would preempt.
+#[test]
+fn a_runner_with_full_memory_is_passed_over() {
+    let (service, mut gateway) = (engines(), gateway(2));
+    let prompt = prompt("s", 8_000, 3_000);
+    let home = gateway.place(ms(0), &query(&service, Some(&prompt), &[])).unwrap();
+    let full: u16 = home.identity[2..].parse().unwrap();
+    gateway.on_loads(ms(0), vec![load(full, 8, 90_000), load(3 - full, 8, 20_000)]);
+    let placed = gateway.place(ms(1), &query(&service, Some(&prompt), &[])).unwrap();
+    assert_ne!(placed.identity, home.identity);
+}
+
+/// Load pattern: a runner fails half of its requests while its health check is good.
+#[test]
+fn a_failing_runner_gets_few_requests() {
+    let (service, mut gateway) = (engines(), gateway(3));
+    let mut to_failing = 0;
+    for n in 0..200u64 {
+        let now = ms(n * 20);
+        let prompt = prompt(&format!("s{n}"), 1_500, 500);
+        let placed = gateway.place(now, &query(&service, Some(&prompt), &[])).unwrap();
+        gateway.sent(now, placed.runner, Some(&prompt));
+        gateway.first_part(placed.runner, 1e9);
+        let failing = placed.identity == "i-1";
+        to_failing += u32::from(failing);
+        let outcome = if failing && n % 2 == 0 {
+            RunOutcome::Failed
+        } else {
+            RunOutcome::Answered
+        };
+        gateway.ended(now, placed.runner, outcome);
+    }
+    assert!(to_failing < 40, "{to_failing} of 200");
+}
--- /dev/null
+++ b/crates/dotterelrudder_gateway/tests/stored_parts.rs
@@ -0,0 +1,138 @@
+//! Which stored parts a request names.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use dotterelrudder_gateway::StoredParts;
+use dotterelrudder_wire::DirectoryUpdate;
+use dotterelrudder_wire::PartKey;
+use dotterelrudder_wire::StoreStanding;
+use dotterelrudder_wire::StoredPart;
+use support::*;
+
+fn store(n: u16, data_centre: &str, link_mbps: f64, capacity: u64) -> StoreStanding {
+    StoreStanding {
+        address: address(n),
+        data_centre: data_centre.into(),
+        capacity,
+        link_mbps,
+        first_ms: 0.5,
+        fill: 0.0,
+        accepts: true,
+    }
+}
+
+fn address(n: u16) -> SocketAddr {
+    format!("172.20.0.{n}:80").parse().unwrap()
+}
+
+fn key(part: &str) -> PartKey {
+    PartKey { salt: "v1".into(), part: part.into() }
+}
+
+fn held(n: u16, part: &str) -> StoredPart {
+    StoredPart { store: address(n), key: key(part), tokens: 8_000 }
+}
+
+fn update(from: u64, number: u64, added: Vec<StoredPart>) -> DirectoryUpdate {
+    DirectoryUpdate {
+        from,
+        number,
+        stores: vec![store(1, "north", 33_000.0, 800_000), store(2, "south", 83_000.0, 100_000)],
+        added,
+        removed: Vec::new(),
+    }
+}
+
+fn parts() -> StoredParts {
+    let mut parts = StoredParts::default();
+    assert!(parts.update(update(0, 10, vec![held(1, "s")])));
+    parts.confirm(10, ms(0), 1_000, ms(0));
+    parts
+}
+
+#[test]
+fn stored_parts_are_fetched_and_others_saved_once() {
+    let mut parts = parts();
+    let prompt = prompt("s", 8_000, 2_000);
+    let plan = parts.plan(ms(100), &prompt, "v1", &"north".into(), ms(1_000));
+    assert_eq!(plan.fetch.as_slice(), [None, Some(address(1)), None]);
+    // The common part is short and goes to the store with the fast link; the own part nowhere.
+    assert_eq!(plan.save.as_slice(), [Some(address(2)), None, None]);
+    assert_eq!(plan.until_ms, Some(1_000 + 100 + 500));
+    let again = parts.plan(ms(200), &prompt, "v1", &"north".into(), ms(1_000));
+    assert!(!again.saves());
+    assert_eq!(parts.take_used(), [key("s")]);
+}
+
+/// Parts made under other weights or for an isolated account are other parts.
+#[test]
+fn another_salt_finds_nothing() {
+    let mut parts = parts();
+    let prompt = prompt("s", 8_000, 2_000);
+    for salt in ["v2", "v1.bakery"] {
+        assert!(!parts.plan(ms(100), &prompt, salt, &"north".into(), ms(1_000)).fetches());
+    }
+}
+
+/// Nothing is named on the word of a leader that may have freed it since.
+#[test]
+fn a_directory_that_isn_t_confirmed_is_not_used() {
+    let mut parts = parts();
+    let prompt = prompt("s", 8_000, 2_000);
+    let near = "north".into();
+    assert!(parts.plan(ms(3_199), &prompt, "v1", &near, ms(1_000)).fetches());
+    let plan = parts.plan(ms(3_200), &prompt, "v1", &near, ms(1_000));
+    assert!(!plan.fetches() && !plan.saves());
+    // Confirming another directory than the one held doesn't count.
+    parts.confirm(11, ms(3_200), 4_200, ms(3_200));
+    assert!(!parts.is_usable(ms(3_200)));
+    parts.confirm(10, ms(3_200), 4_200, ms(3_200));
+    assert!(parts.is_usable(ms(3_200)));
+}
+
+#[test]
+fn an_update_that_doesn_t_fit_drops_the_directory() {
+    let mut parts = parts();
+    assert!(!parts.update(update(11, 12, Vec::new())));
+    assert!(parts.is_empty() && !parts.is_usable(ms(1)));
+    assert!(parts.update(update(0, 12, vec![held(1, "s")])));
+    // The confirmation of the dropped directory doesn't carry over.
+    assert!(!parts.is_usable(ms(1)));
+}
+
+#[test]
+fn a_removed_part_is_not_fetched() {
+    let mut parts = parts();
+    let mut gone = update(10, 11, Vec::new());
+    gone.removed = vec![(address(1), key("s"))];
+    assert!(parts.update(gone));
+    parts.confirm(11, ms(0), 1_000, ms(0));
+    let plan = parts.plan(ms(1), &prompt("s", 8_000, 10), "v1", &"north".into(), ms(1_000));
+    assert!(!plan.fetches());
+}
+
+/// Load pattern: the fast stores are full. Short parts then go to the others instead of nowhere.
+#[test]
+fn short_parts_spill_over_when_fast_stores_are_full() {
+    let mut parts = parts();
+    let mut full = update(10, 11, Vec::new());
+    full.stores[1].fill = 0.95;
+    assert!(parts.update(full));
+    parts.confirm(11, ms(0), 1_000, ms(0));
+    let plan = parts.plan(ms(1), &prompt("s", 8_000, 10), "v1", &"north".into(), ms(1_000));
+    assert_eq!(plan.save[0], Some(address(1)));
+}
+
+/// A store that just came back may be named as the holder of parts that it lost, so that nothing
+/// is written to it yet.
+#[test]
+fn nothing_is_saved_to_a_store_that_doesn_t_accept() {
+    let mut parts = StoredParts::default();
+    let mut closed = update(0, 10, Vec::new());
+    closed.stores.iter_mut().for_each(|s| s.accepts = false);
+    parts.update(closed);
+    parts.confirm(10, ms(0), 1_000, ms(0));
+    assert!(!parts.plan(ms(1), &prompt("s", 8_000, 10), "v1", &"north".into(), ms(1_000)).saves());
+}
--- /dev/null
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -0,0 +1,212 @@
+//! A small deployment for the gateway's tests.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use dotterelrudder_config::whole::AccountEntry;
+use dotterelrudder_config::whole::CallKind;
+use dotterelrudder_config::whole::CallerLimits;
+use dotterelrudder_config::whole::EngineTraits;
+use dotterelrudder_config::whole::RouteRule;
+use dotterelrudder_config::whole::ServiceEndpoint;
+use dotterelrudder_config::whole::WeightedTarget;
+use dotterelrudder_config::whole::WholeConfiguration;
+use dotterelrudder_gateway::CallerCall;
+use dotterelrudder_gateway::Gateway;
+use dotterelrudder_gateway::GatewaySettings;
+use dotterelrudder_gateway::PlacementQuery;
+use dotterelrudder_gateway::Prompt;
+use dotterelrudder_gateway::PromptPart;
+use dotterelrudder_gateway::RunnerKey;
+use dotterelrudder_types::AccountKeyHash;
+use dotterelrudder_types::ServiceName;
+use dotterelrudder_wire::FleetView;
+use dotterelrudder_wire::ModelWeights;
+use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::RunnerRow;
+
+pub const MODEL: &str = "m";
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn engines() -> ServiceName {
+    "engines".into()
+}
+
+pub fn settings() -> GatewaySettings {
+    GatewaySettings {
+        data_centre: "north".into(),
+        key_lease: ms(3_500),
+        retry_ratio: 0.2,
+        retry_window: ms(10_000),
+        retry_slack: 60.0,
+        weights_limit: ms(10_000),
+    }
+}
+
+pub fn route(name: &str, kind: CallKind, service: &str) -> RouteRule {
+    RouteRule {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: format!("/{name}/").into(),
+        kind,
+        time_limit: ms(15_000),
+        objective: ms(1_000),
+        rank: 0,
+        targets: vec![WeightedTarget {
+            service: service.into(),
+            weight: 1,
+        }],
+        max_runners: 2,
+        needs_key: true,
+        pause_objective: None,
+    }
+}
+
+pub fn configuration(version: u64) -> WholeConfiguration {
+    let stream = CallKind::Stream { resumable: true };
+    WholeConfiguration {
+        version,
+        routes: vec![
+            route("long", stream, "engines"),
+            route("desk", CallKind::AtMostOnce, "desk"),
+        ],
+        services: vec![
+            ServiceEndpoint {
+                name: engines(),
+                health_path: "/healthz".into(),
+                max_connections: 370,
+                engine: Some(EngineTraits {
+                    slots: 64,
+                    cache_tokens: 95_000,
+                    token_bytes: 18_432,
+                    link_mbps: 370_000.0,
+                }),
+                store: None,
+            },
+            ServiceEndpoint {
+                name: "desk".into(),
+                health_path: "/healthz".into(),
+                max_connections: 110,
+                engine: None,
+                store: None,
+            },
+        ],
+        accounts: vec![
+            AccountEntry {
+                name: "school".into(),
+                keys: vec![AccountKeyHash::of_key("k1")],
+                rank: None,
+                isolated: false,
+            },
+            AccountEntry {
+                name: "bakery".into(),
+                keys: vec![AccountKeyHash::of_key("k2")],
+                rank: Some(1),
+                isolated: true,
+            },
+        ],
+        limits: CallerLimits::default(),
+    }
+}
+
+pub fn view(version: u64) -> FleetView {
+    FleetView {
+        asked: 1,
+        version,
+        configuration: Some(Box::new(configuration(version))),
+        weights: Vec::new(),
+        controls: Vec::new(),
+        directory: 0,
+        engine_clock_ms: 0,
+        entries: 1,
+    }
+}
+
+pub fn row(n: u16, service: &str, data_centre: &str) -> RunnerRow {
+    RunnerRow {
+        identity: format!("i-{n}").into(),
+        service: service.into(),
+        address: format!("10.0.0.{n}:8080").parse().unwrap(),
+        data_centre: data_centre.into(),
+        slots: if service == "desk" { 6 } else { 64 },
+        leaving: false,
+        weights: weights(1),
+        born_ms: 1,
+    }
+}
+
+pub fn weights(version: u64) -> Vec<ModelWeights> {
+    vec![ModelWeights {
+        model: MODEL.into(),
+        version,
+    }]
+}
+
+pub fn load(n: u16, running: u32, used: u64) -> RunnerLoad {
+    RunnerLoad {
+        address: format!("10.0.0.{n}:8080").parse().unwrap(),
+        born_ms: 1,
+        answers: true,
+        leaving: false,
+        loading: false,
+        waiting: 0,
+        running,
+        used_tokens: used,
+        total_tokens: 95_000,
+        weights: weights(1),
+    }
+}
+
+/// A gateway that holds a configuration and `runners` engines in one data centre.
+pub fn gateway(runners: u16) -> Gateway {
+    let mut gateway = Gateway::new(settings(), 7);
+    gateway.on_view(ms(0), view(1), Some(ms(0)));
+    gateway.on_runners((1..=runners).map(|n| row(n, "engines", "north")).collect());
+    gateway
+}
+
+pub fn call(path: &str, key: &str) -> CallerCall {
+    CallerCall {
+        id: "r".into(),
+        host: "a.example".into(),
+        path: path.into(),
+        key: Some(AccountKeyHash::of_key(key)),
+        patience: None,
+        prompt: None,
+        resume_after: None,
+    }
+}
+
+/// A prompt of a shared common part, a session's part and an own part.
+pub fn prompt(session: &str, shared: u32, own: u32) -> Prompt {
+    let part = |id: &str, tokens| PromptPart {
+        id: id.into(),
+        tokens,
+    };
+    Prompt {
+        model: MODEL.into(),
+        tokens: 512 + shared + own,
+        most_output: 80,
+        parts: [part("common", 512), part(session, shared), part("own", own)]
+            .into_iter()
+            .collect(),
+    }
+}
+
+pub fn query<'a>(
+    service: &'a ServiceName,
+    prompt: Option<&'a Prompt>,
+    tried: &'a [RunnerKey],
+) -> PlacementQuery<'a> {
+    PlacementQuery {
+        service,
+        prompt,
+        account: None,
+        tried,
+        objective: ms(1_000),
+        left: ms(10_000),
+    }
+}
--- a/crates/dotterelrudder_wire/src/fleet/store_standing.rs
+++ b/crates/dotterelrudder_wire/src/fleet/store_standing.rs
@@ -17,6 +17,10 @@
     pub capacity: u64,
     /// Megabits a second of its link.
     pub link_mbps: f64,
+    /// Milliseconds that each transfer waits before it begins.
+    pub first_ms: f64,
+    /// The share of the capacity that is in use.
+    pub fill: f32,
     /// Whether parts may be saved to it now.
     pub accepts: bool,
 }
