--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -110,7 +110,8 @@
 
     /// Keeps connections to the seeds and to those that the leader named.
     fn dial(&self) {
-        let names: BTreeSet<&InstanceName> = self.seeds.iter().chain(&self.told).collect();
+        let named = self.follower.controls().iter();
+        let names: BTreeSet<&InstanceName> = named.chain(&self.seeds).chain(&self.told).collect();
         let targets = names
             .into_iter()
             .filter_map(|n| Some((n.clone(), n.as_str().parse::<SocketAddr>().ok()?)));
@@ -120,12 +121,16 @@
     fn on_link(&mut self, event: LinkEvent) {
         let now = self.clock.now();
         match event {
-            LinkEvent::Opened { .. } => self.ask(),
+            LinkEvent::Opened { peer, .. } => {
+                self.follower.opened(now, &peer);
+                self.ask();
+            }
             LinkEvent::Closed { peer } => self.follower.closed(now, &peer),
             LinkEvent::Message { peer, message, .. } => match message {
                 Message::Fleet(view) => self.on_view(&peer, view),
                 Message::FollowElsewhere { leader } => {
                     self.follower.elsewhere(now, &peer, leader.as_ref());
+                    self.dial();
                     self.ask();
                 }
                 Message::Runners(rows) => (self.news)(FleetNews::Runners(rows)),
--- a/crates/dotterelrudder_follow/src/fleet_follower.rs
+++ b/crates/dotterelrudder_follow/src/fleet_follower.rs
@@ -60,6 +60,19 @@
         self.current = place.unwrap_or(0);
     }
 
+    /// Returns the control instances that are known.
+    pub fn controls(&self) -> &[InstanceName] {
+        &self.controls
+    }
+
+    /// Learns that a connection opened; a question to it before that was lost.
+    pub fn opened(&mut self, now: Duration, peer: &InstanceName) {
+        if self.asks() == Some(peer) && !self.in_contact {
+            self.answer_due = None;
+            self.ask_at = now;
+        }
+    }
+
     /// Returns the instance that is asked now.
     pub fn asks(&self) -> Option<&InstanceName> {
         self.controls.get(self.current)
@@ -130,6 +143,9 @@
             return;
         }
         let known = leader.filter(|l| *l != from);
+        if let Some(leader) = known.filter(|l| !self.controls.contains(l)) {
+            self.controls.push(leader.clone());
+        }
         match known.and_then(|l| self.controls.iter().position(|c| c == l)) {
             Some(place) => {
                 self.answer_due = None;
--- a/crates/dotterelrudder_follow/tests/fleet_follower.rs
+++ b/crates/dotterelrudder_follow/tests/fleet_follower.rs
@@ -86,3 +86,24 @@
     follower.set_controls(names(&["x", "y"]));
     assert_eq!(follower.asks().unwrap().as_str(), "x");
 }
+
+/// After a restart of everything the leader may be an instance that the settings don't name.
+#[test]
+fn a_leader_that_no_seed_names_is_asked() {
+    let mut follower = follower();
+    follower.tick(ms(0), 0, 0);
+    follower.elsewhere(ms(5), &"a".into(), Some(&"z".into()));
+    assert_eq!(follower.asks().unwrap().as_str(), "z");
+    assert!(follower.controls().contains(&"z".into()));
+}
+
+/// A question that was asked before the connection was open is lost, and asked again at once.
+#[test]
+fn an_opened_connection_is_asked_at_once() {
+    let mut follower = follower();
+    follower.tick(ms(0), 0, 0);
+    follower.opened(ms(20), &"b".into());
+    assert!(follower.tick(ms(20), 0, 0).is_none());
+    follower.opened(ms(30), &"a".into());
+    assert_eq!(follower.tick(ms(30), 0, 0).unwrap().0.as_str(), "a");
+}
