--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -54,6 +54,7 @@
     let serving = Arc::new(Serving {
         dialect,
         gateway: Mutex::new(Gateway::new(file.decisions(), rand::random())),
+        room: Mutex::default(),
         pool: Pool::default(),
         clock: clock.clone(),
         metrics: metrics.clone(),
--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -12,15 +12,18 @@
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::EventSplitter;
 use dotterelrudder_gateway::Gateway;
+use dotterelrudder_gateway::NotPlaced;
 use dotterelrudder_gateway::OutboundCall;
 use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::PlacementQuery;
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::RunnerKey;
+use dotterelrudder_gateway::WaitingRoom;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Outcome;
 use dotterelrudder_types::Refusal;
+use dotterelrudder_types::ServiceName;
 use http::header::CONNECTION;
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
@@ -64,6 +67,9 @@
 const PATIENCE_LEAST: Duration = Duration::from_millis(250);
 /// The least time left for which a runner is still asked.
 const LEAST_LEFT: Duration = Duration::from_millis(5);
+/// How often a waiting request looks for room; loads are told every few tenths of a second, and
+/// own requests end in between.
+const LOOK_AGAIN: Duration = Duration::from_millis(15);
 /// Without a patience of the caller's own.
 const PATIENCE_DEFAULT: Duration = Duration::from_secs(60);
 
@@ -71,6 +77,7 @@
 pub(super) struct Serving<D> {
     pub(super) dialect: D,
     pub(super) gateway: Mutex<Gateway>,
+    pub(super) room: Mutex<WaitingRoom>,
     pub(super) pool: Pool,
     pub(super) clock: SystemClock,
     pub(super) metrics: Metrics,
@@ -118,6 +125,37 @@
     }
 }
 
+/// The place of one request in the waiting room; it is left whichever way the wait ends.
+struct Place<'a> {
+    room: &'a Mutex<WaitingRoom>,
+    ticket: Option<u64>,
+}
+
+impl Place<'_> {
+    fn room(&self) -> MutexGuard<'_, WaitingRoom> {
+        self.room.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn may_try(&self, service: &ServiceName, urgency: u8, tokens: u64) -> bool {
+        self.room().may_try(self.ticket, service, urgency, tokens)
+    }
+
+    fn join(&mut self, service: &ServiceName, urgency: u8, tokens: u64) {
+        if self.ticket.is_none() {
+            let ticket = self.room().join(service, urgency, tokens);
+            self.ticket = Some(ticket);
+        }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket {
+            self.room().leave(ticket);
+        }
+    }
+}
+
 /// How a request ended before an answer began.
 enum Ended {
     Whole(http::response::Parts, Bytes),
@@ -243,11 +281,11 @@
                 objective: route.objective,
                 left,
             };
-            let placed = self.gateway().place(now, &query);
-            let placement = match placed {
+            let placement = match self.find_room(job, &query).await {
                 Ok(placement) => placement,
                 Err(refusal) => return Ended::Refused(not_placed(refusal, log)),
             };
+            let left = job.deadline.saturating_sub(self.now());
             log.tried.push(placement.runner);
             let end = self.offer(job, &placement, left, resume_after, log).await;
             let (reason, outcome, ran) = match end {
@@ -274,6 +312,32 @@
         Ended::Refused(given_up(ErrorKind::Overloaded, reason, log))
     }
 
+    /// Waits for a runner with room for the request.
+    async fn find_room(
+        &self,
+        job: &Job,
+        query: &PlacementQuery<'_>,
+    ) -> Result<Placement, Refusal> {
+        let service = query.service;
+        let tokens = query.prompt.map_or(0, |p| p.peak_tokens());
+        let urgency = self.gateway().urgency(&job.admission);
+        let mut place = Place {
+            room: &self.room,
+            ticket: None,
+        };
+        loop {
+            if place.may_try(service, urgency, tokens) {
+                match self.gateway().place(self.now(), query) {
+                    Ok(placement) => return Ok(placement),
+                    Err(NotPlaced::Refused(refusal)) => return Err(refusal),
+                    Err(NotPlaced::Busy) => {}
+                }
+            }
+            place.join(service, urgency, tokens);
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
     /// Offers the request to one runner.
     async fn offer(
         self: &Arc<Self>,
--- a/crates/dotterelrudder_gateway/src/gateway.rs
+++ b/crates/dotterelrudder_gateway/src/gateway.rs
@@ -30,6 +30,7 @@
 use crate::ConfirmedLease;
 use crate::EngineEstimate;
 use crate::GatewaySettings;
+use crate::NotPlaced;
 use crate::Placement;
 use crate::Prompt;
 use crate::RetryBudget;
@@ -64,6 +65,9 @@
 const HOME_HOLDS: f64 = 0.35;
 /// How much a fetch counts against its own time on the link, for those that wait behind it.
 const LINK_SHARED: f64 = 2.0;
+/// The share of a runner's memory up to which prompts are sent to it; their answers still grow,
+/// and other entries send as well.
+const MEMORY_FULL: f64 = 0.9;
 /// When a caller may come back to a service without open runners.
 const RETRY_WHEN_OPEN: Duration = Duration::from_millis(300);
 
@@ -273,12 +277,13 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal when no runner is open.
+    /// Returns a refusal when no runner is open, and that the request has to wait when none has
+    /// room for it.
     pub fn place(
         &mut self,
         now: Duration,
         query: &PlacementQuery<'_>,
-    ) -> Result<Placement, Refusal> {
+    ) -> Result<Placement, NotPlaced> {
         let home = self.home_order(query);
         let mut best: Option<(Duration, u64, RunnerKey)> = None;
         let mut opens: Option<Duration> = None;
@@ -305,8 +310,11 @@
             let mut refusal = Refusal::new(ErrorKind::NoBackendServer, detail);
             let wait = opens.map_or(RETRY_WHEN_OPEN, |at| at.saturating_sub(now));
             refusal.retry_after = Some(wait.max(RETRY_WHEN_OPEN));
-            return Err(refusal);
+            return Err(NotPlaced::Refused(refusal));
         };
+        if query.prompt.is_some_and(|p| self.is_crowded(now, runner, p)) {
+            return Err(NotPlaced::Busy);
+        }
         let weights = query.prompt.and_then(|p| runner.version_of(&p.model));
         let load_age = runner.load_age(now);
         let row = runner.row.clone();
@@ -328,6 +336,13 @@
         })
     }
 
+    /// Returns whether a runner would have to preempt others for a prompt. An empty runner takes
+    /// any prompt.
+    fn is_crowded(&self, now: Duration, runner: &RunnerState, prompt: &Prompt) -> bool {
+        let full = runner.memory(now, prompt.peak_tokens() as f64) > MEMORY_FULL;
+        full && runner.batch(now) > 0.0
+    }
+
     /// Plans where the prompt's KV cache comes from: a store, or else the runner that read the
     /// session's part last.
     fn plan_cache(
--- /dev/null
+++ b/crates/dotterelrudder_gateway/src/waiting_room.rs
@@ -0,0 +1,70 @@
+//! In which order requests wait at an entry for room at a runner.
+//!
+//! Load pattern: runners were lost or prompts have to be read anew, so that more long prompts are
+//! under way than the runners' memories hold. A runner that is given them all the same preempts
+//! the newest ones and reads them again, which makes it slower still. They wait at the entry
+//! instead, the most urgent first, then the one that came first; a request that needs less room
+//! passes one that needs more, unless it is less urgent.
+
+use dotterelrudder_types::ServiceName;
+
+/// A request that waits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Waiter {
+    ticket: u64,
+    service: ServiceName,
+    urgency: u8,
+    tokens: u64,
+}
+
+/// The requests that wait, in the order in which they came.
+#[derive(Debug, Default)]
+pub struct WaitingRoom {
+    waiters: Vec<Waiter>,
+    next: u64,
+}
+
+impl WaitingRoom {
+    /// Returns whether a request that just came, or that waits under `ticket`, may try for room.
+    pub fn may_try(
+        &self,
+        ticket: Option<u64>,
+        service: &ServiceName,
+        urgency: u8,
+        tokens: u64,
+    ) -> bool {
+        let came = ticket.unwrap_or(u64::MAX);
+        !self.waiters.iter().any(|w| {
+            let goes_before = (w.urgency, w.ticket) < (urgency, came);
+            let same_room = w.tokens <= tokens || w.urgency < urgency;
+            w.ticket != came && w.service == *service && goes_before && same_room
+        })
+    }
+
+    /// Lets a request wait; returns its ticket.
+    pub fn join(&mut self, service: &ServiceName, urgency: u8, tokens: u64) -> u64 {
+        self.next += 1;
+        self.waiters.push(Waiter {
+            ticket: self.next,
+            service: service.clone(),
+            urgency,
+            tokens,
+        });
+        self.next
+    }
+
+    /// Takes a request out, whichever way its wait ended.
+    pub fn leave(&mut self, ticket: u64) {
+        self.waiters.retain(|w| w.ticket != ticket);
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+}
--- a/crates/dotterelrudder_gateway/tests/placement.rs
+++ b/crates/dotterelrudder_gateway/tests/placement.rs
@@ -8,8 +8,18 @@
 use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_wire::ModelWeights;
+use dotterelrudder_gateway::NotPlaced;
+use dotterelrudder_gateway::Placement;
+use dotterelrudder_types::Refusal;
 use support::*;
 
+fn refused(placed: Result<Placement, NotPlaced>) -> Refusal {
+    match placed {
+        Err(NotPlaced::Refused(refusal)) => refusal,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
 #[test]
 fn entries_agree_on_the_home_of_a_session() {
     let (service, mut a, mut b) = (engines(), gateway(9), gateway(9));
@@ -38,7 +48,7 @@
     silent.answers = false;
     gateway.on_loads(ms(2), vec![silent]);
     let prompt = prompt("s", 1_000, 10);
-    let refusal = gateway.place(ms(3), &query(&service, Some(&prompt), &[])).unwrap_err();
+    let refusal = refused(gateway.place(ms(3), &query(&service, Some(&prompt), &[])));
     assert_eq!(refusal.kind, ErrorKind::NoBackendServer);
     assert!(refusal.is_not_run() && refusal.retry_after.is_some());
 }
@@ -50,7 +60,7 @@
     let placed = gateway.place(ms(0), &query(&service, Some(&prompt), &[])).unwrap();
     gateway.sent(ms(0), placed.runner, Some(&prompt));
     gateway.ended(ms(0), placed.runner, RunOutcome::Unreachable);
-    let refusal = gateway.place(ms(10), &query(&service, Some(&prompt), &[])).unwrap_err();
+    let refusal = refused(gateway.place(ms(10), &query(&service, Some(&prompt), &[])));
     assert_eq!(refusal.retry_after, Some(ms(990)));
     assert!(gateway.place(ms(1_000), &query(&service, Some(&prompt), &[])).is_ok());
 }
@@ -141,3 +151,19 @@
     }
     assert!(to_failing < 40, "{to_failing} of 200");
 }
+
+/// Load pattern: every runner's memory is full. One more prompt would make a runner preempt and
+/// read again, so that it waits; a short one still fits.
+#[test]
+fn prompts_wait_while_every_memory_is_full() {
+    let (service, mut gateway) = (engines(), gateway(2));
+    gateway.on_loads(ms(0), vec![load(1, 8, 80_000), load(2, 8, 80_000)]);
+    let long = prompt("s", 8_000, 3_000);
+    let placed = gateway.place(ms(1), &query(&service, Some(&long), &[]));
+    assert_eq!(placed, Err(NotPlaced::Busy));
+    let short = prompt("s", 1_500, 500);
+    assert!(gateway.place(ms(1), &query(&service, Some(&short), &[])).is_ok());
+    // An empty runner takes any prompt, however large.
+    gateway.on_loads(ms(2), vec![load(1, 0, 90_000), load(2, 8, 90_000)]);
+    assert!(gateway.place(ms(3), &query(&service, Some(&long), &[])).is_ok());
+}
