Elect faster and ask another server after a failed read

Cause: after a restart of everything the first leader came after 0.6 to 1.1 s; a seventh of the status lookups fail at their server, and the other servers were never asked. Ruled out: a lease beyond the election timeout; it stays below (350 of 420 ms).

--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -142,7 +142,7 @@
             out: Vec::new(),
         };
         raft.recompute_members();
-        raft.schedule_election(now);
+        raft.schedule_election_within(timing.first_election, now);
         raft.persist(Record::Identity {
             id: raft.id,
             boot: raft.boot,
@@ -439,9 +439,13 @@
     }
 
     fn schedule_election(&mut self, now: Duration) {
-        let spread = self.timing.election.as_millis() as u64;
+        self.schedule_election_within(self.timing.election, now);
+    }
+
+    fn schedule_election_within(&mut self, least: Duration, now: Duration) {
+        let spread = least.as_millis() as u64;
         let extra = Duration::from_millis(self.rng.random_range(0..=spread));
-        self.election_at = now + self.timing.election + extra;
+        self.election_at = now + least + extra;
     }
 
     fn become_follower(&mut self, term: u64, leader: Option<u64>, now: Duration) {
--- a/crates/dotterelrudder_daemon/src/fleet/control.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/control.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use dotterelrudder_control::ControlSettings;
 use dotterelrudder_control::RaftTiming;
@@ -33,6 +34,14 @@
 use crate::metrics::Metrics;
 use crate::start::stop_signal;
 
+/// How often a leader makes itself heard; a fifth of the shortest silence that counts.
+const HEARTBEAT: Duration = Duration::from_millis(80);
+/// The shortest silence after which an election starts: two retransmissions on a lossy link.
+const ELECTION: Duration = Duration::from_millis(420);
+/// The same after a start, when nobody may lead: a few heartbeats.
+const FIRST_ELECTION: Duration = Duration::from_millis(200);
+/// How long a contact counts as fresh, below the election by a margin for clocks.
+const LEASE: Duration = Duration::from_millis(350);
 /// Entries of the log after which a snapshot replaces them; whole configurations are large.
 const SNAPSHOT_ENTRIES: usize = 64;
 
@@ -101,8 +110,11 @@
         name: own.clone(),
         peers: seeds.iter().filter(|s| **s != own).cloned().collect(),
         timing: RaftTiming {
+            heartbeat: HEARTBEAT,
+            election: ELECTION,
+            first_election: FIRST_ELECTION,
+            lease: LEASE,
             snapshot_entries: SNAPSHOT_ENTRIES,
-            ..RaftTiming::default()
         },
         bootstrap: file.founds(),
         voters: Some(file.voters()),
--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -169,6 +169,18 @@
     tried: Vec<RunnerKey>,
     may_have_run: usize,
     notes: Vec<String>,
+    /// A runner's own failure, passed on unless another runner does better.
+    failed: Option<(http::response::Parts, Bytes)>,
+}
+
+impl AttemptLog {
+    /// Ends with a runner's own failure, if there is one, and else with the refusal.
+    fn last_answer(&mut self, refusal: Refusal) -> Ended {
+        match self.failed.take() {
+            Some((head, body)) => Ended::Whole(head, body),
+            None => Ended::Refused(refusal),
+        }
+    }
 }
 
 impl<D> Serving<D>
@@ -283,7 +295,10 @@
             };
             let placement = match self.find_room(job, &query).await {
                 Ok(placement) => placement,
-                Err(refusal) => return Ended::Refused(not_placed(refusal, log)),
+                Err(refusal) => {
+                    let refusal = not_placed(refusal, log);
+                    return log.last_answer(refusal);
+                }
             };
             let left = job.deadline.saturating_sub(self.now());
             log.tried.push(placement.runner);
@@ -305,7 +320,8 @@
                 && log.may_have_run < most
                 && self.gateway().may_repeat(self.now(), &job.admission.service);
             if !allowed {
-                return Ended::Refused(given_up(outcome, reason, log));
+                let refusal = given_up(outcome, reason, log);
+                return log.last_answer(refusal);
             }
         }
         let reason = "no runner took the request".to_string();
@@ -403,6 +419,10 @@
                 self.keep(upstream);
                 let status = head.status;
                 let text = format!("status {} after {} ms", status.as_u16(), took.as_millis());
+                if more && status.is_server_error() {
+                    log.failed = Some((head, body));
+                    return OfferEnd::Lost(text);
+                }
                 log.notes.push(note(placement, &text));
                 OfferEnd::Ended(Ended::Whole(head, body))
             }
