Bring weights in on time when runners crash and orders are late

Causes: a second version named soon after restarted the first one's time; runners that crashed or didn't take their order kept places of the wave; a cancelled request still lay in the buffers of a frozen runner; a control instance ended when its disk refused a write. Changes: each version keeps its own time; crashed runners free their places, the share grows after 3 s, orders without an answer are sent again after 0.5 s under the same fence and expected count; connections to runners are reset when they are given up; a refused write is cut back and tried again while the other replicas go on. Ruled out: the entries' view of versions (0.1 s old in the log).

--- a/crates/dotterelrudder_config/src/whole/configuration_fault.rs
+++ b/crates/dotterelrudder_config/src/whole/configuration_fault.rs
@@ -39,10 +39,16 @@
         match self {
             Self::Unreadable(why) => write!(f, "the configuration can't be read: {why}"),
             Self::UnknownService { route, service } => {
-                write!(f, "route \"{route}\" names the undeclared service \"{service}\"")
+                write!(
+                    f,
+                    "route \"{route}\" names the undeclared service \"{service}\""
+                )
             }
             Self::SamePlace { host, path_prefix } => {
-                write!(f, "two routes have host \"{host}\" and prefix \"{path_prefix}\"")
+                write!(
+                    f,
+                    "two routes have host \"{host}\" and prefix \"{path_prefix}\""
+                )
             }
             Self::NoWeight(route) => write!(f, "the weights of route \"{route}\" add up to 0"),
             Self::NoTimeLimit(route) => write!(f, "the time limit of route \"{route}\" is 0"),
--- a/crates/dotterelrudder_control/src/control_core/fleet.rs
+++ b/crates/dotterelrudder_control/src/control_core/fleet.rs
@@ -12,9 +12,9 @@
 use dotterelrudder_wire::WeightOrder;
 
 use super::ControlCore;
-use crate::StoreNews;
 use crate::Origin;
 use crate::Output;
+use crate::StoreNews;
 
 /// Bits of a directory's number that count changes within a term.
 const DIRECTORY_NUMBER_BITS: u32 = 40;
@@ -96,12 +96,7 @@
         }
     }
 
-    pub(super) fn on_listed(
-        &mut self,
-        rows: Vec<RunnerRow>,
-        now: Duration,
-        out: &mut Vec<Output>,
-    ) {
+    pub(super) fn on_listed(&mut self, rows: Vec<RunnerRow>, now: Duration, out: &mut Vec<Output>) {
         if self.leads_surely(now) {
             self.followers.listed(rows, out);
         }
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -1,7 +1,7 @@
 //! The control role: the log, its state, subscribers and orders behind one interface.
 
-mod following;
 mod fleet;
+mod following;
 mod founding;
 mod proposing;
 
--- a/crates/dotterelrudder_control/src/fleet/cache_directory.rs
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -113,7 +113,11 @@
 
     /// Takes the stores that a configuration declares.
     pub fn configure(&mut self, cfg: &WholeConfiguration) {
-        let declared: Vec<_> = cfg.services.iter().filter_map(|s| s.store.as_ref()).collect();
+        let declared: Vec<_> = cfg
+            .services
+            .iter()
+            .filter_map(|s| s.store.as_ref())
+            .collect();
         let gone: Vec<SocketAddr> = self
             .stores
             .keys()
--- a/crates/dotterelrudder_control/src/fleet/weight_waves.rs
+++ b/crates/dotterelrudder_control/src/fleet/weight_waves.rs
@@ -8,22 +8,28 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use dotterelrudder_wire::ModelWeights;
 use dotterelrudder_wire::RunnerLoad;
 
-/// The share of a model's runners that finish their runs or load at once, in tenths. Finishing
-/// takes about as long as loading, so that half of them load at a time.
-const SHARE_AT_ONCE_TENTHS: usize = 4;
+/// The share of a model's runners that finish their runs or load at once. Finishing takes about as
+/// long as loading, so that half of them load at a time.
+const SHARE_AT_ONCE: f64 = 0.4;
+/// After this long the share grows, since some runners were lost or didn't take their orders.
+const CALM_FOR: Duration = Duration::from_secs(3);
+/// By how much the share grows a second then.
+const SHARE_GROWS: f64 = 0.15;
 /// Runners at once at least, for small services.
 const AT_ONCE_LEAST: usize = 2;
-/// An order without effect for this long is given again under a higher fencing number; twice the
-/// time that finishing long runs and loading take together.
-const REISSUE_AFTER: Duration = Duration::from_secs(5);
+/// An order without effect for this long is given again under a higher fencing number; finishing
+/// long runs and loading take less together.
+const REISSUE_AFTER: Duration = Duration::from_secs(3);
 
 /// The orders that were given and have not shown an effect yet.
 #[derive(Debug, Default)]
 pub struct WeightWaves {
     given: BTreeMap<SocketAddr, (ModelWeights, Duration)>,
+    named: BTreeMap<CompactString, (u64, Duration)>,
 }
 
 impl WeightWaves {
@@ -63,12 +69,23 @@
                 self.given.remove(&load.address);
             }
         }
-        let at_once = (serving.len() * SHARE_AT_ONCE_TENTHS / 10).max(AT_ONCE_LEAST);
+        let (_, since) = *self
+            .named
+            .entry(wanted.model.clone())
+            .and_modify(|held| {
+                if held.0 < wanted.version {
+                    *held = (wanted.version, now);
+                }
+            })
+            .or_insert((wanted.version, now));
+        let late = now.saturating_sub(since + CALM_FOR).as_secs_f64();
+        let share = (SHARE_AT_ONCE + SHARE_GROWS * late).min(1.0);
+        let at_once = ((serving.len() as f64 * share) as usize).max(AT_ONCE_LEAST);
         let pending = |load: &RunnerLoad| {
             let given = self.given.get(&load.address);
             given.is_some_and(|(g, at)| *g == *wanted && now < *at + REISSUE_AFTER)
         };
-        let busy = serving.iter().filter(|l| pending(l)).count();
+        let busy = serving.iter().filter(|l| pending(l) && l.answers).count();
         let waiting = serving.iter().filter(behind).filter(|l| !pending(l));
         let next: Vec<SocketAddr> = waiting
             .take(at_once.saturating_sub(busy))
--- a/crates/dotterelrudder_control/src/raft/membership.rs
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -135,7 +135,10 @@
         let Some(learner) = caught_up.cloned() else {
             return;
         };
-        let repaired = self.members.iter().any(|m| m.instance == learner.instance && m.voter);
+        let repaired = self
+            .members
+            .iter()
+            .any(|m| m.instance == learner.instance && m.voter);
         if !repaired && self.target_voters.is_some_and(|t| self.voter_count() >= t) {
             self.remove_lost_voter(now);
             return;
--- a/crates/dotterelrudder_control/src/state/mod.rs
+++ b/crates/dotterelrudder_control/src/state/mod.rs
@@ -213,7 +213,12 @@
     fn publish_whole(&mut self, configuration: &WholeConfiguration, document: &Bytes, at_ms: u64) {
         let held = self.whole.version;
         let accepted = configuration.version > held;
-        self.note_whole(held, accepted, at_ms, format!("version {}", configuration.version));
+        self.note_whole(
+            held,
+            accepted,
+            at_ms,
+            format!("version {}", configuration.version),
+        );
         if accepted {
             self.whole = configuration.clone();
             self.whole_document = document.clone();
--- a/crates/dotterelrudder_daemon/src/control/journal_file.rs
+++ b/crates/dotterelrudder_daemon/src/control/journal_file.rs
@@ -18,6 +18,7 @@
 pub struct JournalFile {
     folder: PathBuf,
     file: File,
+    synced_bytes: u64,
 }
 
 fn sync_folder(folder: &Path) -> std::io::Result<()> {
@@ -46,10 +47,12 @@
         }
         file.sync_all()?;
         sync_folder(folder)?;
+        let synced_bytes = file.metadata()?.len();
         Ok((
             Self {
                 folder: folder.into(),
                 file,
+                synced_bytes,
             },
             recovered,
         ))
@@ -59,7 +62,7 @@
     ///
     /// # Errors
     ///
-    /// Returns what the system refused; the process has to stop then.
+    /// Returns what the system refused; [`JournalFile::cut_back`] has to come next then.
     pub fn append(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         self.file.write_all(bytes)
     }
@@ -68,9 +71,22 @@
     ///
     /// # Errors
     ///
-    /// Returns what the system refused; the process has to stop then, since what lasts is unknown.
+    /// Returns what the system refused; what lasts is unknown then and has to be written again
+    /// behind [`JournalFile::cut_back`].
     pub fn sync(&mut self) -> std::io::Result<()> {
-        self.file.sync_data()
+        self.file.sync_data()?;
+        self.synced_bytes = self.file.metadata()?.len();
+        Ok(())
+    }
+
+    /// Takes back everything since the last sync, after a write or a sync that failed.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system refused.
+    pub fn cut_back(&mut self) -> std::io::Result<()> {
+        self.file.set_len(self.synced_bytes)?;
+        self.file.sync_all()
     }
 
     /// Replaces the whole journal, so that a crash leaves either the old or the new one. The old
@@ -89,6 +105,7 @@
         std::fs::rename(&next, &path)?;
         sync_folder(&self.folder)?;
         self.file = OpenOptions::new().append(true).open(&path)?;
+        self.synced_bytes = bytes.len() as u64;
         Ok(())
     }
 }
--- a/crates/dotterelrudder_daemon/src/control/replica.rs
+++ b/crates/dotterelrudder_daemon/src/control/replica.rs
@@ -184,8 +184,11 @@
     }
 }
 
-/// Writes what waits and syncs it once for all of it. Ends the process when the disk fails, since
-/// nothing may be acknowledged after that.
+/// How long to wait before a write that the disk refused is tried again.
+const DISK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Writes what waits and syncs it once for all of it. While the disk refuses, it tries again:
+/// nothing is acknowledged meanwhile, and the other replicas go on.
 fn write_journal(
     mut journal: JournalFile,
     queue: &Receiver<JournalWrite>,
@@ -194,42 +197,48 @@
 ) {
     while let Ok(first) = queue.recv() {
         let began = Instant::now();
-        let written = write_batch(&mut journal, first, queue);
-        match written {
-            Ok(sequence) => {
-                let synced = ControlMessage::Synced {
-                    sequence,
-                    took: began.elapsed(),
-                };
-                let _stopped = actor.send_message(synced).is_err();
-            }
-            Err(e) => {
-                crit!(log, "the journal can't be written"; "error" => e.to_string());
-                std::process::exit(1);
+        let mut batch = vec![first];
+        batch.extend(queue.try_iter());
+        let mut refused = false;
+        let sequence = loop {
+            match write_batch(&mut journal, &batch) {
+                Ok(sequence) => break sequence,
+                Err(e) => {
+                    if !refused {
+                        crit!(log, "the journal can't be written"; "error" => e.to_string());
+                    }
+                    refused = true;
+                    std::thread::sleep(DISK_PAUSE);
+                    if let Err(e) = journal.cut_back() {
+                        crit!(log, "the journal can't be cut back"; "error" => e.to_string());
+                    }
+                }
             }
+        };
+        if refused {
+            warn!(log, "the journal is written again"; "after_ms" => began.elapsed().as_millis() as u64);
         }
+        let synced = ControlMessage::Synced {
+            sequence,
+            took: began.elapsed(),
+        };
+        let _stopped = actor.send_message(synced).is_err();
     }
 }
 
-fn write_batch(
-    journal: &mut JournalFile,
-    first: JournalWrite,
-    queue: &Receiver<JournalWrite>,
-) -> std::io::Result<u64> {
+fn write_batch(journal: &mut JournalFile, batch: &[JournalWrite]) -> std::io::Result<u64> {
     let mut last = 0;
-    let mut next = Some(first);
-    while let Some(write) = next {
+    for write in batch {
         match write {
             JournalWrite::Append { sequence, bytes } => {
-                journal.append(&bytes)?;
-                last = sequence;
+                journal.append(bytes)?;
+                last = *sequence;
             }
             JournalWrite::Rewrite { sequence, records } => {
-                journal.rewrite(&records)?;
-                last = sequence;
+                journal.rewrite(records)?;
+                last = *sequence;
             }
         }
-        next = queue.try_recv().ok();
     }
     journal.sync()?;
     Ok(last)
--- a/crates/dotterelrudder_daemon/src/fleet/control.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/control.rs
@@ -23,8 +23,8 @@
 use tokio::sync::watch;
 
 use super::list_poller::ListPoller;
-use super::FleetControlFile;
 use super::store_reader::read_stores;
+use super::FleetControlFile;
 use super::ListDialect;
 use super::StoreDialect;
 use crate::control::Replica;
--- a/crates/dotterelrudder_daemon/src/fleet/watcher.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/watcher.rs
@@ -32,7 +32,7 @@
 /// An unchanged report is told again this often, so that its age stays small.
 const TELL_EVERY: Duration = Duration::from_millis(600);
 /// How long an order without a clear answer is left to show an effect before it is sent again.
-const ORDER_PATIENCE: Duration = Duration::from_millis(1_500);
+const ORDER_PATIENCE: Duration = Duration::from_millis(500);
 
 /// The order in work.
 #[derive(Debug)]
--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -130,7 +130,11 @@
     }
 }
 
-fn build_request<D>(dialect: &D, outgoing: &Outgoing<'_>, call: &OutboundCall) -> Request<Full<Bytes>>
+fn build_request<D>(
+    dialect: &D,
+    outgoing: &Outgoing<'_>,
+    call: &OutboundCall,
+) -> Request<Full<Bytes>>
 where
     D: Dialect,
 {
--- a/crates/dotterelrudder_daemon/src/gateway/listener.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/listener.rs
@@ -76,8 +76,11 @@
     Ok(Callers { open })
 }
 
-async fn serve_caller<D>(tcp: TcpStream, serving: Arc<Serving<D>>, mut closed: watch::Receiver<bool>)
-where
+async fn serve_caller<D>(
+    tcp: TcpStream,
+    serving: Arc<Serving<D>>,
+    mut closed: watch::Receiver<bool>,
+) where
     D: Dialect,
 {
     // Without it answers are only later by a delayed acknowledgement.
--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -318,7 +318,9 @@
             let repeatable = log.may_have_run == 0 || route.kind.may_repeat();
             let allowed = repeatable
                 && log.may_have_run < most
-                && self.gateway().may_repeat(self.now(), &job.admission.service);
+                && self
+                    .gateway()
+                    .may_repeat(self.now(), &job.admission.service);
             if !allowed {
                 let refusal = given_up(outcome, reason, log);
                 return log.last_answer(refusal);
@@ -329,11 +331,7 @@
     }
 
     /// Waits for a runner with room for the request.
-    async fn find_room(
-        &self,
-        job: &Job,
-        query: &PlacementQuery<'_>,
-    ) -> Result<Placement, Refusal> {
+    async fn find_room(&self, job: &Job, query: &PlacementQuery<'_>) -> Result<Placement, Refusal> {
         let service = query.service;
         let tokens = query.prompt.map_or(0, |p| p.peak_tokens());
         let urgency = self.gateway().urgency(&job.admission);
@@ -389,7 +387,14 @@
         let run = self.run_guard(placement.runner, unread);
         let now = self.now();
         let began = now;
-        let first = self.first_part(&outgoing, placement, &call, limit, now, route.kind.is_stream());
+        let first = self.first_part(
+            &outgoing,
+            placement,
+            &call,
+            limit,
+            now,
+            route.kind.is_stream(),
+        );
         let end = match timeout(limit, first).await {
             Ok(end) => end,
             Err(_) => FirstPart::Failed(AttemptEnd::Lost {
@@ -688,7 +693,8 @@
         let status = http::StatusCode::from_u16(refusal.kind.row().status);
         *response.status_mut() = status.unwrap_or(http::StatusCode::BAD_GATEWAY);
         if let Some(after) = refusal.retry_after {
-            self.dialect.write_retry_after(after, response.headers_mut());
+            self.dialect
+                .write_retry_after(after, response.headers_mut());
         }
         response
     }
@@ -733,7 +739,10 @@
 /// The refusal once the time is up.
 fn late(log: &AttemptLog) -> Refusal {
     if log.tried.is_empty() {
-        return Refusal::new(ErrorKind::Overloaded, "the time was up before a runner was asked");
+        return Refusal::new(
+            ErrorKind::Overloaded,
+            "the time was up before a runner was asked",
+        );
     }
     let detail = "the time was up before an answer came";
     Refusal::new(ErrorKind::DeadlineExceeded, detail).with_outcome(Outcome::Unknown)
--- a/crates/dotterelrudder_daemon/src/gateway/upstream.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream.rs
@@ -80,6 +80,10 @@
         socket
             .set_tcp_user_timeout(Some(SILENT_AFTER))
             .map_err(|e| e.to_string())?;
+        // A request that is given up must not reach a server that reads it only later.
+        socket
+            .set_linger(Some(Duration::ZERO))
+            .map_err(|e| e.to_string())?;
         let probes = socket2::TcpKeepalive::new()
             .with_time(PROBE_EVERY)
             .with_interval(PROBE_EVERY)
--- a/crates/dotterelrudder_follow/src/fleet_follower.rs
+++ b/crates/dotterelrudder_follow/src/fleet_follower.rs
@@ -133,12 +133,7 @@
     }
 
     /// Learns that the instance asked doesn't lead.
-    pub fn elsewhere(
-        &mut self,
-        now: Duration,
-        from: &InstanceName,
-        leader: Option<&InstanceName>,
-    ) {
+    pub fn elsewhere(&mut self, now: Duration, from: &InstanceName, leader: Option<&InstanceName>) {
         if self.asks() != Some(from) {
             return;
         }
--- a/crates/dotterelrudder_gateway/src/gateway.rs
+++ b/crates/dotterelrudder_gateway/src/gateway.rs
@@ -30,6 +30,7 @@
 use crate::ConfirmedLease;
 use crate::EngineEstimate;
 use crate::GatewaySettings;
+use crate::NamedWeights;
 use crate::NotPlaced;
 use crate::Placement;
 use crate::Prompt;
@@ -51,12 +52,14 @@
 const LOADING: Duration = Duration::from_secs(2);
 /// Added in proportion to the share of failures of a runner.
 const FAILING: Duration = Duration::from_secs(3);
+/// Added for a runner whose side stopped reporting: it may be gone with its side.
+const UNREPORTED: Duration = Duration::from_millis(200);
 /// Added for a runner whose first answer after an ejection is awaited.
 const ON_TRIAL: Duration = Duration::from_millis(300);
 /// Milliseconds that a request of a plain service takes, about.
 const PLAIN_WORK_MS: f64 = 20.0;
-/// Before a runner's limit on named weights, to cover the time of the question and the way.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
+/// Before a runner's limit on named weights, to cover the time that a request waits at its runner.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(2_500);
 /// The share of a prompt's reading that the home of its session saves on average.
 const HOME_SAVES: f64 = 0.6;
 /// The same for the second runner in the session's order.
@@ -109,7 +112,7 @@
     routes: RouteTable,
     accounts: HashMap<AccountKeyHash, Arc<AccountEntry>>,
     runners: RunnerTable,
-    weights: BTreeMap<CompactString, (u64, Duration)>,
+    weights: BTreeMap<CompactString, NamedWeights>,
     lease: ConfirmedLease,
     budgets: HashMap<ServiceName, RetryBudget>,
     entries: u32,
@@ -148,10 +151,10 @@
             }
         }
         for named in view.weights {
-            let held = self.weights.entry(named.model).or_insert((0, now));
-            if named.version > held.0 {
-                *held = (named.version, now);
-            }
+            self.weights
+                .entry(named.model)
+                .or_default()
+                .name(named.version, now);
         }
         self.entries = view.entries.max(1);
         if let Some(at) = asked_at {
@@ -312,7 +315,10 @@
             refusal.retry_after = Some(wait.max(RETRY_WHEN_OPEN));
             return Err(NotPlaced::Refused(refusal));
         };
-        if query.prompt.is_some_and(|p| self.is_crowded(now, runner, p)) {
+        if query
+            .prompt
+            .is_some_and(|p| self.is_crowded(now, runner, p))
+        {
             return Err(NotPlaced::Busy);
         }
         let weights = query.prompt.and_then(|p| runner.version_of(&p.model));
@@ -433,7 +439,8 @@
         };
         let limit = self.settings.weights_limit.saturating_sub(WEIGHTS_MARGIN);
         let named = self.weights.get(&prompt.model);
-        named.is_none_or(|(version, at)| held >= *version || now < *at + limit)
+        let since = named.and_then(|n| n.outdated_since(held));
+        since.is_none_or(|at| now < at + limit)
     }
 
     fn expected(
@@ -454,11 +461,15 @@
             }
         };
         if !near {
-            expected += if prompt.is_some() { CROSSING } else { CROSSING_PLAIN };
+            expected += if prompt.is_some() {
+                CROSSING
+            } else {
+                CROSSING_PLAIN
+            };
         }
         if let Some(prompt) = prompt {
             let held = runner.version_of(&prompt.model);
-            let named = self.weights.get(&prompt.model).map(|(v, _)| *v);
+            let named = self.weights.get(&prompt.model).map(NamedWeights::newest);
             if named.is_some() && held < named {
                 expected += OLD_WEIGHTS;
             }
@@ -466,6 +477,9 @@
                 expected += LOADING;
             }
         }
+        if runner.is_unreported(now) {
+            expected += UNREPORTED;
+        }
         if runner.health.is_on_trial() {
             expected += ON_TRIAL;
         }
@@ -503,7 +517,11 @@
         let fetch_ms = self.fetch_ms(now, runner, prompt, account);
         if let Some(ms) = fetch_ms.filter(|_| !held) {
             // A link is shared, so that its use delays others as well.
-            let missing = if home == Some(0) { 1.0 - HOME_HOLDS } else { 1.0 };
+            let missing = if home == Some(0) {
+                1.0 - HOME_HOLDS
+            } else {
+                1.0
+            };
             let as_read = ms * LINK_SHARED * missing * self.estimate.read_rate;
             unread -= f64::from(prompt.shared_tokens()) - as_read;
         } else if !held {
@@ -547,7 +565,13 @@
     pub fn may_repeat(&mut self, now: Duration, service: &ServiceName) -> bool {
         let s = &self.settings;
         let budget = self.budgets.entry(service.clone()).or_default();
-        budget.take(now, s.retry_window, s.retry_ratio, s.retry_slack, self.entries)
+        budget.take(
+            now,
+            s.retry_window,
+            s.retry_ratio,
+            s.retry_slack,
+            self.entries,
+        )
     }
 
     /// Returns how urgent a request is at a runner: the account's rank goes before the route's.
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -101,6 +101,11 @@
         self.listed && !self.row.leaving && answers && self.health.is_open(now)
     }
 
+    /// Returns whether the runner's side told its load once, but not lately.
+    pub fn is_unreported(&self, now: Duration) -> bool {
+        self.load.is_some() && self.fresh_load(now).is_none()
+    }
+
     /// Returns whether the runner is about to change its weights.
     pub fn is_loading(&self, now: Duration) -> bool {
         self.fresh_load(now).is_some_and(|load| load.loading)
--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -132,7 +132,9 @@
         if !self.is_usable(now) {
             return plan;
         }
-        let limit = objective.mul_f64(FETCH_SHARE).clamp(LEAST_FETCH, FETCH_LIMIT);
+        let limit = objective
+            .mul_f64(FETCH_SHARE)
+            .clamp(LEAST_FETCH, FETCH_LIMIT);
         let shared = prompt.parts.len().saturating_sub(1);
         for (i, part) in prompt.parts.iter().enumerate() {
             let key = PartKey {
@@ -141,7 +143,11 @@
             };
             let shared = i < shared && part.tokens >= LEAST_TOKENS;
             let stored = shared && self.holds(&key);
-            let fetch = if stored { self.source(&key, near) } else { None };
+            let fetch = if stored {
+                self.source(&key, near)
+            } else {
+                None
+            };
             let save = if shared && !stored {
                 self.save_place(now, &key, part.tokens)
             } else {
@@ -160,11 +166,7 @@
     }
 
     /// Returns the store to fetch a part from, one near the runner first.
-    fn source(
-        &self,
-        key: &PartKey,
-        near: &DataCentre,
-    ) -> Option<SocketAddr> {
+    fn source(&self, key: &PartKey, near: &DataCentre) -> Option<SocketAddr> {
         let places = self.parts.get(key)?;
         let is_near = |a: &&SocketAddr| {
             let store = self.stores.iter().find(|s| s.address == **a);
@@ -230,7 +232,11 @@
             let store = self.stores.iter().find(|s| s.address == source)?;
             let bits = f64::from(part.tokens) * token_bytes as f64 * 8.0;
             let link = bits / (store.link_mbps.max(1.0) * 1_000.0);
-            let crossing = if store.data_centre == *near { 1.0 } else { CROSSING_TIMES };
+            let crossing = if store.data_centre == *near {
+                1.0
+            } else {
+                CROSSING_TIMES
+            };
             total += store.first_ms + link * crossing;
         }
         Some(total)
