--- a/crates/dotterelrudder_daemon/src/fleet/control.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/control.rs
@@ -120,7 +120,7 @@
         voters: Some(file.voters()),
     };
     let metrics = Metrics::new()?;
-    let listen = SocketAddr::new(file.ip, file.seeds.link_port);
+    let listen = SocketAddr::new(file.listen_ip.unwrap_or(file.ip), file.seeds.link_port);
     let (folder, shared) = (&file.data_folder, metrics.clone());
     let replica = Replica::start(settings, hello, listen, folder, shared, log.clone()).await?;
     let peers = Arc::new(Peers {
--- a/crates/dotterelrudder_daemon/src/fleet/control_file.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/control_file.rs
@@ -21,8 +21,11 @@
     pub name: InstanceName,
     /// The data centre that it runs in.
     pub data_centre: DataCentre,
-    /// Its address.
+    /// The address under which other processes reach it.
     pub ip: IpAddr,
+    /// Where it listens for them, if that is another address.
+    #[serde(default)]
+    pub listen_ip: Option<IpAddr>,
     /// The control instances known at the start.
     #[serde(flatten)]
     pub seeds: Seeds,
@@ -81,6 +84,7 @@
         "name",
         "data_centre",
         "ip",
+        "listen_ip",
         "seeds",
         "link_port",
         "admin",
--- a/crates/dotterelrudder_gateway/src/gateway.rs
+++ b/crates/dotterelrudder_gateway/src/gateway.rs
@@ -48,8 +48,6 @@
 const CROSSING_PLAIN: Duration = Duration::from_millis(15);
 /// Added for a runner that still serves older weights than the named ones.
 const OLD_WEIGHTS: Duration = Duration::from_millis(250);
-/// Added for a runner that is about to load weights and takes no new run until it has.
-const LOADING: Duration = Duration::from_secs(2);
 /// Added in proportion to the share of failures of a runner.
 const FAILING: Duration = Duration::from_secs(3);
 /// Added for a runner whose side stopped reporting: it may be gone with its side.
@@ -290,6 +288,7 @@
         let home = self.home_order(query);
         let mut best: Option<(Duration, u64, RunnerKey)> = None;
         let mut opens: Option<Duration> = None;
+        let mut loading = false;
         for (key, runner) in self.runners.of_service(query.service) {
             if query.tried.contains(&key) {
                 continue;
@@ -301,6 +300,10 @@
                 }
                 continue;
             }
+            if query.prompt.is_some() && runner.is_loading(now) {
+                loading = true;
+                continue;
+            }
             let expected = self.expected(now, runner, query, home_place(&home, key));
             let tie = rendezvous_rank(query.service.as_str(), &runner.row.identity);
             if best.is_none_or(|(e, t, _)| (expected, t) < (e, tie)) {
@@ -309,6 +312,10 @@
         }
         let chosen = best.and_then(|(e, _, key)| Some((e, key, self.runners.get(key)?)));
         let Some((expected, key, runner)) = chosen else {
+            // Loading takes a second or two, after which the runner takes requests again.
+            if loading {
+                return Err(NotPlaced::Busy);
+            }
             let detail = format_compact!("no open backend server of \"{}\"", query.service);
             let mut refusal = Refusal::new(ErrorKind::NoBackendServer, detail);
             let wait = opens.map_or(RETRY_WHEN_OPEN, |at| at.saturating_sub(now));
@@ -473,9 +480,6 @@
             if named.is_some() && held < named {
                 expected += OLD_WEIGHTS;
             }
-            if runner.is_loading(now) {
-                expected += LOADING;
-            }
         }
         if runner.is_unreported(now) {
             expected += UNREPORTED;
--- a/crates/dotterelrudder_gateway/tests/placement.rs
+++ b/crates/dotterelrudder_gateway/tests/placement.rs
@@ -232,3 +232,24 @@
         .unwrap();
     assert_ne!(placed.identity, home.identity);
 }
+
+/// Load pattern: all runners load new weights one after the other. One that loads refuses
+/// requests, so that they go to others, or wait when there is none.
+#[test]
+fn a_loading_runner_gets_nothing() {
+    let (service, mut gateway) = (engines(), gateway(2));
+    let loading = |n| {
+        let mut load = load(n, 0, 0);
+        load.loading = true;
+        load
+    };
+    gateway.on_loads(ms(0), vec![loading(1), load(2, 60, 80_000)]);
+    let prompt = prompt("s", 1_000, 10);
+    let placed = gateway
+        .place(ms(1), &query(&service, Some(&prompt), &[]))
+        .unwrap();
+    assert_eq!(placed.identity, "i-2");
+    gateway.on_loads(ms(2), vec![loading(2)]);
+    let placed = gateway.place(ms(3), &query(&service, Some(&prompt), &[]));
+    assert_eq!(placed, Err(NotPlaced::Busy));
+}
