--- a/crates/dotterelrudder_gateway/src/gateway.rs
+++ b/crates/dotterelrudder_gateway/src/gateway.rs
@@ -69,8 +69,13 @@
 /// The share of a runner's memory up to which prompts are sent to it; their answers still grow,
 /// and other entries send as well.
 const MEMORY_FULL: f64 = 0.9;
-/// When a caller may come back to a service without open runners.
-const RETRY_WHEN_OPEN: Duration = Duration::from_millis(300);
+/// When a caller may come back to a service whose servers are all gone: about when those that
+/// restart are back.
+const RETRY_AFTER_RESTART: Duration = Duration::from_millis(1_000);
+/// When a caller may come back at the earliest.
+const RETRY_LEAST: Duration = Duration::from_millis(300);
+/// By which share of the wait callers are spread, so that they don't come back together.
+const RETRY_SPREAD: f64 = 0.25;
 
 /// A request that may be served.
 #[derive(Debug, Clone)]
@@ -225,7 +230,9 @@
     pub fn admit(&mut self, now: Duration, call: &CallerCall) -> Result<Admission, Refusal> {
         if self.configuration.version == 0 {
             let detail = "no configuration was confirmed since the start";
-            return Err(Refusal::new(ErrorKind::NotReady, detail));
+            let mut refusal = Refusal::new(ErrorKind::NotReady, detail);
+            refusal.retry_after = Some(self.spread(RETRY_AFTER_RESTART));
+            return Err(refusal);
         }
         let Some(route) = self.routes.find(&call.host, &call.path) else {
             let detail = format_compact!("no route for host \"{}\" and its path", call.host);
@@ -261,6 +268,11 @@
         })
     }
 
+    /// Draws a wait a little longer than asked for.
+    fn spread(&mut self, wait: Duration) -> Duration {
+        wait.mul_f64(1.0 + self.rng.random_range(0.0..RETRY_SPREAD))
+    }
+
     fn draw_service(&mut self, route: &RouteRule) -> ServiceName {
         let total: u64 = route.targets.iter().map(|t| t.weight).sum();
         let mut drawn = self.rng.random_range(0..total.max(1));
@@ -318,8 +330,8 @@
             }
             let detail = format_compact!("no open backend server of \"{}\"", query.service);
             let mut refusal = Refusal::new(ErrorKind::NoBackendServer, detail);
-            let wait = opens.map_or(RETRY_WHEN_OPEN, |at| at.saturating_sub(now));
-            refusal.retry_after = Some(wait.max(RETRY_WHEN_OPEN));
+            let wait = opens.map_or(RETRY_AFTER_RESTART, |at| at.saturating_sub(now));
+            refusal.retry_after = Some(self.spread(wait.max(RETRY_LEAST)));
             return Err(NotPlaced::Refused(refusal));
         };
         if query
