Read stores sooner after a change of the leader, ask homes for parts

Cause: for 2 to 3 s after a restart of everything no directory was told, and parts that no store held yet were read again although the home of their session had just read them.

--- a/crates/dotterelrudder_control/src/fleet/cache_directory.rs
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -32,12 +32,12 @@
 /// From the withdrawal of a part until it is freed.
 const FREE_AFTER: Duration = Duration::from_millis(4_400);
 /// How long an order to free may be under way.
-const FREE_WITHIN_MS: u64 = 500;
+const FREE_WITHIN_MS: u64 = 250;
 /// How long news of a freed part may still be old.
 const TOMBSTONE: Duration = Duration::from_millis(1_500);
 /// A new leader waits this long before it tells anything, so that no order of an earlier leader
 /// is still under way.
-const TAKEOVER: Duration = Duration::from_millis(700);
+const TAKEOVER: Duration = Duration::from_millis(350);
 /// The share of a store at which parts begin to leave.
 const FULL: f64 = 0.95;
 /// The share of a store down to which parts leave then.
--- a/crates/dotterelrudder_control/src/fleet/followers.rs
+++ b/crates/dotterelrudder_control/src/fleet/followers.rs
@@ -22,6 +22,9 @@
 /// How often changed loads are passed on to entries; a tenth of the strictest objective is below
 /// what a load report is good for anyway.
 const PASS_LOADS_EVERY: Duration = Duration::from_millis(200);
+/// How often changes of the directory are passed on: a part that was saved is asked for again
+/// within tenths of a second.
+const PASS_DIRECTORY_EVERY: Duration = Duration::from_millis(60);
 /// A process that asked nothing for this long doesn't follow any more: six times the period of its
 /// questions.
 const FORGET_AFTER: Duration = Duration::from_secs(3);
@@ -35,6 +38,7 @@
     loads: BTreeMap<SocketAddr, RunnerLoad>,
     changed: BTreeSet<SocketAddr>,
     pass_at: Duration,
+    pass_directory_at: Duration,
     waves: WeightWaves,
     pub(crate) directory: CacheDirectory,
 }
@@ -202,12 +206,15 @@
 
     /// Passes changed loads on and forgets who stopped asking.
     pub(crate) fn tick(&mut self, now: Duration, out: &mut Vec<Output>) {
+        if now >= self.pass_directory_at {
+            self.pass_directory_at = now + PASS_DIRECTORY_EVERY;
+            self.pass_directory(out);
+        }
         if now < self.pass_at {
             return;
         }
         self.pass_at = now + PASS_LOADS_EVERY;
         self.by_name.retain(|_, f| now < f.asked_at + FORGET_AFTER);
-        self.pass_directory(out);
         let changed = std::mem::take(&mut self.changed);
         let loads: Vec<_> = changed.iter().filter_map(|a| self.loads.get(a)).collect();
         if loads.is_empty() {
--- a/crates/dotterelrudder_gateway/src/gateway.rs
+++ b/crates/dotterelrudder_gateway/src/gateway.rs
@@ -394,25 +394,32 @@
             plan.save = plan.fetch.clone();
         }
         if plan.fetch[place].is_none() {
-            plan.fetch[place] = self.peer_source(now, &session.id, chosen, &row.service);
+            plan.fetch[place] = self.peer_source(now, query, &session.id, chosen);
         }
         plan
     }
 
-    /// Returns another runner that used a session lately.
+    /// Returns another runner that used a session lately, as far as this entry knows.
     fn peer_source(
         &self,
         now: Duration,
+        query: &PlacementQuery<'_>,
         session: &CompactString,
         chosen: RunnerKey,
-        service: &ServiceName,
     ) -> Option<SocketAddr> {
-        let peers = self.runners.of_service(service);
+        let peers = self.runners.of_service(query.service);
         let holding = peers.filter(|(key, r)| {
             *key != chosen && r.is_open(now) && !r.is_loading(now) && r.holds_session(session, now)
         });
         let last = holding.max_by_key(|(_, r)| r.session_used(session));
-        last.map(|(_, r)| r.row.address)
+        if let Some((_, runner)) = last {
+            return Some(runner.row.address);
+        }
+        // Another entry may have sent the session's last request to its home; a miss costs little.
+        let home = *self.home_order(query).first()?;
+        let runner = self.runners.get(home).filter(|_| home != chosen)?;
+        let answers = runner.is_open(now) && !runner.is_loading(now);
+        answers.then_some(runner.row.address)
     }
 
     /// Returns the runners of a session in its order of preference.
