--- a/crates/dotterelrudder_control/src/fleet/cache_directory.rs
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -14,12 +14,14 @@
 use std::time::Duration;
 
 use dotterelrudder_config::whole::WholeConfiguration;
-use dotterelrudder_types::DataCentre;
 use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::StoreStanding;
 use dotterelrudder_wire::StoredPart;
 
+use super::store_state::Part;
+use super::store_state::Store;
+use super::FreeParts;
 use super::StoreEvent;
 
 /// How long after its question an entry may go by the directory: as long as it takes until a new
@@ -30,7 +32,7 @@
 /// Added for the estimate of the engines' clock and the way of messages.
 const MARGIN: Duration = Duration::from_millis(500);
 /// From the withdrawal of a part until it is freed.
-const FREE_AFTER: Duration = Duration::from_millis(4_400);
+pub(super) const FREE_AFTER: Duration = Duration::from_millis(4_400);
 /// How long an order to free may be under way.
 const FREE_WITHIN_MS: u64 = 250;
 /// How long news of a freed part may still be old.
@@ -38,53 +40,12 @@
 /// A new leader waits this long before it tells anything, so that no order of an earlier leader
 /// is still under way.
 const TAKEOVER: Duration = Duration::from_millis(350);
-/// The share of a store at which parts begin to leave.
-const FULL: f64 = 0.95;
-/// The share of a store down to which parts leave then.
-const FILL_TO: f64 = 0.90;
-/// A part that is being written for this long was broken off.
-const BROKEN_OFF_AFTER: Duration = Duration::from_secs(6);
-/// Parts in one order to free at most.
-const MOST_FREED: usize = 64;
 
 const _: () = assert!(
     FREE_AFTER.as_millis()
         >= DIRECTORY_LEASE.as_millis() + FETCH_LIMIT.as_millis() + MARGIN.as_millis()
 );
 
-#[derive(Debug, Clone)]
-struct Part {
-    tokens: u32,
-    used_at: Duration,
-    withdrawn_at: Option<Duration>,
-}
-
-#[derive(Debug)]
-struct Store {
-    data_centre: DataCentre,
-    capacity: u64,
-    link_mbps: f64,
-    first_ms: f64,
-    epoch: Option<u64>,
-    accepts_from: Duration,
-    parts: HashMap<PartKey, Part>,
-    partial: HashMap<PartKey, (u32, Duration)>,
-    freed: HashMap<PartKey, Duration>,
-}
-
-/// An order to free parts.
-#[derive(Debug, Clone, PartialEq)]
-pub struct FreeParts {
-    /// The store.
-    pub store: SocketAddr,
-    /// The start of the store that the order is for.
-    pub epoch: u64,
-    /// The engines' clock after which the order must not be carried out, in milliseconds.
-    pub until_ms: u64,
-    /// The parts.
-    pub parts: Vec<PartKey>,
-}
-
 /// The directory that a leader keeps.
 #[derive(Debug, Default)]
 pub struct CacheDirectory {
@@ -386,63 +347,3 @@
             .collect()
     }
 }
-
-impl Store {
-    /// Returns the share of the capacity in use.
-    fn fill(&self) -> f32 {
-        let held: u64 = self.parts.values().map(|p| u64::from(p.tokens)).sum();
-        held as f32 / self.capacity.max(1) as f32
-    }
-
-    /// Withdraws the parts that were used least lately while the store is nearly full.
-    fn choose_leaving(&mut self, now: Duration) -> Vec<PartKey> {
-        let held: u64 = self.parts.values().map(|p| u64::from(p.tokens)).sum();
-        let leaving = self.parts.values().filter(|p| p.withdrawn_at.is_some());
-        let leaving: u64 = leaving.map(|p| u64::from(p.tokens)).sum();
-        let mut staying = held - leaving;
-        if staying as f64 <= self.capacity as f64 * FULL {
-            return Vec::new();
-        }
-        let mut by_age: Vec<(Duration, PartKey, u64)> = self
-            .parts
-            .iter()
-            .filter(|(_, p)| p.withdrawn_at.is_none())
-            .map(|(key, p)| (p.used_at, key.clone(), u64::from(p.tokens)))
-            .collect();
-        by_age.sort_unstable();
-        let target = (self.capacity as f64 * FILL_TO) as u64;
-        let mut chosen = Vec::new();
-        for (_, key, tokens) in by_age {
-            if staying <= target {
-                break;
-            }
-            staying -= tokens;
-            if let Some(part) = self.parts.get_mut(&key) {
-                part.withdrawn_at = Some(now);
-            }
-            chosen.push(key);
-        }
-        chosen
-    }
-
-    /// Takes the parts that nobody can be reading any more, and those whose writing broke off.
-    fn take_due(&mut self, now: Duration) -> Vec<PartKey> {
-        let due = |p: &Part| p.withdrawn_at.is_some_and(|at| now >= at + FREE_AFTER);
-        let mut parts: Vec<PartKey> = self
-            .parts
-            .iter()
-            .filter(|(_, p)| due(p))
-            .map(|(key, _)| key.clone())
-            .take(MOST_FREED)
-            .collect();
-        let broken = self.partial.iter();
-        let broken = broken.filter(|(_, (_, since))| now >= *since + BROKEN_OFF_AFTER);
-        parts.extend(broken.map(|(key, _)| key.clone()).take(MOST_FREED));
-        for key in &parts {
-            self.parts.remove(key);
-            self.partial.remove(key);
-            self.freed.insert(key.clone(), now);
-        }
-        parts
-    }
-}
--- a/crates/dotterelrudder_control/src/fleet/mod.rs
+++ b/crates/dotterelrudder_control/src/fleet/mod.rs
@@ -5,13 +5,17 @@
 mod cache_directory;
 mod follower;
 mod followers;
+mod free_parts;
 mod store_event;
+mod store_news;
+mod store_state;
 mod weight_waves;
 
 pub use cache_directory::CacheDirectory;
-pub use cache_directory::FreeParts;
 pub use cache_directory::DIRECTORY_LEASE;
 pub use cache_directory::FETCH_LIMIT;
 pub(crate) use followers::Followers;
+pub use free_parts::FreeParts;
 pub use store_event::StoreEvent;
+pub use store_news::StoreNews;
 pub use weight_waves::WeightWaves;
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/gateway/bodies.rs
@@ -0,0 +1,80 @@
+//! Bodies that are read whole, and headers that concern one connection.
+
+use bytes::Bytes;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::Refusal;
+use http::header::CONNECTION;
+use http::header::TRANSFER_ENCODING;
+use http::HeaderMap;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Bytes of an answer that is read whole before it is passed on.
+const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Reads the body of a caller's request within the limits.
+pub(super) async fn read_body(
+    body: Incoming,
+    most: usize,
+    pause: Duration,
+) -> Result<Bytes, Refusal> {
+    let mut body = Limited::new(body, most);
+    let mut bytes = bytes::BytesMut::new();
+    loop {
+        let next = timeout(pause, body.frame()).await;
+        let next = next.map_err(|_| Refusal::new(ErrorKind::SlowSender, "the body pauses"))?;
+        match next {
+            None => return Ok(bytes.freeze()),
+            Some(Ok(frame)) => {
+                if let Ok(part) = frame.into_data() {
+                    bytes.extend_from_slice(&part);
+                }
+            }
+            Some(Err(e)) if e.is::<LengthLimitError>() => {
+                let detail = format!("the body exceeds {most} bytes");
+                return Err(Refusal::new(ErrorKind::TooLarge, detail));
+            }
+            Some(Err(_)) => {
+                return Err(Refusal::new(ErrorKind::BadRequest, "the body broke off"));
+            }
+        }
+    }
+}
+
+pub(super) async fn read_answer(body: Incoming) -> Result<Bytes, String> {
+    let collected = Limited::new(body, MOST_ANSWER_BYTES).collect().await;
+    let collected = collected.map_err(|e| e.to_string())?;
+    Ok(collected.to_bytes())
+}
+
+/// Reads how long a server keeps an idle connection.
+pub(super) fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text
+        .split(',')
+        .find_map(|p| p.trim().strip_prefix("timeout="));
+    let seconds: f64 = seconds?.trim().parse().ok()?;
+    Some(Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0)))
+}
+
+/// Removes the headers that concern one connection only.
+pub(super) fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(',').map(|n| n.trim().to_ascii_lowercase()))
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"] {
+        headers.remove(name);
+    }
+    headers.remove(CONNECTION);
+    headers.remove(TRANSFER_ENCODING);
+}
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/gateway/job.rs
@@ -0,0 +1,113 @@
+//! A request while it is served, and what was tried for it.
+
+use super::upstream::Upstream;
+use bytes::Bytes;
+use dotterelrudder_gateway::Admission;
+use dotterelrudder_gateway::CallerCall;
+use dotterelrudder_gateway::RunOutcome;
+use dotterelrudder_gateway::RunnerKey;
+use dotterelrudder_gateway::WaitingRoom;
+use dotterelrudder_types::Refusal;
+use dotterelrudder_types::ServiceName;
+use hyper::body::Incoming;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+/// A request while it is served.
+pub(super) struct Job {
+    pub(super) head: http::request::Parts,
+    pub(super) body: Bytes,
+    pub(super) call: CallerCall,
+    pub(super) admission: Admission,
+    pub(super) began: Duration,
+    pub(super) deadline: Duration,
+}
+
+/// An answer that began.
+pub(super) struct Begun {
+    pub(super) head: http::response::Parts,
+    pub(super) first: Option<Bytes>,
+    pub(super) body: Incoming,
+    pub(super) upstream: Upstream,
+    pub(super) run: RunGuard,
+}
+
+/// Counts an attempt as ended, whichever way it ends.
+pub(super) struct RunGuard {
+    pub(super) note: Option<Box<dyn FnOnce(RunOutcome) + Send>>,
+}
+
+impl RunGuard {
+    pub(super) fn end(mut self, outcome: RunOutcome) {
+        if let Some(note) = self.note.take() {
+            note(outcome);
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if let Some(note) = self.note.take() {
+            note(RunOutcome::Abandoned);
+        }
+    }
+}
+
+/// The place of one request in the waiting room; it is left whichever way the wait ends.
+pub(super) struct Place<'a> {
+    pub(super) room: &'a Mutex<WaitingRoom>,
+    pub(super) ticket: Option<u64>,
+}
+
+impl Place<'_> {
+    fn room(&self) -> MutexGuard<'_, WaitingRoom> {
+        self.room.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    pub(super) fn may_try(&self, service: &ServiceName, urgency: u8, tokens: u64) -> bool {
+        self.room().may_try(self.ticket, service, urgency, tokens)
+    }
+
+    pub(super) fn join(&mut self, service: &ServiceName, urgency: u8, tokens: u64) {
+        if self.ticket.is_none() {
+            let ticket = self.room().join(service, urgency, tokens);
+            self.ticket = Some(ticket);
+        }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket {
+            self.room().leave(ticket);
+        }
+    }
+}
+
+/// How a request ended before an answer began.
+pub(super) enum Ended {
+    Whole(http::response::Parts, Bytes),
+    Stream(Box<Begun>, AttemptLog),
+    Refused(Refusal),
+}
+
+/// What was tried for a request.
+#[derive(Default)]
+pub(super) struct AttemptLog {
+    pub(super) tried: Vec<RunnerKey>,
+    pub(super) may_have_run: usize,
+    pub(super) notes: Vec<String>,
+    /// A runner's own failure, passed on unless another runner does better.
+    pub(super) failed: Option<(http::response::Parts, Bytes)>,
+}
+
+impl AttemptLog {
+    /// Ends with a runner's own failure, if there is one, and else with the refusal.
+    pub(super) fn last_answer(&mut self, refusal: Refusal) -> Ended {
+        match self.failed.take() {
+            Some((head, body)) => Ended::Whole(head, body),
+            None => Ended::Refused(refusal),
+        }
+    }
+}
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -2,12 +2,16 @@
 
 mod attempt;
 mod audit;
+mod bodies;
 mod daemon;
 mod entry_file;
+mod job;
 mod listener;
+mod offering;
 mod pool;
 mod relay;
 mod serving;
+mod streaming;
 mod upstream;
 
 pub use daemon::run_entry;
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -0,0 +1,390 @@
+//! Offers a request to runners until one answers.
+
+use super::attempt::attempt;
+use super::attempt::AttemptEnd;
+use super::attempt::Outgoing;
+use super::upstream::Upstream;
+use bytes::Bytes;
+use dotterelrudder_gateway::AnswerFacts;
+use dotterelrudder_gateway::Dialect;
+use dotterelrudder_gateway::NotPlaced;
+use dotterelrudder_gateway::OutboundCall;
+use dotterelrudder_gateway::Placement;
+use dotterelrudder_gateway::PlacementQuery;
+use dotterelrudder_gateway::RunOutcome;
+use dotterelrudder_gateway::RunnerKey;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::Outcome;
+use dotterelrudder_types::Refusal;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+use super::bodies::*;
+use super::job::*;
+use super::serving::Serving;
+
+/// Runners that one request is offered to at most, those that could not be reached included.
+const MOST_OFFERS: usize = 4;
+/// How much of the objective a repeatable request waits for an answer before another runner is
+/// asked.
+const PATIENCE_OBJECTIVES: f64 = 2.0;
+/// Bounds on the wait for an answer before another runner is asked.
+const PATIENCE_LEAST: Duration = Duration::from_millis(250);
+/// The least time left for which a runner is still asked.
+const LEAST_LEFT: Duration = Duration::from_millis(5);
+/// How often a waiting request looks for room; loads are told every few tenths of a second, and
+/// own requests end in between.
+const LOOK_AGAIN: Duration = Duration::from_millis(15);
+
+impl<D> Serving<D>
+where
+    D: Dialect,
+{
+    /// Offers the request to runners until one answers.
+    pub(super) async fn run(
+        self: &Arc<Self>,
+        job: &Job,
+        log: &mut AttemptLog,
+        resume_after: Option<&str>,
+    ) -> Ended {
+        let route = &job.admission.route;
+        for _ in 0..MOST_OFFERS {
+            let now = self.now();
+            let left = job.deadline.saturating_sub(now);
+            if left < LEAST_LEFT {
+                return Ended::Refused(late(log));
+            }
+            let query = PlacementQuery {
+                service: &job.admission.service,
+                prompt: job.call.prompt.as_ref(),
+                account: job.admission.account.as_deref(),
+                tried: &log.tried,
+                objective: route.objective,
+                left,
+            };
+            let placement = match self.find_room(job, &query).await {
+                Ok(placement) => placement,
+                Err(refusal) => {
+                    let refusal = not_placed(refusal, log);
+                    return log.last_answer(refusal);
+                }
+            };
+            let left = job.deadline.saturating_sub(self.now());
+            log.tried.push(placement.runner);
+            let end = self.offer(job, &placement, left, resume_after, log).await;
+            let (reason, outcome, ran) = match end {
+                OfferEnd::Ended(ended) => return ended,
+                OfferEnd::NotSent(reason) => {
+                    log.notes.push(note(&placement, &reason));
+                    continue;
+                }
+                OfferEnd::Declined(reason) => (reason, ErrorKind::Overloaded, false),
+                OfferEnd::Lost(reason) => (reason, ErrorKind::BackendFailed, true),
+            };
+            log.notes.push(note(&placement, &reason));
+            log.may_have_run += usize::from(ran);
+            let most = route.max_runners.max(1) as usize;
+            let repeatable = log.may_have_run == 0 || route.kind.may_repeat();
+            let allowed = repeatable
+                && log.may_have_run < most
+                && self
+                    .gateway()
+                    .may_repeat(self.now(), &job.admission.service);
+            if !allowed {
+                let refusal = given_up(outcome, reason, log);
+                return log.last_answer(refusal);
+            }
+        }
+        let reason = "no runner took the request".to_string();
+        Ended::Refused(given_up(ErrorKind::Overloaded, reason, log))
+    }
+
+    /// Waits for a runner with room for the request.
+    pub(super) async fn find_room(
+        &self,
+        job: &Job,
+        query: &PlacementQuery<'_>,
+    ) -> Result<Placement, Refusal> {
+        let service = query.service;
+        let tokens = query.prompt.map_or(0, |p| p.peak_tokens());
+        let urgency = self.gateway().urgency(&job.admission);
+        let mut place = Place {
+            room: &self.room,
+            ticket: None,
+        };
+        loop {
+            if place.may_try(service, urgency, tokens) {
+                match self.gateway().place(self.now(), query) {
+                    Ok(placement) => return Ok(placement),
+                    Err(NotPlaced::Refused(refusal)) => return Err(refusal),
+                    Err(NotPlaced::Busy) => {}
+                }
+            }
+            place.join(service, urgency, tokens);
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    /// Offers the request to one runner.
+    pub(super) async fn offer(
+        self: &Arc<Self>,
+        job: &Job,
+        placement: &Placement,
+        left: Duration,
+        resume_after: Option<&str>,
+        log: &mut AttemptLog,
+    ) -> OfferEnd {
+        let route = &job.admission.route;
+        let may_repeat = route.kind.may_repeat();
+        let call = self.outbound(job, placement, left, resume_after);
+        let outgoing = Outgoing {
+            head: &job.head,
+            body: &job.body,
+            id: &job.call.id,
+            may_repeat,
+        };
+        let more = may_repeat && log.may_have_run + 1 < route.max_runners.max(1) as usize;
+        let limit = if more {
+            let patience = route.objective.mul_f64(PATIENCE_OBJECTIVES);
+            patience.max(PATIENCE_LEAST).min(left)
+        } else {
+            left
+        };
+        // Ends before the request's own time does, so that the runner's silence is noted.
+        let limit = limit.saturating_sub(LEAST_LEFT);
+        let unread = {
+            let now = self.now();
+            let prompt = job.call.prompt.as_ref();
+            self.gateway().sent(now, placement.runner, prompt)
+        };
+        let run = self.run_guard(placement.runner, unread);
+        let now = self.now();
+        let began = now;
+        let first = self.first_part(
+            &outgoing,
+            placement,
+            &call,
+            limit,
+            now,
+            route.kind.is_stream(),
+        );
+        let end = match timeout(limit, first).await {
+            Ok(end) => end,
+            Err(_) => FirstPart::Failed(AttemptEnd::Lost {
+                outcome: RunOutcome::Failed,
+                reason: format!("no answer within {} ms", limit.as_millis()),
+            }),
+        };
+        let took = self.now().saturating_sub(began);
+        match end {
+            FirstPart::Failed(AttemptEnd::NotSent { outcome, reason }) => {
+                run.end(outcome);
+                OfferEnd::NotSent(reason)
+            }
+            FirstPart::Failed(AttemptEnd::Declined { outcome, reason }) => {
+                run.end(outcome);
+                OfferEnd::Declined(reason)
+            }
+            FirstPart::Failed(AttemptEnd::Lost { outcome, reason }) => {
+                run.end(outcome);
+                OfferEnd::Lost(reason)
+            }
+            FirstPart::Failed(AttemptEnd::Answer { .. }) => {
+                OfferEnd::Lost("the answer was not read".into())
+            }
+            FirstPart::Whole(head, body, upstream) => {
+                run.end(RunOutcome::Answered);
+                self.keep(upstream);
+                let status = head.status;
+                let text = format!("status {} after {} ms", status.as_u16(), took.as_millis());
+                if more && status.is_server_error() {
+                    log.failed = Some((head, body));
+                    return OfferEnd::Lost(text);
+                }
+                log.notes.push(note(placement, &text));
+                OfferEnd::Ended(Ended::Whole(head, body))
+            }
+            FirstPart::Begun(head, part, body, upstream) => {
+                self.gateway().first_part(placement.runner, unread);
+                let text = format!("began after {} ms", took.as_millis());
+                log.notes.push(note(placement, &text));
+                let begun = Begun {
+                    head,
+                    first: part,
+                    body,
+                    upstream,
+                    run,
+                };
+                let log = std::mem::take(log);
+                OfferEnd::Ended(Ended::Stream(Box::new(begun), log))
+            }
+        }
+    }
+
+    pub(super) fn outbound(
+        &self,
+        job: &Job,
+        placement: &Placement,
+        left: Duration,
+        resume_after: Option<&str>,
+    ) -> OutboundCall {
+        let admission = &job.admission;
+        let is_model = job.call.prompt.is_some();
+        OutboundCall {
+            identity: placement.identity.clone(),
+            weights: placement.weights,
+            cache_salt: placement.cache_salt.clone(),
+            cache: placement.cache.clone(),
+            account: admission.account.as_ref().map(|a| a.name.clone()),
+            time_left: left,
+            urgency: is_model.then(|| self.gateway().urgency(admission)),
+            resume_after: resume_after
+                .map(Into::into)
+                .or_else(|| job.call.resume_after.clone()),
+        }
+    }
+
+    /// Counts the attempt as ended once the guard ends, whichever way that comes about.
+    pub(super) fn run_guard(self: &Arc<Self>, runner: RunnerKey, unread: f64) -> RunGuard {
+        let serving = self.clone();
+        RunGuard {
+            note: Some(Box::new(move |outcome| {
+                let now = serving.now();
+                let mut gateway = serving.gateway();
+                gateway.first_part(runner, unread);
+                gateway.ended(now, runner, outcome);
+            })),
+        }
+    }
+
+    /// Waits for the whole answer, or for the first part of a stream.
+    pub(super) async fn first_part(
+        &self,
+        outgoing: &Outgoing<'_>,
+        placement: &Placement,
+        call: &OutboundCall,
+        limit: Duration,
+        now: Duration,
+        stream: bool,
+    ) -> FirstPart {
+        let end = attempt(
+            &self.dialect,
+            &self.pool,
+            outgoing,
+            placement,
+            call,
+            limit,
+            now,
+        )
+        .await;
+        let AttemptEnd::Answer {
+            response,
+            facts,
+            mut upstream,
+        } = end
+        else {
+            return FirstPart::Failed(end);
+        };
+        let (head, mut body) = response.into_parts();
+        upstream.keep_alive = keep_alive(&head.headers);
+        if !(stream && head.status.is_success()) {
+            return match read_answer(body).await {
+                Ok(bytes) => FirstPart::Whole(head, bytes, upstream),
+                Err(reason) => lost(&facts, reason),
+            };
+        }
+        loop {
+            match body.frame().await {
+                None => return lost(&facts, "the stream has no event".into()),
+                Some(Err(e)) => return lost(&facts, e.to_string()),
+                Some(Ok(frame)) => {
+                    if let Ok(part) = frame.into_data() {
+                        return FirstPart::Begun(head, Some(part), body, upstream);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Keeps a connection once its answer is off it.
+    pub(super) fn keep(self: &Arc<Self>, mut upstream: Upstream) {
+        if upstream.is_usable() {
+            self.pool.give_back(upstream, self.now());
+            return;
+        }
+        let serving = self.clone();
+        tokio::spawn(async move {
+            let free = timeout(PATIENCE_LEAST, upstream.is_free()).await;
+            if free == Ok(true) {
+                serving.pool.give_back(upstream, serving.now());
+            }
+        });
+    }
+}
+
+/// What became of the offer to one runner.
+pub(super) enum OfferEnd {
+    Ended(Ended),
+    NotSent(String),
+    Declined(String),
+    Lost(String),
+}
+
+/// The first part of an answer.
+pub(super) enum FirstPart {
+    Failed(AttemptEnd),
+    Whole(http::response::Parts, Bytes, Upstream),
+    Begun(http::response::Parts, Option<Bytes>, Incoming, Upstream),
+}
+
+fn lost(_facts: &AnswerFacts, reason: String) -> FirstPart {
+    FirstPart::Failed(AttemptEnd::Lost {
+        outcome: RunOutcome::Failed,
+        reason,
+    })
+}
+
+fn note(placement: &Placement, text: &str) -> String {
+    let age = placement.load_age.map_or(-1, |a| a.as_millis() as i64);
+    format!(
+        "{} {} expected {} ms, load {} ms old, {} fetched, {} saved: {}",
+        placement.identity,
+        placement.address,
+        placement.expected.as_millis(),
+        age,
+        placement.cache.fetch.iter().flatten().count(),
+        placement.cache.save.iter().flatten().count(),
+        text
+    )
+}
+
+/// The refusal once the time is up.
+pub(super) fn late(log: &AttemptLog) -> Refusal {
+    if log.tried.is_empty() {
+        return Refusal::new(
+            ErrorKind::Overloaded,
+            "the time was up before a runner was asked",
+        );
+    }
+    let detail = "the time was up before an answer came";
+    Refusal::new(ErrorKind::DeadlineExceeded, detail).with_outcome(Outcome::Unknown)
+}
+
+fn not_placed(refusal: Refusal, log: &AttemptLog) -> Refusal {
+    if log.may_have_run == 0 {
+        return refusal;
+    }
+    Refusal::new(ErrorKind::BackendFailed, refusal.detail)
+}
+
+pub(super) fn given_up(kind: ErrorKind, reason: String, log: &AttemptLog) -> Refusal {
+    let kind = if log.may_have_run > 0 {
+        ErrorKind::BackendFailed
+    } else {
+        kind
+    };
+    Refusal::new(kind, reason)
+}
--- a/crates/dotterelrudder_daemon/src/operator/client.rs
+++ b/crates/dotterelrudder_daemon/src/operator/client.rs
@@ -11,7 +11,10 @@
 use super::arguments::Options;
 use crate::http_client::HttpClient;
 
-/// How long one instance may take.
+/// How long one instance may take in the first round. A publish makes two calls, and moves on from
+/// an instance that stands still within two seconds in all.
+const FIRST_LIMIT: Duration = Duration::from_millis(700);
+/// How long one instance may take in later rounds, for answers that need long.
 const CALL_LIMIT: Duration = Duration::from_secs(8);
 /// Rounds over all instances.
 const ROUNDS: u32 = 20;
@@ -68,7 +71,8 @@
         text: "no control instance answers".into(),
         exit_code: 69,
     };
-    for _ in 0..ROUNDS {
+    for round in 0..ROUNDS {
+        let limit = (FIRST_LIMIT * 2u32.pow(round.min(8))).min(CALL_LIMIT);
         for control in &options.controls {
             let req = Request::builder()
                 .method(method)
@@ -76,7 +80,7 @@
                 .header("authorization", format!("Bearer {}", options.token))
                 .body(Full::new(Bytes::from(body.to_owned())));
             let req = req.map_err(|e| Failure::usage(format!("--control {control}: {e}")))?;
-            match client.fetch(req, CALL_LIMIT).await {
+            match client.fetch(req, limit).await {
                 Ok((200, body)) => {
                     return serde_json::from_slice(&body).map_err(|e| Failure {
                         text: format!("{control} gave no JSON: {e}"),
--- a/crates/dotterelrudder_daemon/src/settings.rs
+++ b/crates/dotterelrudder_daemon/src/settings.rs
@@ -175,7 +175,36 @@
             "{file}: key \"{key}\" is unknown, did you mean \"{near}\"?"
         ));
     }
-    toml::from_str(&text).map_err(|e| format!("{file}: {e}"))
+    toml::from_str(&text).map_err(|e| match faulty_key::<S>(&table) {
+        Some(key) => format!("{file}: key \"{key}\": {}", e.message()),
+        None => format!("{file}: {e}"),
+    })
+}
+
+/// Finds the key whose value is wrong: the one whose replacement by another value makes the file
+/// readable. The parser itself doesn't tell keys of settings that several daemons share.
+fn faulty_key<S>(table: &toml::Table) -> Option<String>
+where
+    S: SettingsFile,
+{
+    let address = || toml::Value::String("127.0.0.1:1".into());
+    let others = [
+        address(),
+        toml::Value::String("127.0.0.1".into()),
+        toml::Value::String("name".into()),
+        toml::Value::Integer(1),
+        toml::Value::Boolean(true),
+        toml::Value::Array(vec![address()]),
+        toml::Value::Array(Vec::new()),
+    ];
+    let repairs = |key: &&String| {
+        others.iter().any(|other| {
+            let mut repaired = table.clone();
+            repaired.insert((*key).clone(), other.clone());
+            repaired.try_into::<S>().is_ok()
+        })
+    };
+    table.keys().find(repairs).cloned()
 }
 
 /// Reads the deployment's secret.
--- /dev/null
+++ b/crates/dotterelrudder_daemon/tests/operator.rs
@@ -0,0 +1,53 @@
+//! The operators' command while a control instance stands still.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::process::Command;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Answers every call with the same JSON text.
+fn answering(text: &'static str) -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let serving = listener.try_clone().unwrap();
+    std::thread::spawn(move || {
+        for tcp in serving.incoming() {
+            let mut tcp = tcp.unwrap();
+            let mut buf = [0; 4096];
+            let _read = tcp.read(&mut buf).unwrap();
+            let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length";
+            write!(tcp, "{head}: {}\r\n\r\n{text}", text.len()).unwrap();
+        }
+    });
+    listener
+}
+
+/// A frozen instance still accepts connections and never answers.
+#[test]
+fn an_instance_that_stands_still_is_passed_over_within_a_second() {
+    let frozen = TcpListener::bind("127.0.0.1:0").unwrap();
+    let live = answering("{\"rows\": []}");
+    let token = std::env::temp_dir().join(format!("token-{}", std::process::id()));
+    std::fs::write(&token, "t").unwrap();
+    let controls = format!(
+        "{},{}",
+        frozen.local_addr().unwrap(),
+        live.local_addr().unwrap()
+    );
+    let began = Instant::now();
+    let output = Command::new(env!("CARGO_BIN_EXE_dotterelrudder"))
+        .args(["audit", "--json", "--control", &controls, "--token-file"])
+        .arg(&token)
+        .output()
+        .unwrap();
+    std::fs::remove_file(&token).unwrap();
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.success(), "{told}");
+    // A publish makes two such calls and shall take less than two seconds in all.
+    assert!(
+        began.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        began.elapsed()
+    );
+}
--- /dev/null
+++ b/crates/dotterelrudder_gateway/src/gateway/admitting.rs
@@ -0,0 +1,84 @@
+//! Which requests are served, and when refused callers come back.
+
+use super::Gateway;
+use super::RETRY_AFTER_RESTART;
+use crate::Admission;
+use crate::CallerCall;
+use compact_str::format_compact;
+use dotterelrudder_config::whole::AccountEntry;
+use dotterelrudder_config::whole::RouteRule;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::Refusal;
+use dotterelrudder_types::ServiceName;
+use rand::Rng;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// By which share of the wait callers are spread, so that they don't come back together.
+const RETRY_SPREAD: f64 = 0.25;
+
+impl Gateway {
+    /// Decides whether a request may be served, and by which service.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is refused.
+    pub fn admit(&mut self, now: Duration, call: &CallerCall) -> Result<Admission, Refusal> {
+        if self.configuration.version == 0 {
+            let detail = "no configuration was confirmed since the start";
+            let mut refusal = Refusal::new(ErrorKind::NotReady, detail);
+            refusal.retry_after = Some(self.spread(RETRY_AFTER_RESTART));
+            return Err(refusal);
+        }
+        let Some(route) = self.routes.find(&call.host, &call.path) else {
+            let detail = format_compact!("no route for host \"{}\" and its path", call.host);
+            return Err(Refusal::new(ErrorKind::UnknownModel, detail));
+        };
+        let account = if route.needs_key && !self.configuration.accounts.is_empty() {
+            Some(self.account_of(now, call)?)
+        } else {
+            None
+        };
+        let service = self.draw_service(&route);
+        let window = self.settings.retry_window;
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.count_request(now, window);
+        Ok(Admission {
+            route,
+            account,
+            service,
+            version: self.configuration.version,
+        })
+    }
+
+    fn account_of(&self, now: Duration, call: &CallerCall) -> Result<Arc<AccountEntry>, Refusal> {
+        // Control may have taken a key away since; without its word no key counts for long.
+        if !self.lease.holds(now, self.settings.key_lease) {
+            let detail = "keys can't be checked without contact to control";
+            return Err(Refusal::new(ErrorKind::NotReady, detail));
+        }
+        let account = call.key.and_then(|key| self.accounts.get(&key));
+        account.cloned().ok_or_else(|| {
+            let detail = "the key is missing or belongs to no client account";
+            Refusal::new(ErrorKind::UnknownKey, detail)
+        })
+    }
+
+    /// Draws a wait a little longer than asked for.
+    pub(super) fn spread(&mut self, wait: Duration) -> Duration {
+        wait.mul_f64(1.0 + self.rng.random_range(0.0..RETRY_SPREAD))
+    }
+
+    fn draw_service(&mut self, route: &RouteRule) -> ServiceName {
+        let total: u64 = route.targets.iter().map(|t| t.weight).sum();
+        let mut drawn = self.rng.random_range(0..total.max(1));
+        for target in &route.targets {
+            if drawn < target.weight {
+                return target.service.clone();
+            }
+            drawn -= target.weight;
+        }
+        let last = route.targets.last();
+        last.map(|t| t.service.clone()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -0,0 +1,195 @@
+//! The decisions of an entry behind one interface.
+
+mod admitting;
+mod estimating;
+mod placing;
+
+use crate::Admission;
+use crate::ConfirmedLease;
+use crate::EngineEstimate;
+use crate::GatewaySettings;
+use crate::NamedWeights;
+use crate::Prompt;
+use crate::RetryBudget;
+use crate::RouteTable;
+use crate::RunOutcome;
+use crate::RunnerKey;
+use crate::RunnerTable;
+use crate::StoredParts;
+use compact_str::CompactString;
+use dotterelrudder_config::whole::AccountEntry;
+use dotterelrudder_config::whole::WholeConfiguration;
+use dotterelrudder_types::AccountKeyHash;
+use dotterelrudder_types::ServiceName;
+use dotterelrudder_wire::DirectoryUpdate;
+use dotterelrudder_wire::FleetView;
+use dotterelrudder_wire::PartKey;
+use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::RunnerRow;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// When a caller may come back to a service whose servers are all gone: about when those that
+/// restart are back.
+const RETRY_AFTER_RESTART: Duration = Duration::from_millis(1_000);
+
+/// The entry's decisions.
+#[derive(Debug)]
+pub struct Gateway {
+    settings: GatewaySettings,
+    configuration: WholeConfiguration,
+    routes: RouteTable,
+    accounts: HashMap<AccountKeyHash, Arc<AccountEntry>>,
+    runners: RunnerTable,
+    weights: BTreeMap<CompactString, NamedWeights>,
+    lease: ConfirmedLease,
+    budgets: HashMap<ServiceName, RetryBudget>,
+    entries: u32,
+    estimate: EngineEstimate,
+    stored: StoredParts,
+    rng: ChaCha8Rng,
+}
+
+impl Gateway {
+    /// Starts without a configuration.
+    pub fn new(settings: GatewaySettings, seed: u64) -> Self {
+        Self {
+            settings,
+            configuration: WholeConfiguration::default(),
+            routes: RouteTable::default(),
+            accounts: HashMap::new(),
+            runners: RunnerTable::default(),
+            weights: BTreeMap::new(),
+            lease: ConfirmedLease::default(),
+            budgets: HashMap::new(),
+            entries: 1,
+            estimate: EngineEstimate::default(),
+            stored: StoredParts::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes what the leading control instance says is in force; `asked_at` is when the question
+    /// was asked that it answers. Returns whether the configuration changed.
+    pub fn on_view(&mut self, now: Duration, view: FleetView, asked_at: Option<Duration>) -> bool {
+        let mut changed = false;
+        if let Some(cfg) = view.configuration {
+            if cfg.version > self.configuration.version {
+                self.put_in_force(*cfg);
+                changed = true;
+            }
+        }
+        for named in view.weights {
+            self.weights
+                .entry(named.model)
+                .or_default()
+                .name(named.version, now);
+        }
+        self.entries = view.entries.max(1);
+        if let Some(at) = asked_at {
+            self.stored
+                .confirm(view.directory, at, view.engine_clock_ms, now);
+        }
+        // A view of an older version than the one held doesn't confirm what is held.
+        if self.configuration.version >= view.version {
+            if let Some(at) = asked_at {
+                self.lease.confirm(at);
+            }
+        }
+        changed
+    }
+
+    fn put_in_force(&mut self, cfg: WholeConfiguration) {
+        self.routes = RouteTable::new(&cfg.routes);
+        self.accounts.clear();
+        for account in &cfg.accounts {
+            let entry = Arc::new(account.clone());
+            for key in &account.keys {
+                self.accounts.insert(*key, entry.clone());
+            }
+        }
+        self.configuration = cfg;
+    }
+
+    /// Takes the platform's list of backend servers.
+    pub fn on_runners(&mut self, rows: Vec<RunnerRow>) {
+        self.runners.listed(rows);
+    }
+
+    /// Takes changes of the directory of stored parts.
+    pub fn on_directory(&mut self, update: DirectoryUpdate) {
+        self.stored.update(update);
+    }
+
+    /// Takes the stored parts that requests used since the last call.
+    pub fn take_used_parts(&mut self) -> Vec<PartKey> {
+        self.stored.take_used()
+    }
+
+    /// Takes load reports.
+    pub fn on_loads(&mut self, now: Duration, loads: Vec<RunnerLoad>) {
+        for load in loads {
+            self.runners.reported(load, now);
+        }
+    }
+
+    /// Returns the configuration in force; its version is 0 before the first.
+    pub fn configuration(&self) -> &WholeConfiguration {
+        &self.configuration
+    }
+
+    /// Returns how old the last confirmation by control is.
+    pub fn confirmation_age(&self, now: Duration) -> Option<Duration> {
+        self.lease.age(now)
+    }
+
+    /// Returns whether requests with keys can be served.
+    pub fn is_ready(&self, now: Duration) -> bool {
+        self.configuration.version > 0 && self.lease.holds(now, self.settings.key_lease)
+    }
+
+    /// Counts a request that is sent; returns the tokens to give to [`Gateway::first_part`].
+    pub fn sent(&mut self, now: Duration, runner: RunnerKey, prompt: Option<&Prompt>) -> f64 {
+        let found = self.runners.get_mut(runner);
+        found.map_or(0.0, |r| r.sent(prompt, now))
+    }
+
+    /// Counts that a runner began to answer.
+    pub fn first_part(&mut self, runner: RunnerKey, unread: f64) {
+        if let Some(r) = self.runners.get_mut(runner) {
+            r.read(unread);
+        }
+    }
+
+    /// Counts that an attempt ended.
+    pub fn ended(&mut self, now: Duration, runner: RunnerKey, outcome: RunOutcome) {
+        if let Some(r) = self.runners.get_mut(runner) {
+            r.ended();
+            r.health.note(now, outcome);
+        }
+    }
+
+    /// Takes one repeat out of a service's budget, if there is one left.
+    pub fn may_repeat(&mut self, now: Duration, service: &ServiceName) -> bool {
+        let s = &self.settings;
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.take(
+            now,
+            s.retry_window,
+            s.retry_ratio,
+            s.retry_slack,
+            self.entries,
+        )
+    }
+
+    /// Returns how urgent a request is at a runner: the account's rank goes before the route's.
+    pub fn urgency(&self, admission: &Admission) -> u8 {
+        let of_account = admission.account.as_ref().and_then(|a| a.rank);
+        let rank = of_account.map_or(0, |r| r.min(2));
+        rank * 3 + admission.route.rank.min(2)
+    }
+}
--- /dev/null
+++ b/crates/dotterelrudder_gateway/src/gateway/placing.rs
@@ -0,0 +1,222 @@
+//! Which runner takes a request, and where its KV cache comes from.
+//!
+//! Load pattern: sessions come back through any entry, prompts of very different sizes meet at
+//! runners whose memories fill up, and some runners are lost, loading or failing. Each request goes
+//! where its first token is expected first; it waits while every memory is full.
+
+use super::Gateway;
+use super::RETRY_AFTER_RESTART;
+use crate::cache_salt;
+use crate::rendezvous_rank;
+use crate::CachePlan;
+use crate::NotPlaced;
+use crate::Placement;
+use crate::PlacementQuery;
+use crate::Prompt;
+use crate::RunnerKey;
+use crate::RunnerState;
+use compact_str::format_compact;
+use compact_str::CompactString;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::Refusal;
+use dotterelrudder_wire::PartKey;
+use dotterelrudder_wire::RunnerRow;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Before a runner's limit on named weights, to cover the time that a request waits at its runner.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(2_500);
+/// The share of a runner's memory up to which prompts are sent to it; their answers still grow,
+/// and other entries send as well.
+const MEMORY_FULL: f64 = 0.9;
+/// When a caller may come back at the earliest.
+const RETRY_LEAST: Duration = Duration::from_millis(300);
+
+impl Gateway {
+    /// Chooses the runner with the smallest expected time to the first token.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when no runner is open, and that the request has to wait when none has
+    /// room for it.
+    pub fn place(
+        &mut self,
+        now: Duration,
+        query: &PlacementQuery<'_>,
+    ) -> Result<Placement, NotPlaced> {
+        let home = self.home_order(query);
+        let mut best: Option<(Duration, u64, RunnerKey)> = None;
+        let mut opens: Option<Duration> = None;
+        let mut loading = false;
+        for (key, runner) in self.runners.of_service(query.service) {
+            if query.tried.contains(&key) {
+                continue;
+            }
+            if !runner.is_open(now) || !self.serves_weights(now, runner, query.prompt) {
+                let until = runner.health.spared_until();
+                if runner.listed && !runner.row.leaving && until > now {
+                    opens = Some(opens.map_or(until, |o| o.min(until)));
+                }
+                continue;
+            }
+            if query.prompt.is_some() && runner.is_loading(now) {
+                loading = true;
+                continue;
+            }
+            let expected = self.expected(now, runner, query, home_place(&home, key));
+            let tie = rendezvous_rank(query.service.as_str(), &runner.row.identity);
+            if best.is_none_or(|(e, t, _)| (expected, t) < (e, tie)) {
+                best = Some((expected, tie, key));
+            }
+        }
+        let chosen = best.and_then(|(e, _, key)| Some((e, key, self.runners.get(key)?)));
+        let Some((expected, key, runner)) = chosen else {
+            // Loading takes a second or two, after which the runner takes requests again.
+            if loading {
+                return Err(NotPlaced::Busy);
+            }
+            let detail = format_compact!("no open backend server of \"{}\"", query.service);
+            let mut refusal = Refusal::new(ErrorKind::NoBackendServer, detail);
+            let wait = opens.map_or(RETRY_AFTER_RESTART, |at| at.saturating_sub(now));
+            refusal.retry_after = Some(self.spread(wait.max(RETRY_LEAST)));
+            return Err(NotPlaced::Refused(refusal));
+        };
+        if query
+            .prompt
+            .is_some_and(|p| self.is_crowded(now, runner, p))
+        {
+            return Err(NotPlaced::Busy);
+        }
+        let weights = query.prompt.and_then(|p| runner.version_of(&p.model));
+        let load_age = runner.load_age(now);
+        let row = runner.row.clone();
+        let salt = query.prompt.map(|_| cache_salt(weights, query.account));
+        let cache = match (query.prompt, &salt) {
+            (Some(prompt), Some(salt)) => self.plan_cache(now, query, prompt, salt, key, &row),
+            _ => CachePlan::default(),
+        };
+        Ok(Placement {
+            runner: key,
+            address: row.address,
+            data_centre: row.data_centre,
+            identity: row.identity,
+            weights,
+            cache_salt: salt,
+            cache,
+            expected,
+            load_age,
+        })
+    }
+
+    /// Returns whether a runner would have to preempt others for a prompt. An empty runner takes
+    /// any prompt.
+    fn is_crowded(&self, now: Duration, runner: &RunnerState, prompt: &Prompt) -> bool {
+        let full = runner.memory(now, prompt.peak_tokens() as f64) > MEMORY_FULL;
+        full && runner.batch(now) > 0.0
+    }
+
+    /// Plans where the prompt's KV cache comes from: a store, or else the runner that read the
+    /// session's part last.
+    fn plan_cache(
+        &mut self,
+        now: Duration,
+        query: &PlacementQuery<'_>,
+        prompt: &Prompt,
+        salt: &CompactString,
+        chosen: RunnerKey,
+        row: &RunnerRow,
+    ) -> CachePlan {
+        let mut plan = self
+            .stored
+            .plan(now, prompt, salt, &row.data_centre, query.objective);
+        let Some(session) = prompt.session_part() else {
+            return plan;
+        };
+        let place = prompt.parts.iter().position(|p| p.id == session.id);
+        let Some(place) = place.filter(|i| i + 1 < prompt.parts.len()) else {
+            return plan;
+        };
+        if plan.fetch.is_empty() {
+            plan.fetch = prompt.parts.iter().map(|_| None).collect();
+            plan.save = plan.fetch.clone();
+        }
+        if plan.fetch[place].is_none() {
+            plan.fetch[place] = self.peer_source(now, query, &session.id, chosen);
+        }
+        plan
+    }
+
+    /// Returns another runner that used a session lately, as far as this entry knows.
+    fn peer_source(
+        &self,
+        now: Duration,
+        query: &PlacementQuery<'_>,
+        session: &CompactString,
+        chosen: RunnerKey,
+    ) -> Option<SocketAddr> {
+        let peers = self.runners.of_service(query.service);
+        let holding = peers.filter(|(key, r)| {
+            *key != chosen && r.is_open(now) && !r.is_loading(now) && r.holds_session(session, now)
+        });
+        let last = holding.max_by_key(|(_, r)| r.session_used(session));
+        if let Some((_, runner)) = last {
+            return Some(runner.row.address);
+        }
+        // Another entry may have sent the session's last request to its home; a miss costs little.
+        let home = *self.home_order(query).first()?;
+        let runner = self.runners.get(home).filter(|_| home != chosen)?;
+        let answers = runner.is_open(now) && !runner.is_loading(now);
+        answers.then_some(runner.row.address)
+    }
+
+    /// Returns the runners of a session in its order of preference.
+    fn home_order(&self, query: &PlacementQuery<'_>) -> Vec<RunnerKey> {
+        let Some(part) = query.prompt.and_then(Prompt::session_part) else {
+            return Vec::new();
+        };
+        let runners = self.runners.of_service(query.service);
+        let mut ranked: Vec<((bool, u64), RunnerKey)> = runners
+            .filter(|(_, r)| !r.row.leaving)
+            .map(|(key, r)| {
+                let rank = rendezvous_rank(&part.id, &r.row.identity);
+                ((self.is_near_store(query, r, &part.id), rank), key)
+            })
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.into_iter().take(2).map(|(_, key)| key).collect()
+    }
+
+    /// Returns whether a session's part is stored in the runner's data centre.
+    fn is_near_store(
+        &self,
+        query: &PlacementQuery<'_>,
+        runner: &RunnerState,
+        part: &CompactString,
+    ) -> bool {
+        let Some(prompt) = query.prompt else {
+            return false;
+        };
+        let salt = cache_salt(runner.version_of(&prompt.model), query.account);
+        let part = part.clone();
+        let place = self.stored.data_centre_of(&PartKey { salt, part });
+        place == Some(&runner.row.data_centre)
+    }
+
+    /// Returns whether a runner's weights may still begin a request.
+    fn serves_weights(&self, now: Duration, runner: &RunnerState, prompt: Option<&Prompt>) -> bool {
+        let Some(prompt) = prompt else {
+            return true;
+        };
+        let Some(held) = runner.version_of(&prompt.model) else {
+            return false;
+        };
+        let limit = self.settings.weights_limit.saturating_sub(WEIGHTS_MARGIN);
+        let named = self.weights.get(&prompt.model);
+        let since = named.and_then(|n| n.outdated_since(held));
+        since.is_none_or(|at| now < at + limit)
+    }
+}
+
+fn home_place(home: &[RunnerKey], key: RunnerKey) -> Option<usize> {
+    home.iter().position(|k| *k == key)
+}
--- a/crates/dotterelrudder_gateway/src/lib.rs
+++ b/crates/dotterelrudder_gateway/src/lib.rs
@@ -4,9 +4,11 @@
 //! which runner takes it, whether it may be sent again, and when it is refused. Each module tells
 //! the load pattern that it answers; docs/design/platform.md tells how they work together.
 
+mod admission;
 mod affinity;
 mod answer_facts;
 mod cache_plan;
+mod cache_salt;
 mod caller_call;
 mod confirmed_lease;
 mod dialect;
@@ -18,6 +20,7 @@
 mod not_placed;
 mod outbound_call;
 mod placement;
+mod placement_query;
 pub mod prelude;
 mod prompt;
 mod retry_budget;
@@ -29,23 +32,24 @@
 mod stored_parts;
 mod waiting_room;
 
+pub use admission::Admission;
 pub use affinity::rendezvous_rank;
 pub use answer_facts::AnswerFacts;
 pub use cache_plan::CachePlan;
+pub(crate) use cache_salt::cache_salt;
 pub use caller_call::CallerCall;
 pub use confirmed_lease::ConfirmedLease;
 pub use dialect::Dialect;
 pub use engine_estimate::EngineEstimate;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::StreamEvent;
-pub use gateway::Admission;
 pub use gateway::Gateway;
-pub use gateway::PlacementQuery;
 pub use gateway_settings::GatewaySettings;
 pub use named_weights::NamedWeights;
 pub use not_placed::NotPlaced;
 pub use outbound_call::OutboundCall;
 pub use placement::Placement;
+pub use placement_query::PlacementQuery;
 pub use prompt::Prompt;
 pub use prompt::PromptPart;
 pub use retry_budget::RetryBudget;
