--- a/crates/dotterelrudder_control/src/fleet/cache_directory.rs
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -28,11 +28,11 @@
 /// leader has read the stores after the loss of one.
 pub const DIRECTORY_LEASE: Duration = Duration::from_millis(3_200);
 /// How long after it was sent a fetch may still end.
-pub const FETCH_LIMIT: Duration = Duration::from_millis(700);
+pub const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
 /// Added for the estimate of the engines' clock and the way of messages.
 const MARGIN: Duration = Duration::from_millis(500);
 /// From the withdrawal of a part until it is freed.
-pub(super) const FREE_AFTER: Duration = Duration::from_millis(4_400);
+pub(super) const FREE_AFTER: Duration = Duration::from_millis(5_200);
 /// How long an order to free may be under way.
 const FREE_WITHIN_MS: u64 = 250;
 /// How long news of a freed part may still be old.
--- a/crates/dotterelrudder_daemon/src/gateway/job.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/job.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use dotterelrudder_gateway::Admission;
 use dotterelrudder_gateway::CallerCall;
+use dotterelrudder_gateway::RoomNeed;
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_gateway::WaitingRoom;
@@ -65,13 +66,13 @@
         self.room.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    pub(super) fn may_try(&self, service: &ServiceName, urgency: u8, tokens: u64) -> bool {
-        self.room().may_try(self.ticket, service, urgency, tokens)
+    pub(super) fn may_try(&self, now: Duration, service: &ServiceName, need: &RoomNeed) -> bool {
+        self.room().may_try(now, self.ticket, service, need)
     }
 
-    pub(super) fn join(&mut self, service: &ServiceName, urgency: u8, tokens: u64) {
+    pub(super) fn join(&mut self, service: &ServiceName, need: &RoomNeed) {
         if self.ticket.is_none() {
-            let ticket = self.room().join(service, urgency, tokens);
+            let ticket = self.room().join(service, need);
             self.ticket = Some(ticket);
         }
     }
--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -11,6 +11,7 @@
 use dotterelrudder_gateway::OutboundCall;
 use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::PlacementQuery;
+use dotterelrudder_gateway::RoomNeed;
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_types::ErrorKind;
@@ -35,6 +36,11 @@
 const PATIENCE_LEAST: Duration = Duration::from_millis(250);
 /// The least time left for which a runner is still asked.
 const LEAST_LEFT: Duration = Duration::from_millis(5);
+/// The share of the objective after which a waiting request can't be in time any more.
+const DUE_SHARE: f64 = 0.7;
+/// How many objectives a request waits for room before its caller is told to come back; callers
+/// leave after four.
+const WAIT_OBJECTIVES: f64 = 2.5;
 /// How often a waiting request looks for room; loads are told every few tenths of a second, and
 /// own requests end in between.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
@@ -109,21 +115,29 @@
         query: &PlacementQuery<'_>,
     ) -> Result<Placement, Refusal> {
         let service = query.service;
-        let tokens = query.prompt.map_or(0, |p| p.peak_tokens());
-        let urgency = self.gateway().urgency(&job.admission);
+        let need = RoomNeed {
+            urgency: self.gateway().urgency(&job.admission),
+            tokens: query.prompt.map_or(0, |p| p.peak_tokens()),
+            due: job.began + query.objective.mul_f64(DUE_SHARE),
+        };
+        let give_up = job.began + query.objective.mul_f64(WAIT_OBJECTIVES);
         let mut place = Place {
             room: &self.room,
             ticket: None,
         };
         loop {
-            if place.may_try(service, urgency, tokens) {
-                match self.gateway().place(self.now(), query) {
+            let now = self.now();
+            if place.may_try(now, service, &need) {
+                match self.gateway().place(now, query) {
                     Ok(placement) => return Ok(placement),
                     Err(NotPlaced::Refused(refusal)) => return Err(refusal),
                     Err(NotPlaced::Busy) => {}
                 }
             }
-            place.join(service, urgency, tokens);
+            if now >= give_up {
+                return Err(self.gateway().crowded(service));
+            }
+            place.join(service, &need);
             tokio::time::sleep(LOOK_AGAIN).await;
         }
     }
--- a/crates/dotterelrudder_gateway/src/gateway/admitting.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/admitting.rs
@@ -64,6 +64,14 @@
         })
     }
 
+    /// Builds the refusal of a request that found no room in time.
+    pub fn crowded(&mut self, service: &ServiceName) -> Refusal {
+        let detail = format_compact!("no room at the backend servers of \"{service}\"");
+        let mut refusal = Refusal::new(ErrorKind::Overloaded, detail);
+        refusal.retry_after = Some(self.spread(RETRY_AFTER_RESTART));
+        refusal
+    }
+
     /// Draws a wait a little longer than asked for.
     pub(super) fn spread(&mut self, wait: Duration) -> Duration {
         wait.mul_f64(1.0 + self.rng.random_range(0.0..RETRY_SPREAD))
--- a/crates/dotterelrudder_gateway/src/gateway/estimating.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/estimating.rs
@@ -119,11 +119,8 @@
             };
             unread -= f64::from(prompt.shared_tokens()) * saves;
         }
-        // Own requests stand for those of the other entries, which can't be seen yet.
-        let backlog = runner.unread() * (1.0 + f64::from(self.entries - 1) / 2.0);
-        let waiting = f64::from(runner.waiting(now)) * f64::from(prompt.tokens) / 2.0;
         let memory = runner.memory(now, prompt.peak_tokens() as f64);
         self.estimate
-            .first_token(backlog + waiting, unread, runner.batch(now), memory)
+            .first_token(runner.backlog(now), unread, runner.batch(now), memory)
     }
 }
--- a/crates/dotterelrudder_gateway/src/gateway/placing.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/placing.rs
@@ -29,6 +29,11 @@
 /// The share of a runner's memory up to which prompts are sent to it; their answers still grow,
 /// and other entries send as well.
 const MEMORY_FULL: f64 = 0.9;
+/// Prompts up to this length are sent on at once, whatever a runner has to read before.
+const SHORT_PROMPT_TOKENS: u32 = 6_000;
+/// Tokens that a runner has to read at most when a long prompt is sent to it: what it reads within
+/// a quarter of a second, so that short prompts behind it stay in time.
+const MOST_BACKLOG_TOKENS: f64 = 14_000.0;
 /// When a caller may come back at the earliest.
 const RETRY_LEAST: Duration = Duration::from_millis(300);
 
@@ -92,7 +97,9 @@
         let row = runner.row.clone();
         let salt = query.prompt.map(|_| cache_salt(weights, query.account));
         let cache = match (query.prompt, &salt) {
-            (Some(prompt), Some(salt)) => self.plan_cache(now, query, prompt, salt, key, &row),
+            (Some(prompt), Some(salt)) => {
+                self.plan_cache(now, query, prompt, salt, (key, expected), &row)
+            }
             _ => CachePlan::default(),
         };
         Ok(Placement {
@@ -112,7 +119,9 @@
     /// any prompt.
     fn is_crowded(&self, now: Duration, runner: &RunnerState, prompt: &Prompt) -> bool {
         let full = runner.memory(now, prompt.peak_tokens() as f64) > MEMORY_FULL;
-        full && runner.batch(now) > 0.0
+        let busy_reading =
+            prompt.tokens > SHORT_PROMPT_TOKENS && runner.backlog(now) > MOST_BACKLOG_TOKENS;
+        (full || busy_reading) && runner.batch(now) > 0.0
     }
 
     /// Plans where the prompt's KV cache comes from: a store, or else the runner that read the
@@ -123,12 +132,14 @@
         query: &PlacementQuery<'_>,
         prompt: &Prompt,
         salt: &CompactString,
-        chosen: RunnerKey,
+        chosen: (RunnerKey, Duration),
         row: &RunnerRow,
     ) -> CachePlan {
+        let (chosen, expected) = chosen;
+        let near = &row.data_centre;
         let mut plan = self
             .stored
-            .plan(now, prompt, salt, &row.data_centre, query.objective);
+            .plan(now, prompt, salt, near, query.objective, expected);
         let Some(session) = prompt.session_part() else {
             return plan;
         };
--- a/crates/dotterelrudder_gateway/src/lib.rs
+++ b/crates/dotterelrudder_gateway/src/lib.rs
@@ -60,4 +60,5 @@
 pub use runner_table::RunnerKey;
 pub use runner_table::RunnerTable;
 pub use stored_parts::StoredParts;
+pub use waiting_room::RoomNeed;
 pub use waiting_room::WaitingRoom;
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -14,6 +14,9 @@
 const LOAD_AGE_LIMIT: Duration = Duration::from_millis(1_500);
 /// How long a session's KV cache is expected to stay in a runner's memory after its last use.
 const CACHED_FOR: Duration = Duration::from_secs(4);
+/// What a request whose prompt isn't read yet has left to read on average: a part of the short
+/// prompts and of the long ones of today's deployments.
+const MEAN_UNREAD: f64 = 2_500.0;
 /// Sessions remembered for each runner, a few times what its memory can hold.
 const SESSIONS_KEPT: usize = 512;
 
@@ -32,6 +35,7 @@
     unread: f64,
     sent_since: u32,
     sent_tokens: f64,
+    unread_since: f64,
 }
 
 impl RunnerState {
@@ -47,6 +51,7 @@
             unread: 0.0,
             sent_since: 0,
             sent_tokens: 0.0,
+            unread_since: 0.0,
         }
     }
 
@@ -82,6 +87,7 @@
         }
         self.sent_since = 0;
         self.sent_tokens = 0.0;
+        self.unread_since = 0.0;
         self.load = Some((load, now));
     }
 
@@ -127,9 +133,12 @@
         }
     }
 
-    /// Returns the requests that wait for a place at the runner.
-    pub fn waiting(&self, now: Duration) -> u32 {
-        self.fresh_load(now).map_or(0, |l| l.waiting)
+    /// Returns the prompt tokens that the runner is expected to read before a new request: those of
+    /// own requests, or what its report tells of all entries' with what was sent since.
+    pub fn backlog(&self, now: Duration) -> f64 {
+        let told = self.fresh_load(now).map(|l| f64::from(l.reading));
+        let reported = told.map_or(0.0, |n| n * MEAN_UNREAD + self.unread_since);
+        reported.max(self.unread)
     }
 
     /// Returns the share of the runner's memory in use with `tokens` more.
@@ -182,6 +191,7 @@
         let unread = self.unread_tokens(prompt, now);
         self.sent_tokens += prompt.peak_tokens() as f64;
         self.unread += unread;
+        self.unread_since += unread;
         if let Some(part) = prompt.session_part() {
             if self.sessions.len() >= SESSIONS_KEPT {
                 self.sessions
--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -26,7 +26,7 @@
 /// How long the directory may be used after the leader was asked; the leader's own figure.
 const LEASE: Duration = Duration::from_millis(3_200);
 /// How long a fetch may take at most after the request was sent; the leader's own figure.
-const FETCH_LIMIT: Duration = Duration::from_millis(700);
+const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
 /// The share of the objective that fetching may take; the rest is for reading and the first step.
 const FETCH_SHARE: f64 = 0.5;
 /// A fetch that can't take longer than this isn't worth asking for.
@@ -127,14 +127,15 @@
         salt: &str,
         near: &DataCentre,
         objective: Duration,
+        expected: Duration,
     ) -> CachePlan {
         let mut plan = CachePlan::default();
         if !self.is_usable(now) {
             return plan;
         }
-        let limit = objective
-            .mul_f64(FETCH_SHARE)
-            .clamp(LEAST_FETCH, FETCH_LIMIT);
+        // A request that is late anyway still loads its runner less when its fetch may end.
+        let limit = objective.mul_f64(FETCH_SHARE).max(expected);
+        let limit = limit.clamp(LEAST_FETCH, FETCH_LIMIT);
         let shared = prompt.parts.len().saturating_sub(1);
         for (i, part) in prompt.parts.iter().enumerate() {
             let key = PartKey {
--- a/crates/dotterelrudder_gateway/src/waiting_room.rs
+++ b/crates/dotterelrudder_gateway/src/waiting_room.rs
@@ -3,11 +3,24 @@
 //! Load pattern: runners were lost or prompts have to be read anew, so that more long prompts are
 //! under way than the runners' memories hold. A runner that is given them all the same preempts
 //! the newest ones and reads them again, which makes it slower still. They wait at the entry
-//! instead, the most urgent first, then the one that came first; a request that needs less room
-//! passes one that needs more, unless it is less urgent.
+//! instead, the most urgent first, then those that can still be in time, then the one that came
+//! first; a request that needs less room passes one that needs more, unless it is less urgent.
+
+use std::time::Duration;
 
 use dotterelrudder_types::ServiceName;
 
+/// What a request needs, and how it stands among others.
+#[derive(Debug, Clone, Copy)]
+pub struct RoomNeed {
+    /// How urgent it is, 0 first.
+    pub urgency: u8,
+    /// The memory that it needs at its end, in tokens.
+    pub tokens: u64,
+    /// Until when its first part can still be in time.
+    pub due: Duration,
+}
+
 /// A request that waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Waiter {
@@ -15,6 +28,7 @@
     service: ServiceName,
     urgency: u8,
     tokens: u64,
+    due: Duration,
 }
 
 /// The requests that wait, in the order in which they came.
@@ -28,27 +42,29 @@
     /// Returns whether a request that just came, or that waits under `ticket`, may try for room.
     pub fn may_try(
         &self,
+        now: Duration,
         ticket: Option<u64>,
         service: &ServiceName,
-        urgency: u8,
-        tokens: u64,
+        need: &RoomNeed,
     ) -> bool {
         let came = ticket.unwrap_or(u64::MAX);
+        let own = (need.urgency, now > need.due, came);
         !self.waiters.iter().any(|w| {
-            let goes_before = (w.urgency, w.ticket) < (urgency, came);
-            let same_room = w.tokens <= tokens || w.urgency < urgency;
+            let goes_before = (w.urgency, now > w.due, w.ticket) < own;
+            let same_room = w.tokens <= need.tokens || w.urgency < need.urgency;
             w.ticket != came && w.service == *service && goes_before && same_room
         })
     }
 
     /// Lets a request wait; returns its ticket.
-    pub fn join(&mut self, service: &ServiceName, urgency: u8, tokens: u64) -> u64 {
+    pub fn join(&mut self, service: &ServiceName, need: &RoomNeed) -> u64 {
         self.next += 1;
         self.waiters.push(Waiter {
             ticket: self.next,
             service: service.clone(),
-            urgency,
-            tokens,
+            urgency: need.urgency,
+            tokens: need.tokens,
+            due: need.due,
         });
         self.next
     }
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -154,6 +154,7 @@
         loading: false,
         waiting: 0,
         running,
+        reading: 0,
         used_tokens: used,
         total_tokens: 95_000,
         weights: weights(1),
