--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -111,6 +111,10 @@
         loop {
             tokio::time::sleep(SWEEP_EVERY).await;
             sweeping.pool.sweep(sweeping.clock.now());
+            let room = sweeping.room.lock().unwrap_or_else(|e| e.into_inner());
+            let waiting = room.len();
+            drop(room);
+            sweeping.metrics.set_waiting(waiting);
         }
     });
     info!(log, "started"; "listen" => %file.listen);
--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -266,6 +266,7 @@
         let serving = self.clone();
         RunGuard {
             note: Some(Box::new(move |outcome| {
+                serving.metrics.count_attempt(outcome.as_str());
                 let now = serving.now();
                 let mut gateway = serving.gateway();
                 gateway.first_part(runner, unread);
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -17,6 +17,8 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     refusals: Counter<u64>,
+    attempts: Counter<u64>,
+    waiting: Gauge<u64>,
     tokens: Counter<u64>,
     cached_tokens: Counter<u64>,
     prompt_tokens: Counter<u64>,
@@ -49,6 +51,8 @@
             registry,
             requests: meter.u64_counter("dotterelrudder_requests").build(),
             refusals: meter.u64_counter("dotterelrudder_refusals").build(),
+            attempts: meter.u64_counter("dotterelrudder_attempts").build(),
+            waiting: meter.u64_gauge("dotterelrudder_waiting_requests").build(),
             tokens: meter
                 .u64_counter("dotterelrudder_completion_tokens")
                 .build(),
@@ -79,6 +83,16 @@
         self.refusals.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts an attempt at a backend server by its outcome.
+    pub fn count_attempt(&self, outcome: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Sets the number of requests that wait for room at a backend server.
+    pub fn set_waiting(&self, waiting: usize) {
+        self.waiting.record(waiting as u64, &[]);
+    }
+
     /// Counts the tokens of a finished completion.
     pub fn count_usage(&self, usage: dotterelrudder_wire::Usage) {
         self.tokens.add(u64::from(usage.completion_tokens), &[]);
--- a/crates/dotterelrudder_gateway/src/run_outcome.rs
+++ b/crates/dotterelrudder_gateway/src/run_outcome.rs
@@ -16,3 +16,17 @@
     /// The caller left, or the attempt was given up for no fault of the runner.
     Abandoned,
 }
+
+impl RunOutcome {
+    /// Returns the name used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Shed => "shed",
+            Self::Misdirected => "misdirected",
+            Self::Unreachable => "unreachable",
+            Self::Failed => "failed",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
