--- a/crates/dotterelrudder_control/tests/cache_directory.rs
+++ b/crates/dotterelrudder_control/tests/cache_directory.rs
@@ -17,7 +17,9 @@
 }
 
 fn store() -> SocketAddr {
-    "172.20.0.1:80".parse().unwrap()
+    "172.20.0.1:80"
+        .parse()
+        .expect("the test's own value is well formed")
 }
 
 fn key(part: &str) -> PartKey {
--- a/crates/dotterelrudder_daemon/src/fleet/list_poller.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/list_poller.rs
@@ -4,11 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use dotterelrudder_wire::RunnerRow;
-use http::Request;
-use http_body_util::Full;
 use slog::info;
 use slog::warn;
 use slog::Logger;
@@ -75,14 +72,8 @@
         let mut page: Option<CompactString> = None;
         for _ in 0..MOST_PAGES {
             let path = self.dialect.list_path(page.as_deref());
-            let req = Request::get(format!("http://{}{path}", self.address));
-            let req = req.body(Full::new(Bytes::new()));
-            let req = req.map_err(|e| e.to_string())?;
-            let fetched = client.fetch(req, CALL_LIMIT).await;
-            let (status, body) = fetched.map_err(|e| e.detail)?;
-            if status != 200 {
-                return Err(format!("status {status}"));
-            }
+            let url = format!("http://{}{path}", self.address);
+            let body = client.get(&url, CALL_LIMIT).await.map_err(|e| e.detail)?;
             let read = self.dialect.read_list(&body)?;
             rows.extend(read.rows);
             unreadable += read.unreadable;
--- a/crates/dotterelrudder_daemon/src/fleet/store_reader.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/store_reader.rs
@@ -162,19 +162,10 @@
     }
 
     async fn get(&self, path: &str, wait: Option<Duration>) -> Result<Bytes, String> {
-        let mut req = Request::get(format!("http://{}{path}", self.store));
-        if let Some(wait) = wait {
-            let (name, value) = self.dialect.wait_header(wait);
-            req = req.header(name, value);
-        }
-        let req = req.body(Full::new(Bytes::new()));
-        let req = req.map_err(|e| e.to_string())?;
+        let header = wait.map(|wait| self.dialect.wait_header(wait));
         let limit = CALL_LIMIT + wait.unwrap_or_default();
-        let fetched = self.client.fetch(req, limit).await;
-        let (status, body) = fetched.map_err(|e| e.detail)?;
-        if status != 200 {
-            return Err(format!("status {status}"));
-        }
-        Ok(body)
+        let url = format!("http://{}{path}", self.store);
+        let body = self.client.get_with(&url, header, limit).await;
+        body.map_err(|e| e.detail)
     }
 }
--- a/crates/dotterelrudder_daemon/src/fleet/watcher.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/watcher.rs
@@ -106,15 +106,8 @@
     }
 
     async fn read_report(&self, client: &HttpClient) -> Result<RunnerReport, String> {
-        let path = self.dialect.report_path();
-        let req = Request::get(format!("http://{}{path}", self.runner));
-        let req = req.body(Full::new(Bytes::new()));
-        let req = req.map_err(|e| e.to_string())?;
-        let fetched = client.fetch(req, CALL_LIMIT).await;
-        let (status, body) = fetched.map_err(|e| e.detail)?;
-        if status != 200 {
-            return Err(format!("status {status}"));
-        }
+        let url = format!("http://{}{}", self.runner, self.dialect.report_path());
+        let body = client.get(&url, CALL_LIMIT).await.map_err(|e| e.detail)?;
         self.dialect.read_report(&body)
     }
 
--- a/crates/dotterelrudder_daemon/src/gateway/bodies.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/bodies.rs
@@ -3,8 +3,6 @@
 use bytes::Bytes;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
-use http::header::CONNECTION;
-use http::header::TRANSFER_ENCODING;
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
@@ -60,21 +58,3 @@
     let seconds: f64 = seconds?.trim().parse().ok()?;
     Some(Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0)))
 }
-
-/// Removes the headers that concern one connection only.
-pub(super) fn strip_connection_headers(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(',').map(|n| n.trim().to_ascii_lowercase()))
-        .collect();
-    for name in named {
-        headers.remove(name.as_str());
-    }
-    for name in ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"] {
-        headers.remove(name);
-    }
-    headers.remove(CONNECTION);
-    headers.remove(TRANSFER_ENCODING);
-}
--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -8,6 +8,7 @@
 use crate::metrics::Metrics;
 use crate::system_clock::SystemClock;
 use bytes::Bytes;
+use dotterelrudder_gateway::strip_connection_headers;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::WaitingRoom;
--- a/crates/dotterelrudder_daemon/src/http_client.rs
+++ b/crates/dotterelrudder_daemon/src/http_client.rs
@@ -94,7 +94,25 @@
     ///
     /// Returns what went wrong; an answer that isn't a success counts as well.
     pub async fn get(&self, url: &str, limit: Duration) -> Result<Bytes, CallError> {
-        let req = Request::get(url).body(Full::default());
+        self.get_with(url, None, limit).await
+    }
+
+    /// Fetches a document by GET with one more header.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong; an answer that isn't a success counts as well.
+    pub async fn get_with(
+        &self,
+        url: &str,
+        header: Option<(&'static str, String)>,
+        limit: Duration,
+    ) -> Result<Bytes, CallError> {
+        let mut req = Request::get(url);
+        if let Some((name, value)) = header {
+            req = req.header(name, value);
+        }
+        let req = req.body(Full::default());
         let req = req.map_err(|e| CallError {
             sent: false,
             detail: e.to_string(),
--- a/crates/dotterelrudder_daemon/tests/operator.rs
+++ b/crates/dotterelrudder_daemon/tests/operator.rs
@@ -9,15 +9,20 @@
 
 /// Answers every call with the same JSON text.
 fn answering(text: &'static str) -> TcpListener {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let serving = listener.try_clone().unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("the test's own value is well formed");
+    let serving = listener
+        .try_clone()
+        .expect("the test's own value is well formed");
     std::thread::spawn(move || {
         for tcp in serving.incoming() {
-            let mut tcp = tcp.unwrap();
+            let mut tcp = tcp.expect("the test's own value is well formed");
             let mut buf = [0; 4096];
-            let _read = tcp.read(&mut buf).unwrap();
+            let _read = tcp
+                .read(&mut buf)
+                .expect("the test's own value is well formed");
             let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length";
-            write!(tcp, "{head}: {}\r\n\r\n{text}", text.len()).unwrap();
+            write!(tcp, "{head}: {}\r\n\r\n{text}", text.len())
+                .expect("the test's own value is well formed");
         }
     });
     listener
--- a/crates/dotterelrudder_daemon/tests/settings.rs
+++ b/crates/dotterelrudder_daemon/tests/settings.rs
@@ -5,15 +5,21 @@
 fn check(program: &str, text: &str) -> (i32, String) {
     let name = format!("settings-{}-{}.toml", std::process::id(), text.len());
     let path = std::env::temp_dir().join(name);
-    std::fs::write(&path, text).unwrap();
+    std::fs::write(&path, text).expect("the test's own value is well formed");
     let output = Command::new(program)
         .args(["--check-settings", "--settings"])
         .arg(&path)
         .output()
-        .unwrap();
-    std::fs::remove_file(&path).unwrap();
+        .expect("the test's own value is well formed");
+    std::fs::remove_file(&path).expect("the test's own value is well formed");
     let told = String::from_utf8_lossy(&output.stderr).into_owned();
-    (output.status.code().unwrap(), told)
+    (
+        output
+            .status
+            .code()
+            .expect("the test's own value is well formed"),
+        told,
+    )
 }
 
 const GOOD: &str = "name = \"e\"\ndata_centre = \"d\"\nadmin = \"127.0.0.1:1\"\n\
--- /dev/null
+++ b/crates/dotterelrudder_gateway/src/connection_headers.rs
@@ -0,0 +1,33 @@
+//! Headers that concern one connection and aren't passed on.
+
+use http::header::CONNECTION;
+use http::HeaderMap;
+
+/// Headers of one connection, beside those that the `Connection` header names.
+const CONNECTION_HEADERS: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+];
+
+/// Removes the headers that concern one connection only.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(',').map(|n| n.trim().to_ascii_lowercase()))
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in CONNECTION_HEADERS {
+        headers.remove(*name);
+    }
+}
--- a/crates/dotterelrudder_gateway/src/route_table.rs
+++ b/crates/dotterelrudder_gateway/src/route_table.rs
@@ -19,7 +19,7 @@
         for route in routes {
             let host = route.host.to_ascii_lowercase();
             by_host
-                .entry(host.into())
+                .entry(host)
                 .or_default()
                 .push(Arc::new(route.clone()));
         }
--- a/crates/dotterelrudder_gateway/tests/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/tests/stored_parts.rs
@@ -24,7 +24,9 @@
 }
 
 fn address(n: u16) -> SocketAddr {
-    format!("172.20.0.{n}:80").parse().unwrap()
+    format!("172.20.0.{n}:80")
+        .parse()
+        .expect("the test's own value is well formed")
 }
 
 fn key(part: &str) -> PartKey {
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -129,7 +129,9 @@
     RunnerRow {
         identity: format!("i-{n}").into(),
         service: service.into(),
-        address: format!("10.0.0.{n}:8080").parse().unwrap(),
+        address: format!("10.0.0.{n}:8080")
+            .parse()
+            .expect("the test's own value is well formed"),
         data_centre: data_centre.into(),
         slots: if service == "desk" { 6 } else { 64 },
         leaving: false,
@@ -147,7 +149,9 @@
 
 pub fn load(n: u16, running: u32, used: u64) -> RunnerLoad {
     RunnerLoad {
-        address: format!("10.0.0.{n}:8080").parse().unwrap(),
+        address: format!("10.0.0.{n}:8080")
+            .parse()
+            .expect("the test's own value is well formed"),
         born_ms: 1,
         answers: true,
         leaving: false,
