--- a/crates/dotterelrudder_daemon/src/fleet/dialects.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/dialects.rs
@@ -23,11 +23,11 @@
     /// Returns the path of a page.
     fn list_path(&self, page: Option<&str>) -> String;
 
-    /// Reads a page.
+    /// Reads one answer.
     ///
     /// # Errors
     ///
-    /// Returns why the page as a whole can't be read.
+    /// Returns why nothing of it can be read.
     fn read_list(&self, body: &[u8]) -> Result<ListPage, String>;
 }
 
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod listener;
 mod offering;
 mod pool;
+mod refusals;
 mod relay;
 mod serving;
 mod streaming;
--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -15,7 +15,6 @@
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_types::ErrorKind;
-use dotterelrudder_types::Outcome;
 use dotterelrudder_types::Refusal;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -23,8 +22,17 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-use super::bodies::*;
-use super::job::*;
+use super::bodies::keep_alive;
+use super::bodies::read_answer;
+use super::job::AttemptLog;
+use super::job::Begun;
+use super::job::Ended;
+use super::job::Job;
+use super::job::Place;
+use super::job::RunGuard;
+use super::refusals::given_up;
+use super::refusals::late;
+use super::refusals::not_placed;
 use super::serving::Serving;
 
 /// Runners that one request is offered to at most, those that could not be reached included.
@@ -375,31 +383,3 @@
         text
     )
 }
-
-/// The refusal once the time is up.
-pub(super) fn late(log: &AttemptLog) -> Refusal {
-    if log.tried.is_empty() {
-        return Refusal::new(
-            ErrorKind::Overloaded,
-            "the time was up before a runner was asked",
-        );
-    }
-    let detail = "the time was up before an answer came";
-    Refusal::new(ErrorKind::DeadlineExceeded, detail).with_outcome(Outcome::Unknown)
-}
-
-fn not_placed(refusal: Refusal, log: &AttemptLog) -> Refusal {
-    if log.may_have_run == 0 {
-        return refusal;
-    }
-    Refusal::new(ErrorKind::BackendFailed, refusal.detail)
-}
-
-pub(super) fn given_up(kind: ErrorKind, reason: String, log: &AttemptLog) -> Refusal {
-    let kind = if log.may_have_run > 0 {
-        ErrorKind::BackendFailed
-    } else {
-        kind
-    };
-    Refusal::new(kind, reason)
-}
--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -27,9 +27,11 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use super::bodies::*;
-use super::job::*;
-use super::offering::late;
+use super::bodies::read_body;
+use super::job::AttemptLog;
+use super::job::Ended;
+use super::job::Job;
+use super::refusals::late;
 
 /// Without a patience of the caller's own.
 const PATIENCE_DEFAULT: Duration = Duration::from_secs(60);
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -14,7 +14,10 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::job::*;
+use super::job::AttemptLog;
+use super::job::Begun;
+use super::job::Ended;
+use super::job::Job;
 use super::serving::Serving;
 
 /// Parts of a stream that wait for a slow caller before the runner is read no further.
--- a/crates/dotterelrudder_gateway/src/gateway/estimating.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/estimating.rs
@@ -119,8 +119,11 @@
             };
             unread -= f64::from(prompt.shared_tokens()) * saves;
         }
+        // Own requests stand for those of other entries since the report, which can't be seen yet.
+        let others = 1.0 + f64::from(self.entries - 1) / 2.0;
+        let backlog = runner.backlog(now).max(runner.unread() * others);
         let memory = runner.memory(now, prompt.peak_tokens() as f64);
         self.estimate
-            .first_token(runner.backlog(now), unread, runner.batch(now), memory)
+            .first_token(backlog, unread, runner.batch(now), memory)
     }
 }
--- a/crates/dotterelrudder_gateway/src/placement_query.rs
+++ b/crates/dotterelrudder_gateway/src/placement_query.rs
@@ -6,7 +6,7 @@
 use dotterelrudder_types::ServiceName;
 use std::time::Duration;
 
-/// What is asked of [`Gateway::place`].
+/// What is asked of [`crate::Gateway::place`].
 #[derive(Debug)]
 pub struct PlacementQuery<'a> {
     /// The service.
