Hand a replica's question to join on to the leader

Cause: a control instance whose disk was lost asked the seeds to join; the leader, elected after a freeze, was no seed, and replicas that don't lead passed the question over. After: the test of a join through a replica that doesn't lead, which failed before, passes.

--- a/crates/dotterelrudder_control/src/raft/membership.rs
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -5,6 +5,7 @@
 
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::Member;
+use dotterelrudder_wire::RaftMessage;
 
 use super::Progress;
 use super::Raft;
@@ -89,9 +90,20 @@
                 .any(|e| matches!(e.command, Command::Members { .. }))
     }
 
-    pub(super) fn on_join(&mut self, member: Member, now: Duration) {
+    /// Takes up a replica that asks to join. One that doesn't lead hands the question on, since the
+    /// one that asks may know of none that does; a question that was handed on isn't again.
+    pub(super) fn on_join(&mut self, from: u64, member: Member, now: Duration) {
         let known = self.members.iter().any(|m| m.id == member.id);
-        if !self.is_leader() || known || self.change_in_flight() {
+        if known {
+            return;
+        }
+        if !self.is_leader() {
+            if let Some(leader) = self.leader.filter(|_| from == member.id) {
+                self.send(leader, RaftMessage::Join { member });
+            }
+            return;
+        }
+        if self.change_in_flight() {
             return;
         }
         let mut members = self.members.clone();
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -332,7 +332,7 @@
             RaftMessage::Join { member } => {
                 let empty = self.members.is_empty();
                 self.send(from, RaftMessage::JoinReply { empty });
-                self.on_join(member, now);
+                self.on_join(from, member, now);
             }
             // Founding a deployment is the owner's decision.
             RaftMessage::JoinReply { .. } => {}
