--- a/crates/dotterelrudder_daemon/tests/bad_input.rs
+++ b/crates/dotterelrudder_daemon/tests/bad_input.rs
@@ -71,16 +71,25 @@
     start(env!("CARGO_BIN_EXE_dotterelrudder-entry"), name, more)
 }
 
-/// Sends bytes, closes the sending side and returns everything that comes back.
+/// How long a server may take before the sending side is closed on it. A server that reads the end
+/// together with the request takes the caller for gone and doesn't answer.
+const OPEN_FOR: Duration = Duration::from_millis(500);
+/// How long a server may take in all.
+const ANSWER_LIMIT: Duration = Duration::from_secs(30);
+
+/// Sends bytes and returns everything that comes back. The sending side is closed once nothing has
+/// come for a while, which ends requests that are never whole.
 fn exchange(port: u16, bytes: &[u8]) -> String {
     let mut tcp = TcpStream::connect(("127.0.0.1", port)).expect("connected");
-    tcp.set_read_timeout(Some(Duration::from_secs(30)))
-        .expect("set");
+    tcp.set_read_timeout(Some(OPEN_FOR)).expect("set");
     // The server may answer and close before it has read everything.
     let _sent = tcp.write_all(bytes);
-    let _closed = tcp.shutdown(std::net::Shutdown::Write);
     let mut answer = Vec::new();
-    let _read = tcp.read_to_end(&mut answer);
+    if tcp.read_to_end(&mut answer).is_err() {
+        tcp.set_read_timeout(Some(ANSWER_LIMIT)).expect("set");
+        let _closed = tcp.shutdown(std::net::Shutdown::Write);
+        let _read = tcp.read_to_end(&mut answer);
+    }
     String::from_utf8_lossy(&answer).into_owned()
 }
 
