Keep the directory's lease and the fetch limit once, in the message both sides share

The leader frees a stored part only after entries stopped going by the directory and fetches ended. Both figures stood twice, in control and in the gateway, with a comment to keep them equal; a change of one alone would have let a part be freed while it is read. They now stand beside the message that they bound. The harness's two copies of a late detection are one function.

The values are the same, so that no behaviour changes.

--- a/crates/dotterelrudder/tests/harness/world.rs
+++ b/crates/dotterelrudder/tests/harness/world.rs
@@ -310,17 +310,15 @@
         if let Some(link) = self.links.get_mut(&ends).filter(|l| l.up) {
             link.silent.push(from.clone());
             let connection = link.connection;
-            self.schedule(
-                SILENCE,
-                "".into(),
-                Event::Detect {
-                    pair: ends,
-                    connection,
-                },
-            );
+            self.detect(ends, connection);
         }
     }
 
+    /// The ends notice that nothing arrives any more, unless they connected anew meanwhile.
+    fn detect(&mut self, pair: Pair, connection: u64) {
+        self.schedule(SILENCE, "".into(), Event::Detect { pair, connection });
+    }
+
     /// Closes an open connection for both ends; what is on its way is lost.
     pub fn reset(&mut self, a: &InstanceName, b: &InstanceName) {
         self.drop_link(&pair(a, b));
@@ -333,14 +331,7 @@
         if cut && link.up {
             link.silent = vec![a.clone(), b.clone()];
             let connection = link.connection;
-            self.schedule(
-                SILENCE,
-                "".into(),
-                Event::Detect {
-                    pair: ends,
-                    connection,
-                },
-            );
+            self.detect(ends, connection);
         }
     }
 
--- a/crates/dotterelrudder_control/src/fleet/cache_directory.rs
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -18,17 +18,14 @@
 use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::StoreStanding;
 use dotterelrudder_wire::StoredPart;
+use dotterelrudder_wire::DIRECTORY_LEASE;
+use dotterelrudder_wire::FETCH_LIMIT;
 
 use super::store_state::Part;
 use super::store_state::Store;
 use super::FreeParts;
 use super::StoreEvent;
 
-/// How long after its question an entry may go by the directory: as long as it takes until a new
-/// leader has read the stores after the loss of one.
-pub const DIRECTORY_LEASE: Duration = Duration::from_millis(3_200);
-/// How long after it was sent a fetch may still end.
-pub const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
 /// Added for the estimate of the engines' clock and the way of messages.
 const MARGIN: Duration = Duration::from_millis(500);
 /// From the withdrawal of a part until it is freed.
--- a/crates/dotterelrudder_control/src/fleet/mod.rs
+++ b/crates/dotterelrudder_control/src/fleet/mod.rs
@@ -12,8 +12,6 @@
 mod weight_waves;
 
 pub use cache_directory::CacheDirectory;
-pub use cache_directory::DIRECTORY_LEASE;
-pub use cache_directory::FETCH_LIMIT;
 pub(crate) use followers::Followers;
 pub use free_parts::FreeParts;
 pub use store_event::StoreEvent;
--- a/crates/dotterelrudder_control/src/lib.rs
+++ b/crates/dotterelrudder_control/src/lib.rs
@@ -24,8 +24,6 @@
 pub use fleet::StoreEvent;
 pub use fleet::StoreNews;
 pub use fleet::WeightWaves;
-pub use fleet::DIRECTORY_LEASE;
-pub use fleet::FETCH_LIMIT;
 pub use input::Input;
 pub use input::Origin;
 pub use journal::read_journal;
--- a/crates/dotterelrudder_control/tests/cache_directory.rs
+++ b/crates/dotterelrudder_control/tests/cache_directory.rs
@@ -8,9 +8,9 @@
 use dotterelrudder_config::whole::WholeConfiguration;
 use dotterelrudder_control::CacheDirectory;
 use dotterelrudder_control::StoreEvent;
-use dotterelrudder_control::DIRECTORY_LEASE;
-use dotterelrudder_control::FETCH_LIMIT;
 use dotterelrudder_wire::PartKey;
+use dotterelrudder_wire::DIRECTORY_LEASE;
+use dotterelrudder_wire::FETCH_LIMIT;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -16,6 +16,8 @@
 use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::StoreStanding;
+use dotterelrudder_wire::DIRECTORY_LEASE;
+use dotterelrudder_wire::FETCH_LIMIT;
 use smallvec::SmallVec;
 
 use crate::rendezvous_rank;
@@ -23,10 +25,6 @@
 use crate::ConfirmedLease;
 use crate::Prompt;
 
-/// How long the directory may be used after the leader was asked; the leader's own figure.
-const LEASE: Duration = Duration::from_millis(3_200);
-/// How long a fetch may take at most after the request was sent; the leader's own figure.
-const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
 /// The share of the objective that fetching may take; the rest is for reading and the first step.
 const FETCH_SHARE: f64 = 0.5;
 /// A fetch that can't take longer than this isn't worth asking for.
@@ -101,7 +99,7 @@
 
     /// Returns whether the directory may be used.
     pub fn is_usable(&self, now: Duration) -> bool {
-        self.number > 0 && self.clock.is_some() && self.lease.holds(now, LEASE)
+        self.number > 0 && self.clock.is_some() && self.lease.holds(now, DIRECTORY_LEASE)
     }
 
     /// Returns whether a part can be fetched from a store.
--- a/crates/dotterelrudder_wire/src/fleet/directory_update.rs
+++ b/crates/dotterelrudder_wire/src/fleet/directory_update.rs
@@ -1,6 +1,7 @@
 //! What stores hold, as the leader tells entries.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -9,6 +10,13 @@
 use super::StoreStanding;
 use super::StoredPart;
 
+/// How long after its question an entry may go by the directory: as long as it takes until a new
+/// leader has read the stores after the loss of one. The leader frees nothing before, so that both
+/// sides go by this one figure.
+pub const DIRECTORY_LEASE: Duration = Duration::from_millis(3_200);
+/// How long after it was sent a fetch may still end; the leader waits for it before it frees.
+pub const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Changes of the directory of stored parts.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct DirectoryUpdate {
--- a/crates/dotterelrudder_wire/src/fleet/mod.rs
+++ b/crates/dotterelrudder_wire/src/fleet/mod.rs
@@ -12,6 +12,8 @@
 mod weight_order;
 
 pub use directory_update::DirectoryUpdate;
+pub use directory_update::DIRECTORY_LEASE;
+pub use directory_update::FETCH_LIMIT;
 pub use fleet_view::FleetView;
 pub use follow::Follow;
 pub use model_weights::ModelWeights;
--- a/crates/dotterelrudder_wire/src/lib.rs
+++ b/crates/dotterelrudder_wire/src/lib.rs
@@ -33,6 +33,8 @@
 pub use fleet::StoreStanding;
 pub use fleet::StoredPart;
 pub use fleet::WeightOrder;
+pub use fleet::DIRECTORY_LEASE;
+pub use fleet::FETCH_LIMIT;
 pub use frame::encode_frame;
 pub use frame::FrameDecoder;
 pub use frame::FrameError;
