--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -371,12 +371,19 @@
 }
 
 fn note(placement: &Placement, text: &str) -> String {
+    let e = &placement.estimate;
     let age = placement.load_age.map_or(-1, |a| a.as_millis() as i64);
     format!(
-        "{} {} expected {} ms, load {} ms old, {} fetched, {} saved: {}",
+        "{} {} expected {} ms (reads {} behind {}, fetch {} ms, batch {}, memory {}%), \
+         load {} ms old, {} fetched, {} saved: {}",
         placement.identity,
         placement.address,
-        placement.expected.as_millis(),
+        e.expected.as_millis(),
+        e.unread as i64,
+        e.backlog as i64,
+        e.fetch.map_or(-1, |f| f.as_millis() as i64),
+        e.batch as i64,
+        (e.memory * 100.0) as i64,
         age,
         placement.cache.fetch.iter().flatten().count(),
         placement.cache.save.iter().flatten().count(),
--- a/crates/dotterelrudder_gateway/src/gateway/estimating.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/estimating.rs
@@ -2,6 +2,7 @@
 
 use super::Gateway;
 use crate::cache_salt;
+use crate::FirstTokenEstimate;
 use crate::NamedWeights;
 use crate::PlacementQuery;
 use crate::Prompt;
@@ -39,19 +40,25 @@
         runner: &RunnerState,
         query: &PlacementQuery<'_>,
         home: Option<usize>,
-    ) -> Duration {
+    ) -> FirstTokenEstimate {
         let prompt = query.prompt;
         let near = runner.row.data_centre == self.settings.data_centre;
-        let mut expected = match prompt {
+        let mut estimate = match prompt {
             Some(prompt) => self.expected_first_token(now, runner, prompt, query.account, home),
             None => {
                 let slots = f64::from(runner.row.slots.max(1));
-                let rounds = 1.0 + runner.batch(now) / slots;
-                Duration::from_secs_f64(PLAIN_WORK_MS * rounds / 1_000.0)
+                let batch = runner.batch(now);
+                let work_ms = PLAIN_WORK_MS * (1.0 + batch / slots);
+                FirstTokenEstimate {
+                    expected: Duration::from_secs_f64(work_ms / 1_000.0),
+                    batch,
+                    ..FirstTokenEstimate::default()
+                }
             }
         };
+        let expected = &mut estimate.expected;
         if !near {
-            expected += if prompt.is_some() {
+            *expected += if prompt.is_some() {
                 CROSSING
             } else {
                 CROSSING_PLAIN
@@ -61,16 +68,17 @@
             let held = runner.version_of(&prompt.model);
             let named = self.weights.get(&prompt.model).map(NamedWeights::newest);
             if named.is_some() && held < named {
-                expected += OLD_WEIGHTS;
+                *expected += OLD_WEIGHTS;
             }
         }
         if runner.is_unreported(now) {
-            expected += UNREPORTED;
+            *expected += UNREPORTED;
         }
         if runner.health.is_on_trial() {
-            expected += ON_TRIAL;
+            *expected += ON_TRIAL;
         }
-        expected + FAILING.mul_f64(runner.health.failing())
+        *expected += FAILING.mul_f64(runner.health.failing());
+        estimate
     }
 
     fn fetch_ms(
@@ -96,7 +104,7 @@
         prompt: &Prompt,
         account: Option<&AccountEntry>,
         home: Option<usize>,
-    ) -> Duration {
+    ) -> FirstTokenEstimate {
         let mut unread = runner.unread_tokens(prompt, now);
         let held = prompt
             .session_part()
@@ -123,7 +131,14 @@
         let others = 1.0 + f64::from(self.entries - 1) / 2.0;
         let backlog = runner.backlog(now).max(runner.unread() * others);
         let memory = runner.memory(now, prompt.peak_tokens() as f64);
-        self.estimate
-            .first_token(backlog, unread, runner.batch(now), memory)
+        let batch = runner.batch(now);
+        FirstTokenEstimate {
+            expected: self.estimate.first_token(backlog, unread, batch, memory),
+            backlog,
+            unread,
+            fetch: fetch_ms.map(|ms| Duration::from_secs_f64(ms / 1_000.0)),
+            batch,
+            memory,
+        }
     }
 }
--- a/crates/dotterelrudder_gateway/src/gateway/placing.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/placing.rs
@@ -9,6 +9,7 @@
 use crate::cache_salt;
 use crate::rendezvous_rank;
 use crate::CachePlan;
+use crate::FirstTokenEstimate;
 use crate::NotPlaced;
 use crate::Placement;
 use crate::PlacementQuery;
@@ -50,7 +51,7 @@
         query: &PlacementQuery<'_>,
     ) -> Result<Placement, NotPlaced> {
         let home = self.home_order(query);
-        let mut best: Option<(Duration, u64, RunnerKey)> = None;
+        let mut best: Option<(FirstTokenEstimate, u64, RunnerKey)> = None;
         let mut opens: Option<Duration> = None;
         let mut loading = false;
         for (key, runner) in self.runners.of_service(query.service) {
@@ -68,14 +69,14 @@
                 loading = true;
                 continue;
             }
-            let expected = self.expected(now, runner, query, home_place(&home, key));
+            let estimate = self.expected(now, runner, query, home_place(&home, key));
             let tie = rendezvous_rank(query.service.as_str(), &runner.row.identity);
-            if best.is_none_or(|(e, t, _)| (expected, t) < (e, tie)) {
-                best = Some((expected, tie, key));
+            if best.is_none_or(|(e, t, _)| (estimate.expected, tie) < (e.expected, t)) {
+                best = Some((estimate, tie, key));
             }
         }
         let chosen = best.and_then(|(e, _, key)| Some((e, key, self.runners.get(key)?)));
-        let Some((expected, key, runner)) = chosen else {
+        let Some((estimate, key, runner)) = chosen else {
             // Loading takes a second or two, after which the runner takes requests again.
             if loading {
                 return Err(NotPlaced::Busy);
@@ -98,7 +99,7 @@
         let salt = query.prompt.map(|_| cache_salt(weights, query.account));
         let cache = match (query.prompt, &salt) {
             (Some(prompt), Some(salt)) => {
-                self.plan_cache(now, query, prompt, salt, (key, expected), &row)
+                self.plan_cache(now, query, prompt, salt, (key, estimate.expected), &row)
             }
             _ => CachePlan::default(),
         };
@@ -110,7 +111,7 @@
             weights,
             cache_salt: salt,
             cache,
-            expected,
+            estimate,
             load_age,
         })
     }
--- a/crates/dotterelrudder_gateway/src/placement.rs
+++ b/crates/dotterelrudder_gateway/src/placement.rs
@@ -7,6 +7,7 @@
 use dotterelrudder_types::DataCentre;
 
 use crate::CachePlan;
+use crate::FirstTokenEstimate;
 use crate::RunnerKey;
 
 /// The runner that was chosen for a request, and what the request has to say to it.
@@ -26,8 +27,8 @@
     pub cache_salt: Option<CompactString>,
     /// Where the prompt's KV cache comes from and goes to.
     pub cache: CachePlan,
-    /// The expected time to the first token.
-    pub expected: Duration,
+    /// The expected time to the first token, with its inputs.
+    pub estimate: FirstTokenEstimate,
     /// Age of the runner's load report.
     pub load_age: Option<Duration>,
 }
