--- a/crates/dotterelrudder_daemon/src/entry/actor.rs
+++ b/crates/dotterelrudder_daemon/src/entry/actor.rs
@@ -161,7 +161,7 @@
             Output::Respond { id, event } => self.respond(id, event, now),
             Output::Placed { id, attempt, side } => {
                 let revision = self.core.revision().0;
-                info!(self.log, "placed"; "request" => id, "attempt" => attempt.to_string(),
+                info!(self.log, "placed"; "id" => id.to_string(), "attempt" => attempt.to_string(),
                     "side" => side.as_str(), "revision" => revision);
             }
             Output::InForce { revision } => {
@@ -193,7 +193,7 @@
             AnswerEvent::Refused(refusal) => {
                 last = true;
                 self.metrics.count_refusal(refusal.kind.row().code);
-                info!(self.log, "refused"; "request" => id, "kind" => refusal.kind.row().code,
+                info!(self.log, "refused"; "id" => id.to_string(), "kind" => refusal.kind.row().code,
                     "outcome" => refusal.outcome.as_str(), "detail" => refusal.detail.as_str());
             }
             _ => {}
--- a/crates/dotterelrudder_daemon/src/gateway/job.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/job.rs
@@ -27,6 +27,8 @@
 
 /// An answer that began.
 pub(super) struct Begun {
+    /// Identity and address of the runner that answers, for logs.
+    pub(super) runner: String,
     pub(super) head: http::response::Parts,
     pub(super) first: Option<Bytes>,
     pub(super) body: Incoming,
--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -234,6 +234,7 @@
                 let text = format!("began after {} ms", took.as_millis());
                 log.notes.push(note(placement, &text));
                 let begun = Begun {
+                    runner: format!("{} {}", placement.identity, placement.address),
                     head,
                     first: part,
                     body,
--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -93,12 +93,12 @@
         audit.id = call.id.clone();
         let (admission, limits) = {
             let mut gateway = self.gateway();
+            audit.version = gateway.configuration().version;
             let admission = gateway.admit(began, &call)?;
             (admission, gateway.configuration().limits.clone())
         };
         audit.route = admission.route.name.clone();
         audit.service = admission.service.0.clone();
-        audit.version = admission.version;
         let body = read_body(body, limits.body_bytes, limits.header_time).await?;
         let patience = call.patience.unwrap_or(PATIENCE_DEFAULT);
         let deadline = began + patience.min(admission.route.time_limit);
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -135,8 +135,10 @@
             };
             begun.run.end(RunOutcome::Failed);
             drop(begun.upstream);
-            slog::info!(self.log, "stream goes on elsewhere"; "id" => job.call.id.as_str(),
-                "reason" => reason, "after" => last_event.as_deref().unwrap_or(""));
+            let runner = std::mem::take(&mut begun.runner);
+            slog::info!(self.log, "runner broke off"; "id" => job.call.id.as_str(),
+                "broken" => runner, "reason" => reason,
+                "after" => last_event.as_deref().unwrap_or(""));
             log.may_have_run += 1;
             let most = job.admission.route.max_runners.max(1) as usize;
             let service = &job.admission.service;
@@ -144,13 +146,20 @@
                 return Err(BrokenOff("the runner broke off"));
             }
             let after = last_event.clone();
-            match self.run(job, &mut log, after.as_deref()).await {
-                Ended::Stream(more, newer) => {
+            let ended = self.run(job, &mut log, after.as_deref()).await;
+            let mut tried = std::mem::take(&mut log.notes);
+            match ended {
+                Ended::Stream(more, mut newer) => {
+                    tried.append(&mut newer.notes);
+                    slog::info!(self.log, "stream goes on elsewhere";
+                        "id" => job.call.id.as_str(), "attempts" => tried.join("; "));
                     begun = *more;
                     log = newer;
                     next = begun.first.take();
                 }
                 Ended::Whole(..) | Ended::Refused(_) => {
+                    slog::info!(self.log, "stream goes on nowhere";
+                        "id" => job.call.id.as_str(), "attempts" => tried.join("; "));
                     return Err(BrokenOff("no other runner went on"));
                 }
             }
--- a/crates/dotterelrudder_daemon/src/operator/arguments.rs
+++ b/crates/dotterelrudder_daemon/src/operator/arguments.rs
@@ -14,6 +14,8 @@
   status                          show instances, revisions, leader, drains
   drain INSTANCE [--off]          ask an instance to take no new work
   audit                           show the audit trail of changes
+  explain ID [FILE…]              tell a request's story from log lines, of standard input
+                                  without FILE
 
 Options:
   --control HOST:PORT,…   operator addresses of control (or DOTTERELRUDDER_CONTROL)
--- a/crates/dotterelrudder_daemon/src/operator/commands.rs
+++ b/crates/dotterelrudder_daemon/src/operator/commands.rs
@@ -7,6 +7,7 @@
 use dotterelrudder_config::ChangeSet;
 use dotterelrudder_config::Configuration;
 use dotterelrudder_config::Fault;
+use dotterelrudder_explain::Story;
 use serde_json::json;
 use serde_json::Value;
 
@@ -66,6 +67,7 @@
         "status" => status(options).await,
         "drain" => drain(options).await,
         "audit" => audit(options).await,
+        "explain" => explain(options),
         other => Err(Failure::usage(format!("command \"{other}\" is unknown"))),
     }
 }
@@ -261,3 +263,20 @@
     }
     Ok(())
 }
+
+/// Tells a request's story from log lines in files or on standard input.
+fn explain(options: &Options) -> Result<(), Failure> {
+    let Some((id, paths)) = options.operands.split_first() else {
+        return Err(Failure::usage("explain needs the ID of a request"));
+    };
+    let lines = files::read_lines(paths).map_err(Failure::usage)?;
+    let story = Story::read(id, lines);
+    print!("{story}");
+    if story.is_empty() {
+        return Err(Failure {
+            text: format!("no line tells of request \"{id}\""),
+            exit_code: EXIT_FAULTS,
+        });
+    }
+    Ok(())
+}
--- a/crates/dotterelrudder_daemon/src/operator/files.rs
+++ b/crates/dotterelrudder_daemon/src/operator/files.rs
@@ -1,5 +1,6 @@
-//! Finds and reads declaration files.
+//! Finds and reads files that operators name.
 
+use std::io::Read;
 use std::path::Path;
 
 use dotterelrudder_config::SourceFile;
@@ -41,3 +42,20 @@
     }
     Ok(())
 }
+
+/// Reads the lines of files, or of standard input when none is named. Bytes that are no text don't
+/// end the reading, since a log may be cut anywhere.
+pub(super) fn read_lines(paths: &[String]) -> Result<Vec<String>, String> {
+    let mut bytes = Vec::new();
+    if paths.is_empty() {
+        let read = std::io::stdin().lock().read_to_end(&mut bytes);
+        read.map_err(|e| format!("standard input: {e}"))?;
+    }
+    for path in paths {
+        let file = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
+        bytes.extend(file);
+        bytes.push(b'\n');
+    }
+    let text = String::from_utf8_lossy(&bytes);
+    Ok(text.lines().map(str::to_owned).collect())
+}
--- /dev/null
+++ b/crates/dotterelrudder_explain/src/lib.rs
@@ -0,0 +1,13 @@
+//! The story of one request, from the log lines of all processes.
+//!
+//! Operators have logs alone. [`Story::read`] takes lines of any processes in any order, some of
+//! them missing, cut or foreign, and keeps what tells about one request: the lines with its
+//! identity, and what the processes concerned believed at that time. Its `Display` is what
+//! `dotterelrudder explain` prints; [docs/OPERATIONS.md](../../../docs/OPERATIONS.md) shows how to
+//! read it.
+
+mod event;
+mod story;
+
+pub use event::Event;
+pub use story::Story;
--- /dev/null
+++ b/crates/dotterelrudder_explain/src/story.rs
@@ -0,0 +1,171 @@
+//! What happened to one request.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::time::Duration;
+
+use crate::Event;
+
+/// The line that an entry writes for each request.
+const REQUEST: &str = "request";
+/// Lines that say what a process goes by from then on; the newest of each kind before a request
+/// is part of its story.
+const BELIEFS: &[&str] = &[
+    "started",
+    "stopping",
+    "readiness",
+    "seeds changed",
+    "configuration in force",
+    "backend servers listed",
+    "following the leading control instance",
+    "leading control instance doesn't answer",
+];
+/// The line in which a control instance says whether it leads.
+const STANDING: &str = "standing in the log";
+/// How long after a request what is told about its runners may still explain it: a side notices a
+/// silent runner after about a second, and clocks of processes differ.
+const AFTERWARDS: Duration = Duration::from_secs(3);
+
+/// What happened to one request, in order of time.
+#[derive(Debug)]
+pub struct Story {
+    id: String,
+    events: Vec<Event>,
+    began: Duration,
+    own: usize,
+    lines: usize,
+    unread: usize,
+}
+
+impl Story {
+    /// Reads the lines of all processes.
+    pub fn read<I, S>(id: &str, lines: I) -> Self
+    where
+        I: IntoIterator<Item = S>,
+        S: AsRef<str>,
+    {
+        let (mut read, mut count, mut unread) = (Vec::new(), 0, 0);
+        for line in lines {
+            let line = line.as_ref();
+            if line.trim().is_empty() {
+                continue;
+            }
+            count += 1;
+            match Event::read(line) {
+                Some(event) => read.push(event),
+                None => unread += 1,
+            }
+        }
+        let named = |e: &&Event| e.text("id") == id && !e.text("attempt").is_empty();
+        let attempts: BTreeSet<String> = read
+            .iter()
+            .filter(named)
+            .map(|e| e.text("attempt").to_owned())
+            .collect();
+        let (mut own, others): (Vec<Event>, Vec<Event>) = read
+            .into_iter()
+            .partition(|e| e.text("id") == id || attempts.contains(e.text("attempt")));
+        own.sort_by_key(|e| e.at);
+        let took = |e: &Event| Duration::from_millis(e.number("took_ms").unwrap_or(0));
+        let begins = own.iter().map(|e| e.at.saturating_sub(took(e)));
+        let began = begins.min().unwrap_or_default();
+        let ended = own.iter().map(|e| e.at).max().unwrap_or_default();
+        let context = context(&own, others, began, ended);
+        let mut story = Self {
+            id: id.to_owned(),
+            began,
+            own: own.len(),
+            events: own,
+            lines: count,
+            unread,
+        };
+        story.events.extend(context);
+        story.events.sort_by_key(|e| e.at);
+        story
+    }
+
+    /// Returns whether no line tells of the request.
+    pub fn is_empty(&self) -> bool {
+        self.own == 0
+    }
+}
+
+/// Returns what else explains a request: what its processes went by, who led, and what was told
+/// about the runners that it was offered to.
+fn context(own: &[Event], others: Vec<Event>, began: Duration, ended: Duration) -> Vec<Event> {
+    let instances: BTreeSet<&str> = own.iter().map(|e| e.instance.as_str()).collect();
+    let attempts = own.iter().flat_map(|e| e.text("attempts").split("; "));
+    let runners: BTreeSet<&str> = attempts.filter_map(|a| a.split(' ').nth(1)).collect();
+    let mut newest: BTreeMap<(String, String), Event> = BTreeMap::new();
+    let mut during = Vec::new();
+    for event in others {
+        let about_runner = runners.contains(event.text("runner"));
+        let of_instance = instances.contains(event.instance.as_str());
+        let belief = of_instance && BELIEFS.contains(&event.message.as_str());
+        let leads = event.message == STANDING && event.is_set("leads");
+        if own.is_empty() || !(about_runner || belief || leads) {
+            continue;
+        }
+        let until = if about_runner {
+            ended + AFTERWARDS
+        } else {
+            ended
+        };
+        if event.at > until {
+            continue;
+        }
+        if event.at >= began {
+            during.push(event);
+            continue;
+        }
+        // Whichever instance leads, only the newest one counts.
+        let place = if leads { "" } else { event.instance.as_str() };
+        let kind = (place.to_owned(), event.message.clone());
+        if newest.get(&kind).is_none_or(|known| known.at <= event.at) {
+            newest.insert(kind, event);
+        }
+    }
+    during.extend(newest.into_values());
+    during
+}
+
+impl fmt::Display for Story {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "request {}", self.id)?;
+        if self.is_empty() {
+            writeln!(f, "no line tells of it")?;
+        }
+        for event in &self.events {
+            let (sign, from) = match event.at.checked_sub(self.began) {
+                Some(after) => ('+', after),
+                None => ('-', self.began - event.at),
+            };
+            let place = format!("{} ({})", event.instance, event.role);
+            let seconds = from.as_secs_f64();
+            writeln!(f, "{sign}{seconds:9.3} s  {place}: {}", event.message)?;
+            let attempts = event.text("attempts");
+            let details = event.details(&["id", "attempts"]);
+            if !details.is_empty() {
+                writeln!(f, "              {}", details.join(", "))?;
+            }
+            for attempt in attempts.split("; ").filter(|a| !a.is_empty()) {
+                writeln!(f, "              offered to {attempt}")?;
+            }
+        }
+        self.write_count(f)
+    }
+}
+
+impl Story {
+    /// Says how much was read, since a story from part of the lines is only a part.
+    fn write_count(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let told = self.events.iter().filter(|e| e.message == REQUEST).count();
+        writeln!(
+            f,
+            "{} lines read, {} of them cut or foreign; {} tell of the request, {told} of these \
+             its end; times are each process's own",
+            self.lines, self.unread, self.own
+        )
+    }
+}
