--- a/crates/dotterelrudder_daemon/src/control/actor.rs
+++ b/crates/dotterelrudder_daemon/src/control/actor.rs
@@ -192,11 +192,13 @@
             controls: self.core.control_instances(),
             stores: self.core.stores_to_read(now),
         };
+        let term = self.core.raft().term();
+        self.metrics.set_standing(standing.leads, term);
         self.standing.send_if_modified(|held| {
             let changed = *held != standing;
             if held.leads != standing.leads || held.controls != standing.controls {
                 info!(self.log, "standing in the log"; "leads" => standing.leads,
-                    "term" => self.core.raft().term(), "commit" => self.core.raft().commit(),
+                    "term" => term, "commit" => self.core.raft().commit(),
                     "members" => format!("{:?}", standing.controls.iter().map(|c| c.as_str())
                         .collect::<Vec<_>>()));
             }
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -1,6 +1,7 @@
 //! Starts an entry that calls backend servers itself and stops it without cutting answers off.
 
 use std::path::PathBuf;
+use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -60,6 +61,8 @@
         metrics: metrics.clone(),
         log: log.clone(),
         leaving: leaving.clone(),
+        log_answered_every: file.log_answered_every,
+        routine: AtomicU64::new(0),
     });
     let start = FollowerStart {
         name: file.name.clone(),
@@ -115,6 +118,7 @@
             let waiting = room.len();
             drop(room);
             sweeping.metrics.set_waiting(waiting);
+            sweeping.measure_beliefs();
         }
     });
     info!(log, "started"; "listen" => %file.listen);
--- a/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
@@ -48,6 +48,10 @@
     /// Seconds between the signal of a planned stop and the kill.
     #[serde(default = "default_stop_grace_s")]
     pub stop_grace_s: f64,
+    /// One in how many requests that were answered at once leaves a line in the log; 0 for none.
+    /// Failures and requests that needed more than one attempt always leave one.
+    #[serde(default = "default_log_answered_every")]
+    pub log_answered_every: u32,
     /// The secret that all processes of the deployment share; empty on a closed network.
     #[serde(default)]
     pub secret: CompactString,
@@ -73,6 +77,10 @@
     20.0
 }
 
+fn default_log_answered_every() -> u32 {
+    1
+}
+
 fn default_stop_grace_s() -> f64 {
     8.0
 }
@@ -111,6 +119,7 @@
         "retry_window_s",
         "retry_slack",
         "stop_grace_s",
+        "log_answered_every",
         "secret",
     ];
 }
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod audit;
+mod beliefs;
 mod bodies;
 mod daemon;
 mod entry_file;
--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -13,9 +13,9 @@
 use dotterelrudder_gateway::PlacementQuery;
 use dotterelrudder_gateway::RoomNeed;
 use dotterelrudder_gateway::RunOutcome;
-use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
+use dotterelrudder_types::ServiceName;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -102,11 +102,8 @@
             log.may_have_run += usize::from(ran);
             let most = route.max_runners.max(1) as usize;
             let repeatable = log.may_have_run == 0 || route.kind.may_repeat();
-            let allowed = repeatable
-                && log.may_have_run < most
-                && self
-                    .gateway()
-                    .may_repeat(self.now(), &job.admission.service);
+            let allowed =
+                repeatable && log.may_have_run < most && self.may_repeat(&job.admission.service);
             if !allowed {
                 let refusal = given_up(outcome, reason, log);
                 return log.last_answer(refusal);
@@ -116,6 +113,13 @@
         Ended::Refused(given_up(ErrorKind::Overloaded, reason, log))
     }
 
+    /// Takes a repeat out of the shared budget.
+    pub(super) fn may_repeat(&self, service: &ServiceName) -> bool {
+        let allowed = self.gateway().may_repeat(self.now(), service);
+        self.metrics.count_repeat(allowed);
+        allowed
+    }
+
     /// Waits for a runner with room for the request.
     pub(super) async fn find_room(
         &self,
@@ -133,11 +137,16 @@
             room: &self.room,
             ticket: None,
         };
+        let came = self.now();
         loop {
             let now = self.now();
             if place.may_try(now, service, &need) {
                 match self.gateway().place(now, query) {
-                    Ok(placement) => return Ok(placement),
+                    Ok(placement) => {
+                        let waited = now.saturating_sub(came);
+                        self.metrics.record_waited(waited.as_secs_f64());
+                        return Ok(placement);
+                    }
                     Err(NotPlaced::Refused(refusal)) => return Err(refusal),
                     Err(NotPlaced::Busy) => {}
                 }
@@ -182,9 +191,9 @@
             let prompt = job.call.prompt.as_ref();
             self.gateway().sent(now, placement.runner, prompt)
         };
-        let run = self.run_guard(placement.runner, unread);
         let now = self.now();
         let began = now;
+        let run = self.run_guard(job, placement, unread);
         let first = self.first_part(
             &outgoing,
             placement,
@@ -231,6 +240,9 @@
             }
             FirstPart::Begun(head, part, body, upstream) => {
                 self.gateway().first_part(placement.runner, unread);
+                let expected = placement.estimate.expected.as_secs_f64();
+                self.metrics
+                    .record_expectation(expected, took.as_secs_f64());
                 let text = format!("began after {} ms", took.as_millis());
                 log.notes.push(note(placement, &text));
                 let begun = Begun {
@@ -271,12 +283,20 @@
     }
 
     /// Counts the attempt as ended once the guard ends, whichever way that comes about.
-    pub(super) fn run_guard(self: &Arc<Self>, runner: RunnerKey, unread: f64) -> RunGuard {
+    fn run_guard(self: &Arc<Self>, job: &Job, placement: &Placement, unread: f64) -> RunGuard {
         let serving = self.clone();
+        let (began, runner) = (self.now(), placement.runner);
+        let (id, placement) = (job.call.id.clone(), placement.clone());
         RunGuard {
             note: Some(Box::new(move |outcome| {
                 serving.metrics.count_attempt(outcome.as_str());
                 let now = serving.now();
+                if matches!(outcome, RunOutcome::Abandoned) {
+                    let after = now.saturating_sub(began).as_millis();
+                    let told = note(&placement, &format!("given up after {after} ms"));
+                    slog::info!(serving.log, "attempt given up"; "id" => id.as_str(),
+                        "attempts" => told);
+                }
                 let mut gateway = serving.gateway();
                 gateway.first_part(runner, unread);
                 gateway.ended(now, runner, outcome);
--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -1,5 +1,6 @@
 //! Serves one request of a caller: admission, attempts, answer.
 
+use super::audit::AuditGuard;
 use super::audit::RequestAudit;
 use super::pool::Pool;
 use super::relay::whole;
@@ -20,6 +21,8 @@
 use http::Response;
 use hyper::body::Incoming;
 use slog::Logger;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -46,6 +49,10 @@
     pub(super) metrics: Metrics,
     pub(super) log: Logger,
     pub(super) leaving: watch::Receiver<bool>,
+    /// One in how many requests that were answered at once leaves its line; 0 for none.
+    pub(super) log_answered_every: u32,
+    /// Requests that were answered at once, with and without a line.
+    pub(super) routine: AtomicU64,
 }
 
 impl<D> Serving<D>
@@ -65,15 +72,18 @@
         let began = self.now();
         self.metrics.count_request();
         let (head, body) = req.into_parts();
-        let mut audit = RequestAudit::default();
-        let mut response = match self.read(head, body, began, &mut audit).await {
-            Ok(job) => self.answer(Arc::new(job), &mut audit).await,
-            Err(refusal) => self.refuse(&refusal, &mut audit),
+        let mut guard = AuditGuard {
+            serving: &self,
+            audit: RequestAudit::default(),
+            began,
+        };
+        let audit = &mut guard.audit;
+        let mut response = match self.read(head, body, began, audit).await {
+            Ok(job) => self.answer(Arc::new(job), audit).await,
+            Err(refusal) => self.refuse(&refusal, audit),
         };
         audit.status = response.status().as_u16();
-        audit.took = self.now().saturating_sub(began);
-        let age = self.gateway().confirmation_age(self.now());
-        audit.write(&self.log, age);
+        drop(guard);
         if *self.leaving.borrow() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
@@ -81,6 +91,20 @@
         response
     }
 
+    /// Counts a request's end and writes its line, or counts it among those without one.
+    pub(super) fn tell(&self, audit: &RequestAudit) {
+        self.metrics.count_answer(audit.status);
+        if audit.is_routine() {
+            let before = self.routine.fetch_add(1, Ordering::Relaxed);
+            let every = u64::from(self.log_answered_every);
+            if every == 0 || before % every != 0 {
+                return;
+            }
+        }
+        let age = self.gateway().confirmation_age(self.now());
+        audit.write(&self.log, age);
+    }
+
     /// Reads the request and decides whether it may be served.
     async fn read(
         &self,
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -54,7 +54,7 @@
                 Err(_) => Err(BrokenOff("the time limit of the route passed")),
             };
             if let Err(broken) = fed {
-                slog::info!(serving.log, "stream broken off"; "id" => job.call.id.as_str(),
+                slog::warn!(serving.log, "stream broken off"; "id" => job.call.id.as_str(),
                     "reason" => broken.0);
                 // The caller may have left already.
                 let _gone = tx.send(Err(broken)).await.is_err();
@@ -142,7 +142,7 @@
             log.may_have_run += 1;
             let most = job.admission.route.max_runners.max(1) as usize;
             let service = &job.admission.service;
-            if log.may_have_run >= most || !self.gateway().may_repeat(self.now(), service) {
+            if log.may_have_run >= most || !self.may_repeat(service) {
                 return Err(BrokenOff("the runner broke off"));
             }
             let after = last_event.clone();
--- a/crates/dotterelrudder_daemon/src/logging.rs
+++ b/crates/dotterelrudder_daemon/src/logging.rs
@@ -1,18 +1,150 @@
 //! Logs as JSON lines on standard output; never a prompt, a key or an answer.
+//!
+//! Writing never blocks the process. Lines wait in two bounded queues, so that a flood of routine
+//! lines leaves room for those that tell of failures. Lines that find no room are counted; the
+//! count is a metric, and a line tells it once there is room again. A reader that stopped reading
+//! doesn't hold up a planned stop either: the queues live as long as the process, and its end waits
+//! for them for a moment only.
 
+use std::io;
+use std::io::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::b;
 use slog::o;
+use slog::record;
 use slog::Drain;
+use slog::Level;
 use slog::Logger;
+use slog::OwnedKVList;
+use slog::Record;
+use slog_async::AsyncCore;
+
+/// Routine lines that wait for a slow reader at most: some seconds of a busy entry.
+const ROUTINE_LINES: usize = 3_072;
+/// Lines of failures that wait at most.
+const FAILURE_LINES: usize = 1_024;
+/// How long the end of the process waits for lines that aren't written yet.
+const FLUSH_LIMIT: Duration = Duration::from_millis(500);
+/// How often it looks.
+const FLUSH_STEP: Duration = Duration::from_millis(5);
 
-/// Lines that wait for a slow reader before new ones are dropped and counted.
-const QUEUE_LINES: usize = 4_096;
+/// Lines that were queued since the start of the process.
+static QUEUED: AtomicU64 = AtomicU64::new(0);
+/// Lines that were written.
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
+/// Lines that found no room.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Builds the logger of a daemon.
 pub fn logger(role: &'static str, name: &str) -> Logger {
-    let drain = slog_json::Json::default(std::io::stdout()).fuse();
-    let drain = slog_async::Async::new(drain)
-        .chan_size(QUEUE_LINES)
-        .build()
-        .fuse();
-    Logger::root(drain, o!("role" => role, "instance" => name.to_owned()))
+    // Never freed, since dropping a queue waits for the reader.
+    let queues: &'static Queues = Box::leak(Box::new(Queues {
+        routine: queue(ROUTINE_LINES),
+        failures: queue(FAILURE_LINES),
+        told: AtomicU64::new(0),
+    }));
+    Logger::root(queues, o!("role" => role, "instance" => name.to_owned()))
+}
+
+/// Returns how many lines found no room since the start of the process.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Waits until all lines are written, for a moment at most.
+pub fn flush() {
+    let until = Instant::now() + FLUSH_LIMIT;
+    while WRITTEN.load(Ordering::Acquire) < QUEUED.load(Ordering::Acquire) {
+        if Instant::now() >= until {
+            return;
+        }
+        std::thread::sleep(FLUSH_STEP);
+    }
+}
+
+fn queue(lines: usize) -> AsyncCore {
+    let drain = slog_json::Json::default(WholeLines::default()).fuse();
+    AsyncCore::custom(drain).chan_size(lines).build()
+}
+
+/// The queues between the process and its reader.
+struct Queues {
+    routine: AsyncCore,
+    failures: AsyncCore,
+    /// The dropped lines that a line told of.
+    told: AtomicU64,
+}
+
+impl Queues {
+    /// Queues a line; false when there is no room.
+    fn queue(&self, line: &Record<'_>, values: &OwnedKVList) -> bool {
+        let queue = if line.level().is_at_least(Level::Warning) {
+            &self.failures
+        } else {
+            &self.routine
+        };
+        QUEUED.fetch_add(1, Ordering::AcqRel);
+        let queued = queue.log(line, values).is_ok();
+        if !queued {
+            QUEUED.fetch_sub(1, Ordering::AcqRel);
+        }
+        queued
+    }
+}
+
+impl Drain for &'static Queues {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, line: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+        if !self.queue(line, values) {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let dropped = dropped_lines();
+        let untold = dropped - self.told.load(Ordering::Relaxed).min(dropped);
+        if untold > 0 {
+            let told = self.queue(
+                &record!(
+                    Level::Warning,
+                    "",
+                    &format_args!("log lines dropped"),
+                    b!("count" => untold)
+                ),
+                values,
+            );
+            if told {
+                self.told.store(dropped, Ordering::Relaxed);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Writes to standard output by whole lines, so that those of two queues don't mix.
+#[derive(Default)]
+struct WholeLines {
+    buf: Vec<u8>,
+}
+
+impl Write for WholeLines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.buf.extend_from_slice(bytes);
+        if self.buf.ends_with(b"\n") {
+            let mut out = io::stdout().lock();
+            let written = out.write_all(&self.buf).and_then(|()| out.flush());
+            self.buf.clear();
+            WRITTEN.fetch_add(1, Ordering::AcqRel);
+            written?;
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::logging::dropped_lines;
+
 /// The instruments of a daemon; docs/OPERATIONS.md explains each.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -17,7 +19,16 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     refusals: Counter<u64>,
+    answers: Counter<u64>,
     attempts: Counter<u64>,
+    repeats: Counter<u64>,
+    runners: Gauge<u64>,
+    leads: Gauge<u64>,
+    term: Gauge<u64>,
+    confirmed: Gauge<f64>,
+    waited: Histogram<f64>,
+    expected_first_token: Histogram<f64>,
+    first_token_over_expected: Histogram<f64>,
     waiting: Gauge<u64>,
     tokens: Counter<u64>,
     cached_tokens: Counter<u64>,
@@ -44,6 +55,14 @@
             .map_err(|e| e.to_string())?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("dotterelrudder");
+        // Observed when scraped, for as long as the provider lives.
+        let _dropped = meter
+            .u64_observable_counter("dotterelrudder_dropped_log_lines")
+            .with_callback(|o| o.observe(dropped_lines(), &[]))
+            .build();
+        let over = vec![
+            -1.0, -0.4, -0.2, -0.1, -0.05, -0.02, 0.02, 0.05, 0.1, 0.2, 0.4, 1.0, 2.0, 5.0,
+        ];
         let seconds = vec![
             0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.63, 1.0, 2.0, 5.0, 20.0,
         ];
@@ -52,6 +71,26 @@
             requests: meter.u64_counter("dotterelrudder_requests").build(),
             refusals: meter.u64_counter("dotterelrudder_refusals").build(),
             attempts: meter.u64_counter("dotterelrudder_attempts").build(),
+            answers: meter.u64_counter("dotterelrudder_answers").build(),
+            repeats: meter.u64_counter("dotterelrudder_repeats").build(),
+            runners: meter.u64_gauge("dotterelrudder_runners").build(),
+            leads: meter.u64_gauge("dotterelrudder_leads").build(),
+            term: meter.u64_gauge("dotterelrudder_term").build(),
+            confirmed: meter
+                .f64_gauge("dotterelrudder_confirmation_age_seconds")
+                .build(),
+            waited: meter
+                .f64_histogram("dotterelrudder_waited_seconds")
+                .with_boundaries(seconds.clone())
+                .build(),
+            expected_first_token: meter
+                .f64_histogram("dotterelrudder_expected_first_token_seconds")
+                .with_boundaries(seconds.clone())
+                .build(),
+            first_token_over_expected: meter
+                .f64_histogram("dotterelrudder_first_token_over_expected_seconds")
+                .with_boundaries(over)
+                .build(),
             waiting: meter.u64_gauge("dotterelrudder_waiting_requests").build(),
             tokens: meter
                 .u64_counter("dotterelrudder_completion_tokens")
@@ -88,6 +127,52 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts an answer by the class of its status.
+    pub fn count_answer(&self, status: u16) {
+        let class = match status / 100 {
+            2 => "2xx",
+            3 => "3xx",
+            4 => "4xx",
+            5 => "5xx",
+            _ => "none",
+        };
+        self.answers.add(1, &[KeyValue::new("class", class)]);
+    }
+
+    /// Counts a repeat that the shared budget allowed or denied.
+    pub fn count_repeat(&self, allowed: bool) {
+        let outcome = if allowed { "allowed" } else { "denied" };
+        self.repeats.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Sets how many runners are in a state.
+    pub fn set_runners(&self, state: &'static str, runners: usize) {
+        self.runners
+            .record(runners as u64, &[KeyValue::new("state", state)]);
+    }
+
+    /// Sets whether the instance leads, and the term that it knows.
+    pub fn set_standing(&self, leads: bool, term: u64) {
+        self.leads.record(u64::from(leads), &[]);
+        self.term.record(term, &[]);
+    }
+
+    /// Sets the age of the last confirmation by control, in seconds.
+    pub fn set_confirmation_age(&self, seconds: f64) {
+        self.confirmed.record(seconds, &[]);
+    }
+
+    /// Records how long a request waited at an entry until it was placed, in seconds.
+    pub fn record_waited(&self, seconds: f64) {
+        self.waited.record(seconds, &[]);
+    }
+
+    /// Records an expected time to a first token, and how much later it came, in seconds.
+    pub fn record_expectation(&self, expected: f64, seen: f64) {
+        self.expected_first_token.record(expected, &[]);
+        self.first_token_over_expected.record(seen - expected, &[]);
+    }
+
     /// Sets the number of requests that wait for room at a backend server.
     pub fn set_waiting(&self, waiting: usize) {
         self.waiting.record(waiting as u64, &[]);
--- a/crates/dotterelrudder_daemon/src/start.rs
+++ b/crates/dotterelrudder_daemon/src/start.rs
@@ -19,6 +19,7 @@
 use crate::arguments::Arguments;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
+use crate::logging;
 use crate::settings::read_secret;
 use crate::settings::read_settings;
 use crate::settings::CommonSettings;
@@ -74,6 +75,7 @@
         Ok(runtime) => runtime.block_on(run(settings, path.to_owned())),
         Err(e) => Err(e.to_string()),
     };
+    logging::flush();
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => fail(program, &e, EXIT_SYSTEM),
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 use crate::RetryBudget;
 use crate::RouteTable;
 use crate::RunOutcome;
+use crate::RunnerCondition;
 use crate::RunnerKey;
 use crate::RunnerTable;
 use crate::StoredParts;
@@ -139,6 +140,14 @@
         }
     }
 
+    /// Returns how many runners are in each condition.
+    pub fn count_runners(
+        &self,
+        now: Duration,
+    ) -> [(RunnerCondition, usize); RunnerCondition::ALL.len()] {
+        self.runners.count(now)
+    }
+
     /// Returns the configuration in force; its version is 0 before the first.
     pub fn configuration(&self) -> &WholeConfiguration {
         &self.configuration
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -8,6 +8,7 @@
 use dotterelrudder_wire::RunnerRow;
 
 use crate::Prompt;
+use crate::RunnerCondition;
 use crate::RunnerHealth;
 
 /// A load report older than this says nothing any more: several times the period of reports.
@@ -105,10 +106,27 @@
         self.load.as_ref().map(|(_, at)| now.saturating_sub(*at))
     }
 
-    /// Returns whether the runner may take a request now.
+    /// Returns whether the runner may take a request now; one that loads weights takes those that
+    /// need no model.
     pub fn is_open(&self, now: Duration) -> bool {
+        use RunnerCondition::*;
+        matches!(self.condition(now), Open | Loading)
+    }
+
+    /// Returns what the entry thinks of the runner.
+    pub fn condition(&self, now: Duration) -> RunnerCondition {
         let answers = self.fresh_load(now).is_none_or(|load| load.answers);
-        self.listed && !self.row.leaving && answers && self.health.is_open(now)
+        if !self.listed || self.row.leaving {
+            RunnerCondition::Leaving
+        } else if !answers {
+            RunnerCondition::Silent
+        } else if !self.health.is_open(now) {
+            RunnerCondition::Spared
+        } else if self.is_loading(now) {
+            RunnerCondition::Loading
+        } else {
+            RunnerCondition::Open
+        }
     }
 
     /// Returns whether the runner's side told its load once, but not lately.
--- a/crates/dotterelrudder_gateway/src/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runner_table.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use slotmap::SlotMap;
 
+use crate::RunnerCondition;
 use crate::RunnerState;
 
 slotmap::new_key_type! {
@@ -90,6 +91,15 @@
         all.filter(move |(_, r)| r.listed && r.row.service == *service)
     }
 
+    /// Returns how many runners are in each condition.
+    pub fn count(&self, now: Duration) -> [(RunnerCondition, usize); RunnerCondition::ALL.len()] {
+        RunnerCondition::ALL.map(|condition| {
+            let alike = self.runners.values();
+            let alike = alike.filter(|r| r.condition(now) == condition);
+            (condition, alike.count())
+        })
+    }
+
     /// Returns how many runners are known.
     pub fn len(&self) -> usize {
         self.runners.len()
