--- a/crates/dotterelrudder_control/tests/fleet.rs
+++ b/crates/dotterelrudder_control/tests/fleet.rs
@@ -159,7 +159,6 @@
         loading: false,
         waiting: 0,
         running: 0,
-        reading: 0,
         used_tokens: 0,
         total_tokens: 1,
         weights: vec![ModelWeights {
--- a/crates/dotterelrudder_control/tests/weight_waves.rs
+++ b/crates/dotterelrudder_control/tests/weight_waves.rs
@@ -23,7 +23,6 @@
         loading: false,
         waiting: 0,
         running: 3,
-        reading: 0,
         used_tokens: 0,
         total_tokens: 1,
         weights: vec![weights(version)],
--- a/crates/dotterelrudder_daemon/src/fleet/dialects.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/dialects.rs
@@ -107,8 +107,6 @@
     pub waiting: u32,
     /// Requests in its batch.
     pub running: u32,
-    /// Requests in its batch that have no output yet.
-    pub reading: u32,
     /// Tokens of KV cache that can't yield.
     pub used_tokens: u64,
     /// Tokens of KV cache that its memory holds.
--- a/crates/dotterelrudder_daemon/src/fleet/watcher.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/watcher.rs
@@ -120,7 +120,6 @@
             loading: report.busy || ordered,
             waiting: report.waiting,
             running: report.running,
-            reading: report.reading + report.waiting,
             used_tokens: report.used_tokens,
             total_tokens: report.total_tokens,
             weights: report.weights.clone(),
--- a/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
@@ -7,6 +7,7 @@
 use dotterelrudder_gateway::GatewaySettings;
 use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::Policy;
 use serde::Deserialize;
 
 use crate::fleet::Seeds;
@@ -52,6 +53,9 @@
     /// Failures and requests that needed more than one attempt always leave one.
     #[serde(default = "default_log_answered_every")]
     pub log_answered_every: u32,
+    /// How a runner is chosen; all but the default are baselines for measurements.
+    #[serde(default)]
+    pub policy: Policy,
     /// The secret that all processes of the deployment share; empty on a closed network.
     #[serde(default)]
     pub secret: CompactString,
@@ -98,6 +102,7 @@
             retry_ratio: self.retry_ratio,
             retry_window: Duration::from_secs_f64(self.retry_window_s),
             retry_slack: self.retry_slack,
+            policy: self.policy,
             weights_limit: Duration::from_millis(self.weights_ms),
         }
     }
@@ -120,6 +125,7 @@
         "retry_slack",
         "stop_grace_s",
         "log_answered_every",
+        "policy",
         "secret",
     ];
 }
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions of an entry behind one interface.
 
 mod admitting;
+mod choosing;
 mod estimating;
 mod placing;
 
@@ -47,6 +48,7 @@
     accounts: HashMap<AccountKeyHash, Arc<AccountEntry>>,
     runners: RunnerTable,
     drawn_at: Option<Duration>,
+    turn: u32,
     weights: BTreeMap<CompactString, NamedWeights>,
     lease: ConfirmedLease,
     budgets: HashMap<ServiceName, RetryBudget>,
@@ -66,6 +68,7 @@
             accounts: HashMap::new(),
             runners: RunnerTable::default(),
             drawn_at: None,
+            turn: 0,
             weights: BTreeMap::new(),
             lease: ConfirmedLease::default(),
             budgets: HashMap::new(),
--- a/crates/dotterelrudder_gateway/src/gateway/placing.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/placing.rs
@@ -4,15 +4,11 @@
 //! runners whose memories fill up, and some runners are lost, loading or failing. Each request goes
 //! where its first token is expected first; it waits while every memory is full.
 
+use super::choosing::Candidate;
 use super::Gateway;
 use super::RETRY_AFTER_RESTART;
 use crate::cache_salt;
-use crate::memory_limit;
-use crate::memory_reserve::SHORT_PROMPT_TOKENS;
-use crate::rendezvous_rank;
-use crate::runners_in_sight;
 use crate::CachePlan;
-use crate::FirstTokenEstimate;
 use crate::NotPlaced;
 use crate::Placement;
 use crate::PlacementQuery;
@@ -23,17 +19,15 @@
 use compact_str::format_compact;
 use compact_str::CompactString;
 use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::Policy;
 use dotterelrudder_types::Refusal;
-use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::RunnerRow;
+use dotterelrudder_wire::FETCH_LIMIT;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Before a runner's limit on named weights, to cover the time that a request waits at its runner.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(2_500);
-/// Tokens that a runner has to read at most when a long prompt is sent to it: what it reads within
-/// a quarter of a second, so that short prompts behind it stay in time.
-const MOST_BACKLOG_TOKENS: f64 = 14_000.0;
 /// When a caller may come back at the earliest.
 const RETRY_LEAST: Duration = Duration::from_millis(300);
 
@@ -50,61 +44,10 @@
         query: &PlacementQuery<'_>,
     ) -> Result<Placement, NotPlaced> {
         self.draw_sight(now);
-        let home = self.home_order(query);
-        let mut open: Vec<(u32, RunnerKey, &RunnerState)> = Vec::new();
-        let mut opens: Option<Duration> = None;
-        let mut loading = false;
-        for (key, runner) in self.runners.of_service(query.service) {
-            if query.tried.contains(&key) {
-                continue;
-            }
-            if !runner.is_open(now) || !self.serves_weights(now, runner, query.prompt) {
-                let until = runner.health.spared_until();
-                if runner.listed && !runner.row.leaving && until > now {
-                    opens = Some(opens.map_or(until, |o| o.min(until)));
-                }
-                continue;
-            }
-            if query.prompt.is_some() && runner.is_loading(now) {
-                loading = true;
-                continue;
-            }
-            open.push((runner.draw, key, runner));
-        }
-        if let Some(prompt) = query.prompt {
-            let any_open = !open.is_empty();
-            let fill = open.iter().map(|(_, _, r)| r.memory(now, 0.0)).sum::<f64>();
-            let fill = fill / open.len().max(1) as f64;
-            open.sort_unstable_by_key(|(draw, key, _)| (*draw, *key));
-            let sight = runners_in_sight(open.len(), self.entries);
-            let mut place = 0;
-            open.retain(|(_, key, runner)| {
-                place += 1;
-                (place <= sight || home.contains(key)) && has_room(now, runner, prompt, fill)
-            });
-            if any_open && open.is_empty() {
-                return Err(NotPlaced::Busy);
-            }
-        }
-        let mut best: Option<(FirstTokenEstimate, u32, RunnerKey)> = None;
-        for (tie, key, runner) in open {
-            let estimate = self.expected(now, runner, query, home_place(&home, key));
-            if best.is_none_or(|(e, t, _)| (estimate.expected, tie) < (e.expected, t)) {
-                best = Some((estimate, tie, key));
-            }
-        }
-        let chosen = best.and_then(|(e, _, key)| Some((e, key, self.runners.get(key)?)));
-        let Some((estimate, key, runner)) = chosen else {
-            // Loading takes a second or two, after which the runner takes requests again.
-            if loading {
-                return Err(NotPlaced::Busy);
-            }
-            let detail = format_compact!("no open backend server of \"{}\"", query.service);
-            let mut refusal = Refusal::new(ErrorKind::NoBackendServer, detail);
-            let wait = opens.map_or(RETRY_AFTER_RESTART, |at| at.saturating_sub(now));
-            refusal.retry_after = Some(self.spread(wait.max(RETRY_LEAST)));
-            return Err(NotPlaced::Refused(refusal));
-        };
+        self.turn = self.turn.wrapping_add(1);
+        let open = self.open_runners(now, query)?;
+        let (key, estimate) = self.choose(now, query, open)?;
+        let runner = self.runners.get(key).ok_or(NotPlaced::Busy)?;
         let weights = query.prompt.and_then(|p| runner.version_of(&p.model));
         let load_age = runner.load_age(now);
         let row = runner.row.clone();
@@ -128,6 +71,49 @@
         })
     }
 
+    /// Returns the runners that may take the request, with their places in the draw.
+    fn open_runners(
+        &mut self,
+        now: Duration,
+        query: &PlacementQuery<'_>,
+    ) -> Result<Vec<Candidate>, NotPlaced> {
+        let mut open = Vec::new();
+        let mut opens: Option<Duration> = None;
+        let mut loading = false;
+        for (key, runner) in self.runners.of_service(query.service) {
+            if query.tried.contains(&key) {
+                continue;
+            }
+            if !runner.is_open(now) || !self.serves_weights(now, runner, query.prompt) {
+                let until = runner.health.spared_until();
+                if runner.listed && !runner.row.leaving && until > now {
+                    opens = Some(opens.map_or(until, |o| o.min(until)));
+                }
+                continue;
+            }
+            if query.prompt.is_some() && runner.is_loading(now) {
+                loading = true;
+                continue;
+            }
+            open.push(Candidate {
+                draw: runner.draw,
+                key,
+            });
+        }
+        if !open.is_empty() {
+            return Ok(open);
+        }
+        // Loading takes a second or two, after which the runner takes requests again.
+        if loading {
+            return Err(NotPlaced::Busy);
+        }
+        let detail = format_compact!("no open backend server of \"{}\"", query.service);
+        let mut refusal = Refusal::new(ErrorKind::NoBackendServer, detail);
+        let wait = opens.map_or(RETRY_AFTER_RESTART, |at| at.saturating_sub(now));
+        refusal.retry_after = Some(self.spread(wait.max(RETRY_LEAST)));
+        Err(NotPlaced::Refused(refusal))
+    }
+
     /// Draws anew among which runners this entry chooses, when the last draw is old.
     fn draw_sight(&mut self, now: Duration) {
         let due = self.drawn_at.is_none_or(|at| now >= at + SIGHT_PERIOD);
@@ -150,6 +136,11 @@
     ) -> CachePlan {
         let (chosen, expected) = chosen;
         let near = &row.data_centre;
+        let expected = match self.settings.policy {
+            Policy::ExpectedCost => expected,
+            Policy::AlwaysImport => FETCH_LIMIT,
+            _ => return CachePlan::default(),
+        };
         let mut plan = self
             .stored
             .plan(now, prompt, salt, near, query.objective, expected);
@@ -193,39 +184,6 @@
         answers.then_some(runner.row.address)
     }
 
-    /// Returns the runners of a session in its order of preference.
-    fn home_order(&self, query: &PlacementQuery<'_>) -> Vec<RunnerKey> {
-        let Some(part) = query.prompt.and_then(Prompt::session_part) else {
-            return Vec::new();
-        };
-        let runners = self.runners.of_service(query.service);
-        let mut ranked: Vec<((bool, u64), RunnerKey)> = runners
-            .filter(|(_, r)| !r.row.leaving)
-            .map(|(key, r)| {
-                let rank = rendezvous_rank(&part.id, &r.row.identity);
-                ((self.is_near_store(query, r, &part.id), rank), key)
-            })
-            .collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.into_iter().take(2).map(|(_, key)| key).collect()
-    }
-
-    /// Returns whether a session's part is stored in the runner's data centre.
-    fn is_near_store(
-        &self,
-        query: &PlacementQuery<'_>,
-        runner: &RunnerState,
-        part: &CompactString,
-    ) -> bool {
-        let Some(prompt) = query.prompt else {
-            return false;
-        };
-        let salt = cache_salt(runner.version_of(&prompt.model), query.account);
-        let part = part.clone();
-        let place = self.stored.data_centre_of(&PartKey { salt, part });
-        place == Some(&runner.row.data_centre)
-    }
-
     /// Returns whether a runner's weights may still begin a request.
     fn serves_weights(&self, now: Duration, runner: &RunnerState, prompt: Option<&Prompt>) -> bool {
         let Some(prompt) = prompt else {
@@ -240,16 +198,3 @@
         since.is_none_or(|at| now < at + limit)
     }
 }
-
-fn home_place(home: &[RunnerKey], key: RunnerKey) -> Option<usize> {
-    home.iter().position(|k| *k == key)
-}
-
-/// Returns whether a runner can take a prompt without preempting others or keeping short ones
-/// behind much to read. An empty runner takes any prompt.
-fn has_room(now: Duration, runner: &RunnerState, prompt: &Prompt, fill: f64) -> bool {
-    let full = runner.memory(now, prompt.peak_tokens() as f64) > memory_limit(prompt, fill);
-    let busy_reading =
-        prompt.tokens > SHORT_PROMPT_TOKENS && runner.backlog(now) > MOST_BACKLOG_TOKENS;
-    !(full || busy_reading) || runner.batch(now) <= 0.0
-}
--- a/crates/dotterelrudder_gateway/src/gateway_settings.rs
+++ b/crates/dotterelrudder_gateway/src/gateway_settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dotterelrudder_types::DataCentre;
+use dotterelrudder_types::Policy;
 
 /// What the deployment asks of every entry.
 #[derive(Debug, Clone)]
@@ -17,6 +18,8 @@
     pub retry_window: Duration,
     /// Repeats allowed in a span beside the ratio, for all entries together.
     pub retry_slack: f64,
+    /// How a runner is chosen.
+    pub policy: Policy,
     /// How long after new weights were named requests may still begin on older ones.
     pub weights_limit: Duration,
 }
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -158,7 +158,7 @@
     /// Returns the prompt tokens that the runner is expected to read before a new request: those of
     /// own requests, or what its report tells of all entries' with what was sent since.
     pub fn backlog(&self, now: Duration) -> f64 {
-        let told = self.fresh_load(now).map(|l| f64::from(l.reading));
+        let told = self.fresh_load(now).map(|l| f64::from(l.waiting));
         let reported = told.map_or(0.0, |n| n * MEAN_UNREAD + self.unread_since);
         reported.max(self.unread)
     }
--- a/crates/dotterelrudder_gateway/tests/placement.rs
+++ b/crates/dotterelrudder_gateway/tests/placement.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::NotPlaced;
@@ -10,6 +11,7 @@
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::Policy;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_wire::ModelWeights;
 use support::*;
@@ -268,7 +270,7 @@
 fn long_prompts_wait_while_runners_have_much_to_read() {
     let (service, mut gateway) = (engines(), gateway(1));
     let mut reading = load(1, 8, 30_000);
-    reading.reading = 6;
+    reading.waiting = 6;
     gateway.on_loads(ms(0), vec![reading]);
     let long = prompt("s", 8_000, 3_000);
     let placed = gateway.place(ms(1), &query(&service, Some(&long), &[]));
@@ -386,10 +388,42 @@
         .unwrap();
     let n = home.identity.trim_start_matches("i-").parse().unwrap();
     let mut full = load(n, 8, 90_000);
-    full.reading = 1;
+    full.waiting = 1;
     gateway.on_loads(ms(2), vec![full]);
     let placed = gateway
         .place(ms(3), &query(&service, Some(&long), &[]))
         .unwrap();
     assert_ne!(placed.identity, home.identity);
 }
+
+/// The baselines that the choice is measured against do what their names say, and use no stores.
+#[test]
+fn each_baseline_chooses_by_its_own_rule() {
+    let service = engines();
+    let chosen = |policy: Policy, seed: u64| -> Vec<String> {
+        let mut own = settings();
+        own.policy = policy;
+        let mut gateway = Gateway::new(own, seed);
+        gateway.on_view(ms(0), view(1), Some(ms(0)));
+        gateway.on_runners((1..=3).map(|n| row(n, "engines", "north")).collect());
+        let loads = (1..=3)
+            .map(|n| load(n, u32::from(10 - n), 95_000))
+            .collect();
+        gateway.on_loads(ms(1), loads);
+        let prompt = prompt("s", 8_000, 2_000);
+        let placed = (0..6).map(|n| {
+            let placed = gateway.place(ms(2 + n), &query(&service, Some(&prompt), &[]));
+            let placed = placed.expect("baselines wait for nothing");
+            assert!(!placed.cache.fetches() && !placed.cache.saves());
+            placed.identity.to_string()
+        });
+        placed.collect()
+    };
+    let in_turn = chosen(Policy::RoundRobin, 1);
+    assert_eq!(in_turn[..3], in_turn[3..]);
+    assert_eq!(in_turn.iter().collect::<BTreeSet<_>>().len(), 3);
+    assert!(chosen(Policy::LeastLoaded, 1).iter().all(|i| i == "i-3"));
+    let home = chosen(Policy::HashAffinity, 1);
+    assert!(home.iter().all(|i| *i == home[0]));
+    assert_eq!(home, chosen(Policy::HashAffinity, 2));
+}
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -19,6 +19,7 @@
 use dotterelrudder_gateway::PromptPart;
 use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_types::AccountKeyHash;
+use dotterelrudder_types::Policy;
 use dotterelrudder_types::ServiceName;
 use dotterelrudder_wire::FleetView;
 use dotterelrudder_wire::ModelWeights;
@@ -43,6 +44,7 @@
         retry_window: ms(10_000),
         retry_slack: 60.0,
         weights_limit: ms(10_000),
+        policy: Policy::default(),
     }
 }
 
@@ -158,7 +160,6 @@
         loading: false,
         waiting: 0,
         running,
-        reading: 0,
         used_tokens: used,
         total_tokens: 95_000,
         weights: weights(1),
--- a/crates/dotterelrudder_route/src/policy.rs
+++ b/crates/dotterelrudder_types/src/policy.rs
@@ -1,7 +1,10 @@
 //! The ways to choose a runner; all but the first are kept as baselines for measurements.
 
+use serde::Deserialize;
+
 /// How a runner is chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Policy {
     /// By the smallest expected cost, with import or recompute chosen for each request.
     #[default]
--- a/crates/dotterelrudder_wire/src/fleet/runner_load.rs
+++ b/crates/dotterelrudder_wire/src/fleet/runner_load.rs
@@ -25,8 +25,6 @@
     pub waiting: u32,
     /// Requests in the batch.
     pub running: u32,
-    /// Requests whose prompt isn't read yet, those that wait included.
-    pub reading: u32,
     /// Tokens of KV cache that can't yield.
     pub used_tokens: u64,
     /// Tokens of KV cache that the memory holds.
