--- a/crates/dotterelrudder_daemon/src/operator/arguments.rs
+++ b/crates/dotterelrudder_daemon/src/operator/arguments.rs
@@ -16,6 +16,7 @@
   audit                           show the audit trail of changes
   explain ID [FILE…]              tell a request's story from log lines, of standard input
                                   without FILE
+  expectations [FILE…]            tell expected against seen times to first tokens, the same way
 
 Options:
   --control HOST:PORT,…   operator addresses of control (or DOTTERELRUDDER_CONTROL)
--- a/crates/dotterelrudder_daemon/src/operator/commands.rs
+++ b/crates/dotterelrudder_daemon/src/operator/commands.rs
@@ -7,6 +7,7 @@
 use dotterelrudder_config::ChangeSet;
 use dotterelrudder_config::Configuration;
 use dotterelrudder_config::Fault;
+use dotterelrudder_explain::Expectations;
 use dotterelrudder_explain::Story;
 use serde_json::json;
 use serde_json::Value;
@@ -68,6 +69,7 @@
         "drain" => drain(options).await,
         "audit" => audit(options).await,
         "explain" => explain(options),
+        "expectations" => expectations(options),
         other => Err(Failure::usage(format!("command \"{other}\" is unknown"))),
     }
 }
@@ -280,3 +282,17 @@
     }
     Ok(())
 }
+
+/// Tells how well entries foresaw first tokens, from log lines in files or on standard input.
+fn expectations(options: &Options) -> Result<(), Failure> {
+    let lines = files::read_lines(&options.operands).map_err(Failure::usage)?;
+    let expectations = Expectations::read(lines);
+    if expectations.is_empty() {
+        return Err(Failure {
+            text: "no line tells of a first token".into(),
+            exit_code: EXIT_FAULTS,
+        });
+    }
+    print!("{expectations}");
+    Ok(())
+}
--- a/crates/dotterelrudder_explain/src/event.rs
+++ b/crates/dotterelrudder_explain/src/event.rs
@@ -7,6 +7,9 @@
 use time::format_description::well_known::Rfc3339;
 use time::OffsetDateTime;
 
+/// The line that an entry writes for each request.
+pub(crate) const REQUEST: &str = "request";
+
 /// Fields that every line has; they aren't told again among a line's own fields.
 const COMMON_FIELDS: &[&str] = &["msg", "level", "ts", "instance", "role"];
 
--- /dev/null
+++ b/crates/dotterelrudder_explain/src/expectations.rs
@@ -0,0 +1,91 @@
+//! What entries expected of runners, against what they then saw.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use hdrhistogram::Histogram;
+
+use crate::event::REQUEST;
+use crate::Event;
+
+/// Upper bounds of the rows by expected time, in milliseconds; the last row has none.
+const ROWS_MS: [u64; 8] = [25, 50, 100, 200, 300, 500, 1_000, u64::MAX];
+/// The longest time that is told apart, in milliseconds; no route waits longer.
+const LONGEST_MS: u64 = 60_000;
+/// The shares that are told of each row.
+const SHARES: [f64; 4] = [0.1, 0.5, 0.9, 0.99];
+
+/// The times to first tokens by service and expected time, from the lines of requests.
+#[derive(Debug, Default)]
+pub struct Expectations {
+    services: BTreeMap<String, [Option<Histogram<u64>>; ROWS_MS.len()]>,
+}
+
+impl Expectations {
+    /// Reads the lines of all entries; lines that tell of no first token are passed over.
+    pub fn read<I, S>(lines: I) -> Self
+    where
+        I: IntoIterator<Item = S>,
+        S: AsRef<str>,
+    {
+        let mut found = Self::default();
+        let events = lines.into_iter().filter_map(|l| Event::read(l.as_ref()));
+        for event in events.filter(|e| e.message == REQUEST) {
+            for attempt in event.text("attempts").split("; ") {
+                let began = number_between(attempt, ": began after ", " ms");
+                let expected = number_between(attempt, " expected ", " ms");
+                if let (Some(expected), Some(seen)) = (expected, began) {
+                    found.add(event.text("service"), expected, seen);
+                }
+            }
+        }
+        found
+    }
+
+    /// Returns whether no line told of a first token.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
+    fn add(&mut self, service: &str, expected: u64, seen: u64) {
+        let rows = self.services.entry(service.to_owned()).or_default();
+        let place = ROWS_MS.iter().position(|top| expected < *top);
+        let row = &mut rows[place.unwrap_or(ROWS_MS.len() - 1)];
+        let row = row.get_or_insert_with(|| {
+            Histogram::new_with_bounds(1, LONGEST_MS, 3).expect("the bounds are in order")
+        });
+        row.saturating_record(seen);
+    }
+}
+
+impl fmt::Display for Expectations {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (service, rows) in &self.services {
+            writeln!(f, "service {service}, ms to the first token")?;
+            writeln!(f, "      expected    count   seen 10%    50%    90%    99%")?;
+            let mut from = 0;
+            for (top, row) in ROWS_MS.iter().zip(rows) {
+                if let Some(row) = row {
+                    let range = match *top {
+                        u64::MAX => format!("{from} and more"),
+                        top => format!("{from} to {top}"),
+                    };
+                    write!(f, "{range:>14} {:>8}   ", row.len())?;
+                    for share in SHARES {
+                        write!(f, " {:>6}", row.value_at_quantile(share))?;
+                    }
+                    writeln!(f)?;
+                }
+                from = *top;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Returns the number between two pieces of text.
+fn number_between(text: &str, before: &str, after: &str) -> Option<u64> {
+    let (_, rest) = text.split_once(before)?;
+    let (number, _) = rest.split_once(after)?;
+    number.parse().ok()
+}
--- a/crates/dotterelrudder_explain/src/story.rs
+++ b/crates/dotterelrudder_explain/src/story.rs
@@ -5,10 +5,9 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::event::REQUEST;
 use crate::Event;
 
-/// The line that an entry writes for each request.
-const REQUEST: &str = "request";
 /// Lines that say what a process goes by from then on; the newest of each kind before a request
 /// is part of its story.
 const BELIEFS: &[&str] = &[
