--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -25,8 +25,9 @@
 use crate::ConfirmedLease;
 use crate::Prompt;
 
-/// The share of the objective that fetching may take; the rest is for reading and the first step.
-const FETCH_SHARE: f64 = 0.5;
+/// How many objectives a fetch may take: callers leave after four, and a part whose fetch is thrown
+/// away is read instead, which makes every other request of the runner later.
+const FETCH_OBJECTIVES: f64 = 2.0;
 /// A fetch that can't take longer than this isn't worth asking for.
 const LEAST_FETCH: Duration = Duration::from_millis(40);
 /// How long a part isn't saved again by this entry, until the directory tells of it.
@@ -132,7 +133,7 @@
             return plan;
         }
         // A request that is late anyway still loads its runner less when its fetch may end.
-        let limit = objective.mul_f64(FETCH_SHARE).max(expected);
+        let limit = objective.mul_f64(FETCH_OBJECTIVES).max(expected);
         let limit = limit.clamp(LEAST_FETCH, FETCH_LIMIT);
         let shared = prompt.parts.len().saturating_sub(1);
         for (i, part) in prompt.parts.iter().enumerate() {
