--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod bodies;
 mod daemon;
 mod entry_file;
+mod first_part;
 mod job;
 mod listener;
 mod offering;
--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -1,11 +1,7 @@
 //! Offers a request to runners until one answers.
 
-use super::attempt::attempt;
 use super::attempt::AttemptEnd;
 use super::attempt::Outgoing;
-use super::upstream::Upstream;
-use bytes::Bytes;
-use dotterelrudder_gateway::AnswerFacts;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::NotPlaced;
 use dotterelrudder_gateway::OutboundCall;
@@ -16,14 +12,11 @@
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::ServiceName;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
-use super::bodies::keep_alive;
-use super::bodies::read_answer;
+use super::first_part::FirstPart;
 use super::job::AttemptLog;
 use super::job::Begun;
 use super::job::Ended;
@@ -303,70 +296,6 @@
             })),
         }
     }
-
-    /// Waits for the whole answer, or for the first part of a stream.
-    pub(super) async fn first_part(
-        &self,
-        outgoing: &Outgoing<'_>,
-        placement: &Placement,
-        call: &OutboundCall,
-        limit: Duration,
-        now: Duration,
-        stream: bool,
-    ) -> FirstPart {
-        let end = attempt(
-            &self.dialect,
-            &self.pool,
-            outgoing,
-            placement,
-            call,
-            limit,
-            now,
-        )
-        .await;
-        let AttemptEnd::Answer {
-            response,
-            facts,
-            mut upstream,
-        } = end
-        else {
-            return FirstPart::Failed(end);
-        };
-        let (head, mut body) = response.into_parts();
-        upstream.keep_alive = keep_alive(&head.headers);
-        if !(stream && head.status.is_success()) {
-            return match read_answer(body).await {
-                Ok(bytes) => FirstPart::Whole(head, bytes, upstream),
-                Err(reason) => lost(&facts, reason),
-            };
-        }
-        loop {
-            match body.frame().await {
-                None => return lost(&facts, "the stream has no event".into()),
-                Some(Err(e)) => return lost(&facts, e.to_string()),
-                Some(Ok(frame)) => {
-                    if let Ok(part) = frame.into_data() {
-                        return FirstPart::Begun(head, Some(part), body, upstream);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Keeps a connection once its answer is off it.
-    pub(super) fn keep(self: &Arc<Self>, mut upstream: Upstream) {
-        if upstream.is_usable() {
-            self.pool.give_back(upstream, self.now());
-            return;
-        }
-        let serving = self.clone();
-        tokio::spawn(async move {
-            let free = timeout(PATIENCE_LEAST, upstream.is_free()).await;
-            if free == Ok(true) {
-                serving.pool.give_back(upstream, serving.now());
-            }
-        });
-    }
 }
 
 /// What became of the offer to one runner.
@@ -377,20 +306,6 @@
     Lost(String),
 }
 
-/// The first part of an answer.
-pub(super) enum FirstPart {
-    Failed(AttemptEnd),
-    Whole(http::response::Parts, Bytes, Upstream),
-    Begun(http::response::Parts, Option<Bytes>, Incoming, Upstream),
-}
-
-fn lost(_facts: &AnswerFacts, reason: String) -> FirstPart {
-    FirstPart::Failed(AttemptEnd::Lost {
-        outcome: RunOutcome::Failed,
-        reason,
-    })
-}
-
 fn note(placement: &Placement, text: &str) -> String {
     let e = &placement.estimate;
     let age = placement.load_age.map_or(-1, |a| a.as_millis() as i64);
--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -97,7 +97,7 @@
         if audit.is_routine() {
             let before = self.routine.fetch_add(1, Ordering::Relaxed);
             let every = u64::from(self.log_answered_every);
-            if every == 0 || before % every != 0 {
+            if every == 0 || !before.is_multiple_of(every) {
                 return;
             }
         }
