--- a/crates/dotterelrudder_gateway/src/gateway/placing.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/placing.rs
@@ -1,8 +1,8 @@
-//! Which runner takes a request, and where its KV cache comes from.
+//! The runners that may take a request, and where its KV cache comes from.
 //!
-//! Load pattern: sessions come back through any entry, prompts of very different sizes meet at
-//! runners whose memories fill up, and some runners are lost, loading or failing. Each request goes
-//! where its first token is expected first; it waits while every memory is full.
+//! Load pattern: some runners are lost, loading, leaving, or serve weights that were replaced, and
+//! callers come back at once. Where none is open, the caller is told when one may be; where some
+//! are, `choosing` decides among them.
 
 use super::choosing::Candidate;
 use super::Gateway;
@@ -32,7 +32,8 @@
 const RETRY_LEAST: Duration = Duration::from_millis(300);
 
 impl Gateway {
-    /// Chooses the runner with the smallest expected time to the first token.
+    /// Chooses the runner of a request by the policy of the settings, and where its KV cache comes
+    /// from.
     ///
     /// # Errors
     ///
