--- a/crates/dotterelrudder_gateway/src/gateway/choosing.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/choosing.rs
@@ -20,6 +20,7 @@
 use crate::RunnerState;
 use compact_str::CompactString;
 use dotterelrudder_types::Policy;
+use dotterelrudder_types::ServiceName;
 use dotterelrudder_wire::PartKey;
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -48,7 +49,7 @@
         let chosen = match self.settings.policy {
             Policy::ExpectedCost | Policy::AlwaysImport | Policy::AlwaysRecompute => {
                 if let Some(prompt) = query.prompt {
-                    self.keep_those_with_room(now, prompt, &home, &mut open);
+                    self.keep_those_with_room(now, query.service, prompt, &home, &mut open);
                 }
                 open.into_iter().min_by_key(|c| {
                     let estimate = self.estimate_of(now, query, &home, c.key);
@@ -88,16 +89,26 @@
         })
     }
 
+    /// Returns the mean share of memory in use at the open runners of a service.
+    pub(super) fn fill(&self, now: Duration, service: &ServiceName) -> f64 {
+        let runners = self.runners.of_service(service);
+        let open: Vec<f64> = runners
+            .filter(|(_, r)| r.is_open(now))
+            .map(|(_, r)| r.memory(now, 0.0))
+            .collect();
+        open.iter().sum::<f64>() / open.len().max(1) as f64
+    }
+
     /// Leaves those in sight that have room for the prompt.
     fn keep_those_with_room(
         &self,
         now: Duration,
+        service: &ServiceName,
         prompt: &Prompt,
         home: &[RunnerKey],
         open: &mut Vec<Candidate>,
     ) {
-        let states = open.iter().filter_map(|c| self.runners.get(c.key));
-        let fill = states.map(|r| r.memory(now, 0.0)).sum::<f64>() / open.len().max(1) as f64;
+        let fill = self.fill(now, service);
         open.sort_unstable();
         let sight = runners_in_sight(open.len(), self.entries);
         let mut place = 0;
--- a/crates/dotterelrudder_gateway/src/gateway/placing.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/placing.rs
@@ -8,6 +8,7 @@
 use super::Gateway;
 use super::RETRY_AFTER_RESTART;
 use crate::cache_salt;
+use crate::fetch_patience;
 use crate::CachePlan;
 use crate::NotPlaced;
 use crate::Placement;
@@ -142,9 +143,10 @@
             Policy::AlwaysImport => FETCH_LIMIT,
             _ => return CachePlan::default(),
         };
+        let patience = fetch_patience(query.objective, self.fill(now, query.service));
         let mut plan = self
             .stored
-            .plan(now, prompt, salt, near, query.objective, expected);
+            .plan(now, prompt, salt, near, patience, expected);
         let Some(session) = prompt.session_part() else {
             return plan;
         };
--- a/crates/dotterelrudder_gateway/src/lib.rs
+++ b/crates/dotterelrudder_gateway/src/lib.rs
@@ -70,6 +70,7 @@
 pub use runner_table::RunnerTable;
 pub use sight::runners_in_sight;
 pub use sight::SIGHT_PERIOD;
+pub use stored_parts::fetch_patience;
 pub use stored_parts::StoredParts;
 pub use waiting_room::RoomNeed;
 pub use waiting_room::WaitingRoom;
--- a/crates/dotterelrudder_gateway/src/memory_reserve.rs
+++ b/crates/dotterelrudder_gateway/src/memory_reserve.rs
@@ -28,6 +28,10 @@
     if prompt.tokens <= SHORT_PROMPT_TOKENS {
         return MEMORY_FULL;
     }
-    let pressure = (fill - FILL_BEGINS) / (FILL_ENDS - FILL_BEGINS);
-    MEMORY_FULL - (MEMORY_FULL - LONG_MEMORY_FULL) * pressure.clamp(0.0, 1.0)
+    MEMORY_FULL - (MEMORY_FULL - LONG_MEMORY_FULL) * pressure(fill)
+}
+
+/// Returns how full memories are everywhere, from 0 for empty to 1, by the mean share in use.
+pub(crate) fn pressure(fill: f64) -> f64 {
+    ((fill - FILL_BEGINS) / (FILL_ENDS - FILL_BEGINS)).clamp(0.0, 1.0)
 }
--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -20,14 +20,18 @@
 use dotterelrudder_wire::FETCH_LIMIT;
 use smallvec::SmallVec;
 
+use crate::memory_reserve::pressure;
 use crate::rendezvous_rank;
 use crate::CachePlan;
 use crate::ConfirmedLease;
 use crate::Prompt;
 
-/// How many objectives a fetch may take: callers leave after four, and a part whose fetch is thrown
-/// away is read instead, which makes every other request of the runner later.
-const FETCH_OBJECTIVES: f64 = 2.0;
+/// How many objectives a fetch may take while memories are empty: a runner that has little to do
+/// reads what isn't there by then and is still in time.
+const FETCH_OBJECTIVES: f64 = 0.5;
+/// The same while memories are full everywhere: callers leave after four, and a part whose fetch is
+/// thrown away is read instead, which makes every other request of the runner later.
+const FETCH_OBJECTIVES_FULL: f64 = 2.0;
 /// A fetch that can't take longer than this isn't worth asking for.
 const LEAST_FETCH: Duration = Duration::from_millis(40);
 /// How long a part isn't saved again by this entry, until the directory tells of it.
@@ -118,14 +122,15 @@
         self.parts.is_empty()
     }
 
-    /// Plans fetches and saves for a request to a runner in a data centre.
+    /// Plans fetches and saves for a request to a runner in a data centre; a fetch may take
+    /// `patience`, or as long as the first token is expected to.
     pub fn plan(
         &mut self,
         now: Duration,
         prompt: &Prompt,
         salt: &str,
         near: &DataCentre,
-        objective: Duration,
+        patience: Duration,
         expected: Duration,
     ) -> CachePlan {
         let mut plan = CachePlan::default();
@@ -133,7 +138,7 @@
             return plan;
         }
         // A request that is late anyway still loads its runner less when its fetch may end.
-        let limit = objective.mul_f64(FETCH_OBJECTIVES).max(expected);
+        let limit = patience.max(expected);
         let limit = limit.clamp(LEAST_FETCH, FETCH_LIMIT);
         let shared = prompt.parts.len().saturating_sub(1);
         for (i, part) in prompt.parts.iter().enumerate() {
@@ -248,6 +253,12 @@
     }
 }
 
+/// Returns how long a fetch may take, by the mean share of memory in use at the open runners.
+pub fn fetch_patience(objective: Duration, fill: f64) -> Duration {
+    let more = (FETCH_OBJECTIVES_FULL - FETCH_OBJECTIVES) * pressure(fill);
+    objective.mul_f64(FETCH_OBJECTIVES + more)
+}
+
 /// Draws a store by rendezvous hashing, weighted by capacity.
 fn choose_by_capacity<'a, I>(stores: I, key: &PartKey) -> Option<SocketAddr>
 where
