--- a/crates/dotterelrudder_control/src/fleet/cache_directory.rs
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -10,6 +10,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -64,11 +65,6 @@
         };
     }
 
-    /// Ends leading.
-    pub fn resign(&mut self) {
-        *self = Self::default();
-    }
-
     /// Takes the stores that a configuration declares.
     pub fn configure(&mut self, cfg: &WholeConfiguration) {
         let declared: Vec<_> = cfg
@@ -143,8 +139,9 @@
             Some(store) => store.parts.keys().cloned().collect(),
             None => return,
         };
+        let listed: HashSet<&PartKey> = held.iter().map(|(key, _)| key).collect();
         for key in known {
-            if !held.iter().any(|(k, _)| *k == key) {
+            if !listed.contains(&key) {
                 self.remove(address, &key);
             }
         }
--- a/crates/dotterelrudder_control/src/fleet/followers.rs
+++ b/crates/dotterelrudder_control/src/fleet/followers.rs
@@ -235,13 +235,9 @@
         now: Duration,
         named: &[ModelWeights],
     ) -> Vec<(SocketAddr, ModelWeights)> {
-        let loads = self.reachable_loads();
-        self.waves.plan(now, named, &loads)
-    }
-
-    fn reachable_loads(&self) -> Vec<RunnerLoad> {
         let beside = self.by_name.values().filter_map(|f| f.beside);
-        beside.filter_map(|a| self.loads.get(&a)).cloned().collect()
+        let reachable: Vec<&RunnerLoad> = beside.filter_map(|a| self.loads.get(&a)).collect();
+        self.waves.plan(now, named, &reachable)
     }
 
     /// Returns the side beside a runner.
--- a/crates/dotterelrudder_control/src/fleet/weight_waves.rs
+++ b/crates/dotterelrudder_control/src/fleet/weight_waves.rs
@@ -4,6 +4,7 @@
 //! its runs and then loads; too many at once slow each other's load and leave too few for the
 //! traffic, too few at once leave requests on old weights for long.
 
+use std::borrow::Borrow;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -34,12 +35,15 @@
 
 impl WeightWaves {
     /// Returns the orders to give now; `loads` are those of the runners whose sides can be reached.
-    pub fn plan(
+    pub fn plan<L>(
         &mut self,
         now: Duration,
         named: &[ModelWeights],
-        loads: &[RunnerLoad],
-    ) -> Vec<(SocketAddr, ModelWeights)> {
+        loads: &[L],
+    ) -> Vec<(SocketAddr, ModelWeights)>
+    where
+        L: Borrow<RunnerLoad>,
+    {
         let mut orders = Vec::new();
         for wanted in named {
             self.plan_model(now, wanted, loads, &mut orders);
@@ -47,15 +51,18 @@
         orders
     }
 
-    fn plan_model(
+    fn plan_model<L>(
         &mut self,
         now: Duration,
         wanted: &ModelWeights,
-        loads: &[RunnerLoad],
+        loads: &[L],
         orders: &mut Vec<(SocketAddr, ModelWeights)>,
-    ) {
+    ) where
+        L: Borrow<RunnerLoad>,
+    {
         let serving: Vec<&RunnerLoad> = loads
             .iter()
+            .map(Borrow::borrow)
             .filter(|load| load.version_of(&wanted.model).is_some())
             .collect();
         let behind = |load: &&&RunnerLoad| {
--- a/crates/dotterelrudder_control/tests/weight_waves.rs
+++ b/crates/dotterelrudder_control/tests/weight_waves.rs
@@ -107,7 +107,7 @@
     assert_eq!(waves.plan(at(2.0), &[weights(2)], &loads).len(), 3);
     let mut late = WeightWaves::default();
     let fresh: Vec<RunnerLoad> = (1..=10).map(|n| load(n, 1)).collect();
-    late.plan(at(0.0), &[weights(2)], &[]);
+    late.plan(at(0.0), &[weights(2)], &Vec::<RunnerLoad>::new());
     late.plan(at(0.0), &[weights(2)], &fresh[..1]);
     assert!(late.plan(at(8.0), &[weights(2)], &fresh).len() >= 9);
 }
--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -70,7 +70,6 @@
                 account: job.admission.account.as_deref(),
                 tried: &log.tried,
                 objective: route.objective,
-                left,
             };
             let placement = match self.find_room(job, &query).await {
                 Ok(placement) => placement,
--- a/crates/dotterelrudder_gateway/src/admission.rs
+++ b/crates/dotterelrudder_gateway/src/admission.rs
@@ -14,6 +14,4 @@
     pub account: Option<Arc<AccountEntry>>,
     /// The service that takes it.
     pub service: ServiceName,
-    /// The version of the configuration that allowed it.
-    pub version: u64,
 }
--- a/crates/dotterelrudder_gateway/src/gateway/admitting.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/admitting.rs
@@ -47,7 +47,6 @@
             route,
             account,
             service,
-            version: self.configuration.version,
         })
     }
 
--- a/crates/dotterelrudder_gateway/src/gateway/choosing.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/choosing.rs
@@ -28,6 +28,16 @@
 /// Tokens that a runner has to read at most when a long prompt is sent to it: what it reads within
 /// a quarter of a second, so that short prompts behind it stay in time.
 const MOST_BACKLOG_TOKENS: f64 = 14_000.0;
+
+/// What a request's choice goes by beside the single runners.
+#[derive(Debug)]
+pub(super) struct Standing {
+    /// The runners of its session in their order of preference.
+    pub(super) home: Vec<RunnerKey>,
+    /// The mean share of memory in use at the open runners.
+    pub(super) fill: f64,
+}
+
 /// A runner that may take the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Candidate {
@@ -43,18 +53,20 @@
         &self,
         now: Duration,
         query: &PlacementQuery<'_>,
+        standing: &Standing,
         mut open: Vec<Candidate>,
     ) -> Result<(RunnerKey, FirstTokenEstimate), NotPlaced> {
-        let home = self.home_order(query);
+        let home = &standing.home;
         let chosen = match self.settings.policy {
             Policy::ExpectedCost | Policy::AlwaysImport | Policy::AlwaysRecompute => {
                 if let Some(prompt) = query.prompt {
-                    self.keep_those_with_room(now, query.service, prompt, &home, &mut open);
+                    self.keep_those_with_room(now, prompt, standing, &mut open);
                 }
-                open.into_iter().min_by_key(|c| {
-                    let estimate = self.estimate_of(now, query, &home, c.key);
-                    (estimate.expected, c.draw)
-                })
+                let estimated = open
+                    .into_iter()
+                    .map(|c| (self.estimate_of(now, query, home, c.key), c));
+                let best = estimated.min_by_key(|(e, c)| (e.expected, c.draw));
+                return best.map(|(e, c)| (c.key, e)).ok_or(NotPlaced::Busy);
             }
             Policy::RoundRobin => {
                 open.sort_unstable_by_key(|c| c.key);
@@ -71,10 +83,18 @@
             }),
         };
         let chosen = chosen.ok_or(NotPlaced::Busy)?;
-        let estimate = self.estimate_of(now, query, &home, chosen.key);
+        let estimate = self.estimate_of(now, query, home, chosen.key);
         Ok((chosen.key, estimate))
     }
 
+    /// Looks once at what the choice and the plan for the KV cache both go by.
+    pub(super) fn standing(&self, now: Duration, query: &PlacementQuery<'_>) -> Standing {
+        Standing {
+            home: self.home_order(query),
+            fill: self.fill(now, query.service),
+        }
+    }
+
     fn estimate_of(
         &self,
         now: Duration,
@@ -90,7 +110,7 @@
     }
 
     /// Returns the mean share of memory in use at the open runners of a service.
-    pub(super) fn fill(&self, now: Duration, service: &ServiceName) -> f64 {
+    fn fill(&self, now: Duration, service: &ServiceName) -> f64 {
         let runners = self.runners.of_service(service);
         let open: Vec<f64> = runners
             .filter(|(_, r)| r.is_open(now))
@@ -103,25 +123,23 @@
     fn keep_those_with_room(
         &self,
         now: Duration,
-        service: &ServiceName,
         prompt: &Prompt,
-        home: &[RunnerKey],
+        standing: &Standing,
         open: &mut Vec<Candidate>,
     ) {
-        let fill = self.fill(now, service);
         open.sort_unstable();
         let sight = runners_in_sight(open.len(), self.entries);
         let mut place = 0;
         open.retain(|c| {
             place += 1;
-            let in_sight = place <= sight || home.contains(&c.key);
+            let in_sight = place <= sight || standing.home.contains(&c.key);
             let runner = self.runners.get(c.key);
-            in_sight && runner.is_some_and(|r| has_room(now, r, prompt, fill))
+            in_sight && runner.is_some_and(|r| has_room(now, r, prompt, standing.fill))
         });
     }
 
     /// Returns the runners of a session in its order of preference.
-    pub(super) fn home_order(&self, query: &PlacementQuery<'_>) -> Vec<RunnerKey> {
+    fn home_order(&self, query: &PlacementQuery<'_>) -> Vec<RunnerKey> {
         let Some(part) = query.prompt.and_then(Prompt::session_part) else {
             return Vec::new();
         };
--- a/crates/dotterelrudder_gateway/src/gateway/placing.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/placing.rs
@@ -5,6 +5,7 @@
 //! are, `choosing` decides among them.
 
 use super::choosing::Candidate;
+use super::choosing::Standing;
 use super::Gateway;
 use super::RETRY_AFTER_RESTART;
 use crate::cache_salt;
@@ -48,22 +49,27 @@
         self.draw_sight(now);
         self.turn = self.turn.wrapping_add(1);
         let open = self.open_runners(now, query)?;
-        let (key, estimate) = self.choose(now, query, open)?;
+        let standing = self.standing(now, query);
+        let (key, estimate) = self.choose(now, query, &standing, open)?;
         let runner = self.runners.get(key).ok_or(NotPlaced::Busy)?;
         let weights = query.prompt.and_then(|p| runner.version_of(&p.model));
         let load_age = runner.load_age(now);
         let row = runner.row.clone();
         let salt = query.prompt.map(|_| cache_salt(weights, query.account));
         let cache = match (query.prompt, &salt) {
-            (Some(prompt), Some(salt)) => {
-                self.plan_cache(now, query, prompt, salt, (key, estimate.expected), &row)
-            }
+            (Some(prompt), Some(salt)) => self.plan_cache(
+                now,
+                query,
+                &standing,
+                (prompt, salt),
+                (key, estimate.expected),
+                &row,
+            ),
             _ => CachePlan::default(),
         };
         Ok(Placement {
             runner: key,
             address: row.address,
-            data_centre: row.data_centre,
             identity: row.identity,
             weights,
             cache_salt: salt,
@@ -131,19 +137,18 @@
         &mut self,
         now: Duration,
         query: &PlacementQuery<'_>,
-        prompt: &Prompt,
-        salt: &CompactString,
-        chosen: (RunnerKey, Duration),
+        standing: &Standing,
+        (prompt, salt): (&Prompt, &str),
+        (chosen, expected): (RunnerKey, Duration),
         row: &RunnerRow,
     ) -> CachePlan {
-        let (chosen, expected) = chosen;
         let near = &row.data_centre;
         let expected = match self.settings.policy {
             Policy::ExpectedCost => expected,
             Policy::AlwaysImport => FETCH_LIMIT,
             _ => return CachePlan::default(),
         };
-        let patience = fetch_patience(query.objective, self.fill(now, query.service));
+        let patience = fetch_patience(query.objective, standing.fill);
         let mut plan = self
             .stored
             .plan(now, prompt, salt, near, patience, expected);
@@ -159,7 +164,7 @@
             plan.save = plan.fetch.clone();
         }
         if plan.fetch[place].is_none() {
-            plan.fetch[place] = self.peer_source(now, query, &session.id, chosen);
+            plan.fetch[place] = self.peer_source(now, query, standing, &session.id, chosen);
         }
         plan
     }
@@ -169,6 +174,7 @@
         &self,
         now: Duration,
         query: &PlacementQuery<'_>,
+        standing: &Standing,
         session: &CompactString,
         chosen: RunnerKey,
     ) -> Option<SocketAddr> {
@@ -181,7 +187,7 @@
             return Some(runner.row.address);
         }
         // Another entry may have sent the session's last request to its home; a miss costs little.
-        let home = *self.home_order(query).first()?;
+        let home = *standing.home.first()?;
         let runner = self.runners.get(home).filter(|_| home != chosen)?;
         let answers = runner.is_open(now) && !runner.is_loading(now);
         answers.then_some(runner.row.address)
--- a/crates/dotterelrudder_gateway/src/placement.rs
+++ b/crates/dotterelrudder_gateway/src/placement.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use dotterelrudder_types::DataCentre;
 
 use crate::CachePlan;
 use crate::FirstTokenEstimate;
@@ -17,8 +16,6 @@
     pub runner: RunnerKey,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Where it stands.
-    pub data_centre: DataCentre,
     /// Its present start.
     pub identity: CompactString,
     /// The weights that it serves of the request's model.
--- a/crates/dotterelrudder_gateway/src/placement_query.rs
+++ b/crates/dotterelrudder_gateway/src/placement_query.rs
@@ -19,6 +19,4 @@
     pub tried: &'a [RunnerKey],
     /// The time within which a first part is on time.
     pub objective: Duration,
-    /// How long the caller still waits.
-    pub left: Duration,
 }
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -213,6 +213,5 @@
         account: None,
         tried,
         objective: ms(1_000),
-        left: ms(10_000),
     }
 }
