--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -3,14 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dotterelrudder_gateway::AnswerFacts;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::OutboundCall;
 use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::RunOutcome;
 use http::header::CONTENT_LENGTH;
 use http::Request;
-use http::Response;
 use http::Version;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -20,41 +18,42 @@
 use super::upstream::SendFault;
 use super::upstream::Upstream;
 
-/// What became of an attempt.
-#[derive(Debug)]
-pub(super) enum AttemptEnd {
-    /// The runner answered; the body is still to be read.
-    Answer {
-        /// The head and the unread body.
-        response: Box<Response<Incoming>>,
-        /// What the head says.
-        facts: AnswerFacts,
-        /// The connection.
-        upstream: Upstream,
-    },
+/// How far a request got that brought no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reach {
     /// Nothing reached the runner.
-    NotSent {
-        /// What that says about the runner.
-        outcome: RunOutcome,
-        /// Why.
-        reason: String,
-    },
+    NotSent,
     /// The runner says that it didn't run the request.
-    Declined {
-        /// What that says about the runner.
-        outcome: RunOutcome,
-        /// Why.
-        reason: String,
-    },
+    Declined,
     /// The request may have run and its answer is lost.
-    Lost {
-        /// What that says about the runner.
-        outcome: RunOutcome,
-        /// Why.
-        reason: String,
-    },
+    Lost,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Debug)]
+pub(super) struct Fault {
+    /// How far the request got.
+    pub(super) reach: Reach,
+    /// What that says about the runner.
+    pub(super) outcome: RunOutcome,
+    /// Why.
+    pub(super) reason: String,
 }
 
+impl Fault {
+    /// Builds the fault of a request that may have run.
+    pub(super) fn lost(reason: impl Into<String>) -> Self {
+        Self {
+            reach: Reach::Lost,
+            outcome: RunOutcome::Failed,
+            reason: reason.into(),
+        }
+    }
+}
+
+/// The head and the unread body of an answer, with its connection.
+pub(super) type Answered = (http::response::Parts, Incoming, Upstream);
+
 /// The request as it is sent on.
 #[derive(Debug)]
 pub(super) struct Outgoing<'a> {
@@ -77,7 +76,7 @@
     call: &OutboundCall,
     head_limit: Duration,
     now: Duration,
-) -> AttemptEnd
+) -> Result<Answered, Fault>
 where
     D: Dialect,
 {
@@ -88,7 +87,7 @@
         Some(upstream) => upstream,
         None => match Upstream::connect(address).await {
             Ok(upstream) => upstream,
-            Err(reason) => return unreachable(pool, placement, reason),
+            Err(reason) => return Err(unreachable(pool, placement, reason)),
         },
     };
     let req = build_request(dialect, outgoing, call);
@@ -97,34 +96,39 @@
         // The server closed the kept connection before the request was written.
         upstream = match Upstream::connect(address).await {
             Ok(upstream) => upstream,
-            Err(reason) => return unreachable(pool, placement, reason),
+            Err(reason) => return Err(unreachable(pool, placement, reason)),
         };
         let req = build_request(dialect, outgoing, call);
         sent = timeout(head_limit, upstream.send(req)).await;
     }
     match sent {
-        Ok(Ok(response)) => judge(dialect, outgoing.id, placement, response, upstream),
-        Ok(Err(SendFault::NotSent)) => AttemptEnd::NotSent {
+        Ok(Ok(response)) => {
+            let (head, body) = response.into_parts();
+            match judge(dialect, outgoing.id, placement, &head) {
+                Some(fault) => Err(fault),
+                None => Ok((head, body, upstream)),
+            }
+        }
+        Ok(Err(SendFault::NotSent)) => Err(Fault {
+            reach: Reach::NotSent,
             outcome: RunOutcome::Failed,
             reason: "closed before the request was sent".into(),
-        },
+        }),
         Ok(Err(SendFault::Broken(reason))) => {
             pool.forget(address);
-            AttemptEnd::Lost {
-                outcome: RunOutcome::Failed,
-                reason,
-            }
+            Err(Fault::lost(reason))
         }
-        Err(_) => AttemptEnd::Lost {
-            outcome: RunOutcome::Failed,
-            reason: format!("no answer within {} ms", head_limit.as_millis()),
-        },
+        Err(_) => Err(Fault::lost(format!(
+            "no answer within {} ms",
+            head_limit.as_millis()
+        ))),
     }
 }
 
-fn unreachable(pool: &Pool, placement: &Placement, reason: String) -> AttemptEnd {
+fn unreachable(pool: &Pool, placement: &Placement, reason: String) -> Fault {
     pool.forget(placement.address);
-    AttemptEnd::NotSent {
+    Fault {
+        reach: Reach::NotSent,
         outcome: RunOutcome::Unreachable,
         reason,
     }
@@ -150,19 +154,17 @@
     req
 }
 
-/// Decides what the head of an answer means.
+/// Returns why an answer isn't the one that was asked for, by its head.
 fn judge<D>(
     dialect: &D,
     id: &str,
     placement: &Placement,
-    response: Response<Incoming>,
-    upstream: Upstream,
-) -> AttemptEnd
+    head: &http::response::Parts,
+) -> Option<Fault>
 where
     D: Dialect,
 {
-    let (head, body) = response.into_parts();
-    let facts = dialect.read_answer(&head);
+    let facts = dialect.read_answer(head);
     let status = head.status.as_u16();
     let foreign = facts.request_id.as_deref().is_some_and(|r| r != id);
     let other_server = facts
@@ -170,37 +172,28 @@
         .as_ref()
         .is_some_and(|i| *i != placement.identity);
     if foreign {
-        return AttemptEnd::Lost {
-            outcome: RunOutcome::Failed,
-            reason: "the answer belongs to another request".into(),
-        };
+        return Some(Fault::lost("the answer belongs to another request"));
     }
+    let declined = |outcome, reason: String| {
+        Some(Fault {
+            reach: Reach::Declined,
+            outcome,
+            reason,
+        })
+    };
     if status == 421 {
         let reason = if other_server {
             "another server has the address"
         } else {
             "the runner serves other weights"
         };
-        return AttemptEnd::Declined {
-            outcome: RunOutcome::Misdirected,
-            reason: reason.into(),
-        };
+        return declined(RunOutcome::Misdirected, reason.into());
     }
     if facts.not_run {
-        return AttemptEnd::Declined {
-            outcome: RunOutcome::Shed,
-            reason: format!("not run, status {status}"),
-        };
+        return declined(RunOutcome::Shed, format!("not run, status {status}"));
     }
     if !facts.signed || facts.encoded {
-        return AttemptEnd::Lost {
-            outcome: RunOutcome::Failed,
-            reason: format!("unsigned answer with status {status}"),
-        };
-    }
-    AttemptEnd::Answer {
-        response: Box::new(Response::from_parts(head, body)),
-        facts,
-        upstream,
+        return Some(Fault::lost(format!("unsigned answer with status {status}")));
     }
+    None
 }
--- a/crates/dotterelrudder_daemon/src/gateway/first_part.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/first_part.rs
@@ -1,18 +1,16 @@
 //! Waits for the first part of a runner's answer.
 
 use super::attempt::attempt;
-use super::attempt::AttemptEnd;
+use super::attempt::Fault;
 use super::attempt::Outgoing;
 use super::bodies::keep_alive;
 use super::bodies::read_answer;
 use super::serving::Serving;
 use super::upstream::Upstream;
 use bytes::Bytes;
-use dotterelrudder_gateway::AnswerFacts;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::OutboundCall;
 use dotterelrudder_gateway::Placement;
-use dotterelrudder_gateway::RunOutcome;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -22,20 +20,12 @@
 /// How long a connection may take to become free behind a whole answer.
 const FREE_LIMIT: Duration = Duration::from_millis(250);
 
-/// The first part of an answer.
+/// An answer that has its first part.
 pub(super) enum FirstPart {
-    Failed(AttemptEnd),
     Whole(http::response::Parts, Bytes, Upstream),
     Begun(http::response::Parts, Option<Bytes>, Incoming, Upstream),
 }
 
-fn lost(_facts: &AnswerFacts, reason: String) -> FirstPart {
-    FirstPart::Failed(AttemptEnd::Lost {
-        outcome: RunOutcome::Failed,
-        reason,
-    })
-}
-
 impl<D> Serving<D>
 where
     D: Dialect,
@@ -49,8 +39,8 @@
         limit: Duration,
         now: Duration,
         stream: bool,
-    ) -> FirstPart {
-        let end = attempt(
+    ) -> Result<FirstPart, Fault> {
+        let answered = attempt(
             &self.dialect,
             &self.pool,
             outgoing,
@@ -58,31 +48,20 @@
             call,
             limit,
             now,
-        )
-        .await;
-        let AttemptEnd::Answer {
-            response,
-            facts,
-            mut upstream,
-        } = end
-        else {
-            return FirstPart::Failed(end);
-        };
-        let (head, mut body) = response.into_parts();
+        );
+        let (head, mut body, mut upstream) = answered.await?;
         upstream.keep_alive = keep_alive(&head.headers);
         if !(stream && head.status.is_success()) {
-            return match read_answer(body).await {
-                Ok(bytes) => FirstPart::Whole(head, bytes, upstream),
-                Err(reason) => lost(&facts, reason),
-            };
+            let bytes = read_answer(body).await.map_err(Fault::lost)?;
+            return Ok(FirstPart::Whole(head, bytes, upstream));
         }
         loop {
             match body.frame().await {
-                None => return lost(&facts, "the stream has no event".into()),
-                Some(Err(e)) => return lost(&facts, e.to_string()),
+                None => return Err(Fault::lost("the stream has no event")),
+                Some(Err(e)) => return Err(Fault::lost(e.to_string())),
                 Some(Ok(frame)) => {
                     if let Ok(part) = frame.into_data() {
-                        return FirstPart::Begun(head, Some(part), body, upstream);
+                        return Ok(FirstPart::Begun(head, Some(part), body, upstream));
                     }
                 }
             }
--- a/crates/dotterelrudder_daemon/src/gateway/job.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/job.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use dotterelrudder_gateway::Admission;
 use dotterelrudder_gateway::CallerCall;
+use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::RoomNeed;
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::RunnerKey;
@@ -11,6 +12,7 @@
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::ServiceName;
 use hyper::body::Incoming;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
@@ -27,8 +29,7 @@
 
 /// An answer that began.
 pub(super) struct Begun {
-    /// Identity and address of the runner that answers, for logs.
-    pub(super) runner: String,
+    pub(super) placement: Arc<Placement>,
     pub(super) head: http::response::Parts,
     pub(super) first: Option<Bytes>,
     pub(super) body: Incoming,
--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -1,7 +1,8 @@
 //! Offers a request to runners until one answers.
 
-use super::attempt::AttemptEnd;
+use super::attempt::Fault;
 use super::attempt::Outgoing;
+use super::attempt::Reach;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::NotPlaced;
 use dotterelrudder_gateway::OutboundCall;
@@ -72,7 +73,7 @@
                 objective: route.objective,
             };
             let placement = match self.find_room(job, &query).await {
-                Ok(placement) => placement,
+                Ok(placement) => Arc::new(placement),
                 Err(refusal) => {
                     let refusal = not_placed(refusal, log);
                     return log.last_answer(refusal);
@@ -80,24 +81,23 @@
             };
             let left = job.deadline.saturating_sub(self.now());
             log.tried.push(placement.runner);
-            let end = self.offer(job, &placement, left, resume_after, log).await;
-            let (reason, outcome, ran) = match end {
-                OfferEnd::Ended(ended) => return ended,
-                OfferEnd::NotSent(reason) => {
-                    log.notes.push(note(&placement, &reason));
-                    continue;
-                }
-                OfferEnd::Declined(reason) => (reason, ErrorKind::Overloaded, false),
-                OfferEnd::Lost(reason) => (reason, ErrorKind::BackendFailed, true),
+            let fault = match self.offer(job, &placement, left, resume_after, log).await {
+                Ok(ended) => return ended,
+                Err(fault) => fault,
+            };
+            log.notes.push(note(&placement, &fault.reason));
+            let outcome = match fault.reach {
+                Reach::NotSent => continue,
+                Reach::Declined => ErrorKind::Overloaded,
+                Reach::Lost => ErrorKind::BackendFailed,
             };
-            log.notes.push(note(&placement, &reason));
-            log.may_have_run += usize::from(ran);
+            log.may_have_run += usize::from(fault.reach == Reach::Lost);
             let most = route.max_runners.max(1) as usize;
             let repeatable = log.may_have_run == 0 || route.kind.may_repeat();
             let allowed =
                 repeatable && log.may_have_run < most && self.may_repeat(&job.admission.service);
             if !allowed {
-                let refusal = given_up(outcome, reason, log);
+                let refusal = given_up(outcome, fault.reason, log);
                 return log.last_answer(refusal);
             }
         }
@@ -155,11 +155,11 @@
     pub(super) async fn offer(
         self: &Arc<Self>,
         job: &Job,
-        placement: &Placement,
+        placement: &Arc<Placement>,
         left: Duration,
         resume_after: Option<&str>,
         log: &mut AttemptLog,
-    ) -> OfferEnd {
+    ) -> Result<Ended, Fault> {
         let route = &job.admission.route;
         let may_repeat = route.kind.may_repeat();
         let call = self.outbound(job, placement, left, resume_after);
@@ -178,59 +178,41 @@
         };
         // Ends before the request's own time does, so that the runner's silence is noted.
         let limit = limit.saturating_sub(LEAST_LEFT);
-        let unread = {
-            let now = self.now();
-            let prompt = job.call.prompt.as_ref();
-            self.gateway().sent(now, placement.runner, prompt)
-        };
-        let now = self.now();
-        let began = now;
-        let run = self.run_guard(job, placement, unread);
+        let began = self.now();
+        let prompt = job.call.prompt.as_ref();
+        let unread = self.gateway().sent(began, placement.runner, prompt);
+        let run = self.run_guard(job, placement, unread, began);
         let first = self.first_part(
             &outgoing,
             placement,
             &call,
             limit,
-            now,
+            began,
             route.kind.is_stream(),
         );
-        let end = match timeout(limit, first).await {
-            Ok(end) => end,
-            Err(_) => FirstPart::Failed(AttemptEnd::Lost {
-                outcome: RunOutcome::Failed,
-                reason: format!("no answer within {} ms", limit.as_millis()),
-            }),
-        };
+        let first = timeout(limit, first).await.unwrap_or_else(|_| {
+            let reason = format!("no answer within {} ms", limit.as_millis());
+            Err(Fault::lost(reason))
+        });
         let took = self.now().saturating_sub(began);
-        match end {
-            FirstPart::Failed(AttemptEnd::NotSent { outcome, reason }) => {
-                run.end(outcome);
-                OfferEnd::NotSent(reason)
-            }
-            FirstPart::Failed(AttemptEnd::Declined { outcome, reason }) => {
-                run.end(outcome);
-                OfferEnd::Declined(reason)
+        match first {
+            Err(fault) => {
+                run.end(fault.outcome);
+                Err(fault)
             }
-            FirstPart::Failed(AttemptEnd::Lost { outcome, reason }) => {
-                run.end(outcome);
-                OfferEnd::Lost(reason)
-            }
-            FirstPart::Failed(AttemptEnd::Answer { .. }) => {
-                OfferEnd::Lost("the answer was not read".into())
-            }
-            FirstPart::Whole(head, body, upstream) => {
+            Ok(FirstPart::Whole(head, body, upstream)) => {
                 run.end(RunOutcome::Answered);
                 self.keep(upstream);
                 let status = head.status;
                 let text = format!("status {} after {} ms", status.as_u16(), took.as_millis());
                 if more && status.is_server_error() {
                     log.failed = Some((head, body));
-                    return OfferEnd::Lost(text);
+                    return Err(Fault::lost(text));
                 }
                 log.notes.push(note(placement, &text));
-                OfferEnd::Ended(Ended::Whole(head, body))
+                Ok(Ended::Whole(head, body))
             }
-            FirstPart::Begun(head, part, body, upstream) => {
+            Ok(FirstPart::Begun(head, first, body, upstream)) => {
                 self.gateway().first_part(placement.runner, unread);
                 let expected = placement.estimate.expected.as_secs_f64();
                 self.metrics
@@ -238,15 +220,14 @@
                 let text = format!("began after {} ms", took.as_millis());
                 log.notes.push(note(placement, &text));
                 let begun = Begun {
-                    runner: format!("{} {}", placement.identity, placement.address),
+                    placement: placement.clone(),
                     head,
-                    first: part,
+                    first,
                     body,
                     upstream,
                     run,
                 };
-                let log = std::mem::take(log);
-                OfferEnd::Ended(Ended::Stream(Box::new(begun), log))
+                Ok(Ended::Stream(Box::new(begun), std::mem::take(log)))
             }
         }
     }
@@ -275,10 +256,15 @@
     }
 
     /// Counts the attempt as ended once the guard ends, whichever way that comes about.
-    fn run_guard(self: &Arc<Self>, job: &Job, placement: &Placement, unread: f64) -> RunGuard {
-        let serving = self.clone();
-        let (began, runner) = (self.now(), placement.runner);
-        let (id, placement) = (job.call.id.clone(), placement.clone());
+    fn run_guard(
+        self: &Arc<Self>,
+        job: &Job,
+        placement: &Arc<Placement>,
+        unread: f64,
+        began: Duration,
+    ) -> RunGuard {
+        let (serving, placement) = (self.clone(), placement.clone());
+        let id = job.call.id.clone();
         RunGuard {
             note: Some(Box::new(move |outcome| {
                 serving.metrics.count_attempt(outcome.as_str());
@@ -290,21 +276,13 @@
                         "attempts" => told);
                 }
                 let mut gateway = serving.gateway();
-                gateway.first_part(runner, unread);
-                gateway.ended(now, runner, outcome);
+                gateway.first_part(placement.runner, unread);
+                gateway.ended(now, placement.runner, outcome);
             })),
         }
     }
 }
 
-/// What became of the offer to one runner.
-pub(super) enum OfferEnd {
-    Ended(Ended),
-    NotSent(String),
-    Declined(String),
-    Lost(String),
-}
-
 fn note(placement: &Placement, text: &str) -> String {
     let e = &placement.estimate;
     let age = placement.load_age.map_or(-1, |a| a.as_millis() as i64);
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -135,9 +135,9 @@
             };
             begun.run.end(RunOutcome::Failed);
             drop(begun.upstream);
-            let runner = std::mem::take(&mut begun.runner);
             slog::info!(self.log, "runner broke off"; "id" => job.call.id.as_str(),
-                "broken" => runner, "reason" => reason,
+                "broken" => format!("{} {}", begun.placement.identity, begun.placement.address),
+                "reason" => reason,
                 "after" => last_event.as_deref().unwrap_or(""));
             log.may_have_run += 1;
             let most = job.admission.route.max_runners.max(1) as usize;
