--- a/crates/dotterelrudder_daemon/src/control/replica.rs
+++ b/crates/dotterelrudder_daemon/src/control/replica.rs
@@ -41,6 +41,7 @@
 use crate::metrics::Metrics;
 use crate::start::build_hub;
 use crate::start::tick;
+use crate::start::TICK;
 use crate::system_clock::SystemClock;
 
 /// How long a stopping leader waits for its successor.
@@ -103,7 +104,7 @@
         let writer = actor.clone();
         std::thread::spawn(move || write_journal(journal, &queue, &writer, &log));
         hub.listen(listen).await?;
-        tokio::spawn(tick(actor.clone(), || ControlMessage::Tick));
+        tokio::spawn(tick(actor.clone(), TICK, || ControlMessage::Tick));
         Ok(Self {
             actor,
             hub,
--- a/crates/dotterelrudder_daemon/src/entry/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/entry/daemon.rs
@@ -32,6 +32,7 @@
 use crate::start::build_hub;
 use crate::start::stop_signal;
 use crate::start::tick;
+use crate::start::TICK;
 use crate::system_clock::SystemClock;
 
 /// How long the last answers may take on their way out after the last request ended.
@@ -99,7 +100,7 @@
     let connections =
         http_server::serve(file.listen, stopped, move |req| callers.clone().handle(req)).await?;
     tokio::spawn(follow_list(file.clone(), hub, actor.clone(), log.clone()));
-    tokio::spawn(tick(actor.clone(), || EntryMessage::Tick));
+    tokio::spawn(tick(actor.clone(), TICK, || EntryMessage::Tick));
     info!(log, "started"; "listen" => %file.listen);
 
     stop_signal().await?;
--- a/crates/dotterelrudder_daemon/src/fleet/control.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/control.rs
@@ -11,10 +11,7 @@
 use dotterelrudder_control::ControlSettings;
 use dotterelrudder_control::RaftTiming;
 use dotterelrudder_types::InstanceName;
-use dotterelrudder_types::Revision;
 use dotterelrudder_types::Role;
-use dotterelrudder_wire::Hello;
-use dotterelrudder_wire::PROTOCOL_VERSION;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -23,6 +20,7 @@
 use tokio::sync::watch;
 
 use super::list_poller::ListPoller;
+use super::seeds::link_targets;
 use super::store_reader::read_stores;
 use super::FleetControlFile;
 use super::ListDialect;
@@ -32,6 +30,7 @@
 use crate::http_server::AnswerBody;
 use crate::logging;
 use crate::metrics::Metrics;
+use crate::start::new_hello;
 use crate::start::stop_signal;
 
 /// How often a leader makes itself heard; a fifth of the shortest silence that counts.
@@ -69,12 +68,7 @@
         let mut names: BTreeSet<InstanceName> = seeds.into_iter().collect();
         names.extend(self.replica.standing().controls);
         names.remove(&self.own);
-        let targets = names
-            .iter()
-            .filter_map(|n| Some((n.clone(), n.as_str().parse::<SocketAddr>().ok()?)));
-        self.replica
-            .hub()
-            .set_mutual_targets(&targets.collect::<Vec<_>>());
+        self.replica.hub().set_mutual_targets(&link_targets(&names));
         self.replica.set_peers(names.into_iter().collect());
     }
 }
@@ -97,15 +91,12 @@
     let log = logging::logger(Role::Control.as_str(), file.name.as_str());
     let own = file.link_name();
     let seeds = file.seeds.names();
-    let hello = Hello {
-        protocol: PROTOCOL_VERSION,
-        secret: file.secret.clone(),
-        name: own.clone(),
-        role: Role::Control,
-        data_centre: file.data_centre.clone(),
-        incarnation: rand::random(),
-        revision: Revision::default(),
-    };
+    let hello = new_hello(
+        own.clone(),
+        Role::Control,
+        file.data_centre.clone(),
+        file.secret.clone(),
+    );
     let settings = ControlSettings {
         name: own.clone(),
         peers: seeds.iter().filter(|s| **s != own).cloned().collect(),
--- a/crates/dotterelrudder_daemon/src/fleet/follower.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -8,16 +8,13 @@
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
-use dotterelrudder_types::Revision;
 use dotterelrudder_types::Role;
 use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::FleetView;
-use dotterelrudder_wire::Hello;
 use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRow;
 use dotterelrudder_wire::WeightOrder;
-use dotterelrudder_wire::PROTOCOL_VERSION;
 use ractor::Actor;
 use ractor::ActorRef;
 use slog::Logger;
@@ -27,10 +24,12 @@
 use super::follower_actor::FollowerState;
 use super::Seeds;
 use crate::start::build_hub;
+use crate::start::new_hello;
+use crate::start::tick;
 use crate::system_clock::SystemClock;
 
 /// How often the follower looks whether a question is due; a fifth of the time between two.
-const TICK: Duration = Duration::from_millis(100);
+const ASK_TICK: Duration = Duration::from_millis(100);
 
 /// What the leading control instance told.
 #[derive(Debug)]
@@ -104,15 +103,7 @@
 where
     N: Fn(FleetNews) + Send + Sync + 'static,
 {
-    let hello = Hello {
-        protocol: PROTOCOL_VERSION,
-        secret: start.secret,
-        name: start.name,
-        role: start.role,
-        data_centre: start.data_centre,
-        incarnation: rand::random(),
-        revision: Revision::default(),
-    };
+    let hello = new_hello(start.name, start.role, start.data_centre, start.secret);
     let (hub, slot) = build_hub(hello, start.log.clone(), FollowerMessage::Link);
     let names = start.seeds.names();
     let first_number = rand::random::<u32>();
@@ -138,12 +129,7 @@
     let spawned = Actor::spawn(None, FollowerActor, state).await;
     let (actor, _handle) = spawned.map_err(|e| e.to_string())?;
     slot.get_or_init(|| actor.clone());
-    let ticking = actor.clone();
-    tokio::spawn(async move {
-        while ticking.send_message(FollowerMessage::Tick).is_ok() {
-            tokio::time::sleep(TICK).await;
-        }
-    });
+    tokio::spawn(tick(actor.clone(), ASK_TICK, || FollowerMessage::Tick));
     let reloaded = actor.clone();
     tokio::spawn(start.seeds.watch(start.path, start.log, move |names| {
         let _stopped = reloaded
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -1,7 +1,6 @@
 //! The actor that follows the leading control instance.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
 use dotterelrudder_follow::FleetFollower;
 use dotterelrudder_types::Clock;
@@ -18,6 +17,7 @@
 use slog::warn;
 use slog::Logger;
 
+use super::seeds::link_targets;
 use super::FleetNews;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
@@ -112,10 +112,7 @@
     fn dial(&self) {
         let named = self.follower.controls().iter();
         let names: BTreeSet<&InstanceName> = named.chain(&self.seeds).chain(&self.told).collect();
-        let targets = names
-            .into_iter()
-            .filter_map(|n| Some((n.clone(), n.as_str().parse::<SocketAddr>().ok()?)));
-        self.hub.set_targets(&targets.collect::<Vec<_>>());
+        self.hub.set_targets(&link_targets(names));
     }
 
     fn on_link(&mut self, event: LinkEvent) {
--- a/crates/dotterelrudder_daemon/src/fleet/seeds.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/seeds.rs
@@ -32,6 +32,18 @@
     InstanceName(format_compact!("{}", SocketAddr::new(ip, link_port)))
 }
 
+/// Returns the control instances with the addresses that [`link_name`] made their names of; others
+/// can't be dialed.
+pub(super) fn link_targets<'a, N>(names: N) -> Vec<(InstanceName, SocketAddr)>
+where
+    N: IntoIterator<Item = &'a InstanceName>,
+{
+    let names = names.into_iter();
+    names
+        .filter_map(|n| Some((n.clone(), n.as_str().parse().ok()?)))
+        .collect()
+}
+
 impl Seeds {
     /// Returns the names of the control instances.
     pub fn names(&self) -> Vec<InstanceName> {
--- a/crates/dotterelrudder_daemon/src/fleet/store_reader.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/store_reader.rs
@@ -8,9 +8,6 @@
 use bytes::Bytes;
 use dotterelrudder_control::FreeParts;
 use dotterelrudder_control::StoreNews;
-use http::header::CONTENT_TYPE;
-use http::Request;
-use http_body_util::Full;
 use slog::info;
 use slog::warn;
 use slog::Logger;
@@ -78,18 +75,13 @@
     D: StoreDialect,
 {
     let (path, body) = dialect.write_free(order);
-    let req = Request::post(format!("http://{}{path}", order.store))
-        .header(CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(body)));
-    let answered = match req {
-        Ok(req) => client.fetch(req, CALL_LIMIT).await.map_err(|e| e.detail),
-        Err(e) => Err(e.to_string()),
-    };
+    let url = format!("http://{}{path}", order.store);
     // What wasn't freed shows in the next list and is chosen again.
-    match answered {
-        Ok((status, _)) => info!(log, "stored parts freed"; "store" => %order.store,
+    match client.post_json(&url, body, CALL_LIMIT).await {
+        Ok(status) => info!(log, "stored parts freed"; "store" => %order.store,
             "parts" => order.parts.len(), "status" => status),
-        Err(e) => warn!(log, "stored parts not freed"; "store" => %order.store, "error" => e),
+        Err(e) => warn!(log, "stored parts not freed"; "store" => %order.store,
+            "error" => e.detail),
     }
 }
 
--- a/crates/dotterelrudder_daemon/src/fleet/watcher.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/watcher.rs
@@ -4,13 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::WeightOrder;
-use http::header::CONTENT_TYPE;
-use http::Request;
-use http_body_util::Full;
 use slog::info;
 use slog::warn;
 use slog::Logger;
@@ -189,12 +185,9 @@
         call: &OrderCall,
     ) -> Result<OrderAnswer, String> {
         let (path, body) = self.dialect.write_order(call);
-        let req = Request::post(format!("http://{}{path}", self.runner))
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)));
-        let req = req.map_err(|e| e.to_string())?;
-        let fetched = client.fetch(req, CALL_LIMIT).await;
-        let (status, _) = fetched.map_err(|e| e.detail)?;
+        let url = format!("http://{}{path}", self.runner);
+        let status = client.post_json(&url, body, CALL_LIMIT).await;
+        let status = status.map_err(|e| e.detail)?;
         Ok(self.dialect.read_order_answer(status))
     }
 }
--- a/crates/dotterelrudder_daemon/src/gateway/pool.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/pool.rs
@@ -27,6 +27,18 @@
     since: Duration,
 }
 
+impl Kept {
+    fn idle(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.since)
+    }
+
+    /// Returns whether the server still keeps it open, for as long as a request takes to it.
+    fn is_usable(&self, now: Duration) -> bool {
+        let limit = self.upstream.keep_alive.unwrap_or(KEEP_ALIVE);
+        self.idle(now) + KEEP_ALIVE_MARGIN < limit && self.upstream.is_usable()
+    }
+}
+
 /// The connections that no request uses now.
 #[derive(Debug, Default)]
 pub(super) struct Pool {
@@ -48,13 +60,10 @@
         let mut kept = self.lock();
         let list = kept.get_mut(&address)?;
         while let Some(last) = list.pop() {
-            let idle = now.saturating_sub(last.since);
-            let limit = last.upstream.keep_alive.unwrap_or(KEEP_ALIVE);
-            let expired = idle + KEEP_ALIVE_MARGIN >= limit;
-            if expired || !last.upstream.is_usable() {
+            if !last.is_usable(now) {
                 continue;
             }
-            if !may_repeat && idle > FRESH_FOR {
+            if !may_repeat && last.idle(now) > FRESH_FOR {
                 list.push(last);
                 return None;
             }
@@ -64,8 +73,7 @@
     }
 
     /// Keeps a connection whose answer is complete.
-    pub(super) fn give_back(&self, mut upstream: Upstream, now: Duration) {
-        upstream.reused = true;
+    pub(super) fn give_back(&self, upstream: Upstream, now: Duration) {
         let mut kept = self.lock();
         let list = kept.entry(upstream.address).or_default();
         if list.len() < MOST_KEPT {
@@ -84,10 +92,7 @@
     /// Closes connections that were idle for too long.
     pub(super) fn sweep(&self, now: Duration) {
         self.lock().retain(|_, list| {
-            list.retain(|k| {
-                let limit = k.upstream.keep_alive.unwrap_or(KEEP_ALIVE);
-                now.saturating_sub(k.since) + KEEP_ALIVE_MARGIN < limit && k.upstream.is_usable()
-            });
+            list.retain(|k| k.is_usable(now));
             !list.is_empty()
         });
     }
--- a/crates/dotterelrudder_daemon/src/gateway/relay.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/relay.rs
@@ -12,6 +12,8 @@
 use hyper::body::Frame;
 use tokio::sync::mpsc;
 
+use super::upstream::EndOnDrop;
+
 /// Why a body ends early; the connection to the caller is then closed without its end.
 #[derive(Debug)]
 pub(super) struct BrokenOff(pub(super) &'static str);
@@ -34,21 +36,11 @@
         .boxed()
 }
 
-/// Ends the task that feeds a body when the caller leaves.
-#[derive(Debug)]
-struct Feeder(tokio::task::JoinHandle<()>);
-
-impl Drop for Feeder {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// A body whose parts come from a task. It ends without its end when the task does so.
 #[derive(Debug)]
 pub(super) struct FedBody {
     rx: mpsc::Receiver<Result<Bytes, BrokenOff>>,
-    _feeder: Feeder,
+    _feeder: EndOnDrop,
 }
 
 impl FedBody {
@@ -59,7 +51,7 @@
     ) -> Self {
         Self {
             rx,
-            _feeder: Feeder(task),
+            _feeder: EndOnDrop(task),
         }
     }
 }
--- a/crates/dotterelrudder_daemon/src/gateway/upstream.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream.rs
@@ -24,9 +24,9 @@
 /// The idle time before a kept connection is probed, and between probes.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 
-/// Ends a task when it is dropped, and with it the connection that the task drives.
+/// Ends a task when it is dropped, and with it the connection or the body that the task drives.
 #[derive(Debug)]
-pub(super) struct EndOnDrop(tokio::task::JoinHandle<()>);
+pub(super) struct EndOnDrop(pub(super) tokio::task::JoinHandle<()>);
 
 impl Drop for EndOnDrop {
     fn drop(&mut self) {
@@ -50,8 +50,6 @@
     _driver: EndOnDrop,
     /// The server.
     pub(super) address: SocketAddr,
-    /// Whether it served a request before.
-    pub(super) reused: bool,
     /// How long the server says that it keeps the connection open while idle.
     pub(super) keep_alive: Option<Duration>,
 }
@@ -103,7 +101,6 @@
             sender,
             _driver: EndOnDrop(driver),
             address,
-            reused: false,
             keep_alive: None,
         })
     }
--- a/crates/dotterelrudder_daemon/src/http_client.rs
+++ b/crates/dotterelrudder_daemon/src/http_client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::CONTENT_TYPE;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -88,6 +89,24 @@
             .unwrap_or(Err(late))
     }
 
+    /// Sends a JSON document by POST; returns the status of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub async fn post_json(
+        &self,
+        url: &str,
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<u16, CallError> {
+        let req = Request::post(url)
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)));
+        let (status, _) = self.fetch(req.map_err(not_built)?, limit).await?;
+        Ok(status)
+    }
+
     /// Fetches a document by GET.
     ///
     /// # Errors
@@ -113,11 +132,7 @@
             req = req.header(name, value);
         }
         let req = req.body(Full::default());
-        let req = req.map_err(|e| CallError {
-            sent: false,
-            detail: e.to_string(),
-        })?;
-        match self.fetch(req, limit).await? {
+        match self.fetch(req.map_err(not_built)?, limit).await? {
             (200..=299, body) => Ok(body),
             (status, _) => Err(CallError {
                 sent: true,
@@ -127,6 +142,13 @@
     }
 }
 
+fn not_built(error: http::Error) -> CallError {
+    CallError {
+        sent: false,
+        detail: error.to_string(),
+    }
+}
+
 /// Writes an error with its causes, which hyper keeps apart.
 fn source_text<E>(error: &E) -> String
 where
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -12,6 +12,16 @@
 
 use crate::logging::dropped_lines;
 
+/// Bounds of the histograms of times, in seconds; 0.63 is the objective that the system is designed
+/// for.
+const SECONDS: &[f64] = &[
+    0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.63, 1.0, 2.0, 5.0, 20.0,
+];
+/// Bounds of the histogram of differences between two times, in seconds.
+const SECONDS_OVER: &[f64] = &[
+    -1.0, -0.4, -0.2, -0.1, -0.05, -0.02, 0.02, 0.05, 0.1, 0.2, 0.4, 1.0, 2.0, 5.0,
+];
+
 /// The instruments of a daemon; docs/OPERATIONS.md explains each.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -60,54 +70,40 @@
             .u64_observable_counter("dotterelrudder_dropped_log_lines")
             .with_callback(|o| o.observe(dropped_lines(), &[]))
             .build();
-        let over = vec![
-            -1.0, -0.4, -0.2, -0.1, -0.05, -0.02, 0.02, 0.05, 0.1, 0.2, 0.4, 1.0, 2.0, 5.0,
-        ];
-        let seconds = vec![
-            0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.63, 1.0, 2.0, 5.0, 20.0,
-        ];
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let gauge = |name: &'static str| meter.u64_gauge(name).build();
+        let histogram = |name: &'static str, bounds: &[f64]| {
+            let builder = meter.f64_histogram(name);
+            builder.with_boundaries(bounds.to_vec()).build()
+        };
         Ok(Self {
             registry,
-            requests: meter.u64_counter("dotterelrudder_requests").build(),
-            refusals: meter.u64_counter("dotterelrudder_refusals").build(),
-            attempts: meter.u64_counter("dotterelrudder_attempts").build(),
-            answers: meter.u64_counter("dotterelrudder_answers").build(),
-            repeats: meter.u64_counter("dotterelrudder_repeats").build(),
-            runners: meter.u64_gauge("dotterelrudder_runners").build(),
-            leads: meter.u64_gauge("dotterelrudder_leads").build(),
-            term: meter.u64_gauge("dotterelrudder_term").build(),
+            requests: counter("dotterelrudder_requests"),
+            refusals: counter("dotterelrudder_refusals"),
+            attempts: counter("dotterelrudder_attempts"),
+            answers: counter("dotterelrudder_answers"),
+            repeats: counter("dotterelrudder_repeats"),
+            runners: gauge("dotterelrudder_runners"),
+            leads: gauge("dotterelrudder_leads"),
+            term: gauge("dotterelrudder_term"),
             confirmed: meter
                 .f64_gauge("dotterelrudder_confirmation_age_seconds")
                 .build(),
-            waited: meter
-                .f64_histogram("dotterelrudder_waited_seconds")
-                .with_boundaries(seconds.clone())
-                .build(),
-            expected_first_token: meter
-                .f64_histogram("dotterelrudder_expected_first_token_seconds")
-                .with_boundaries(seconds.clone())
-                .build(),
-            first_token_over_expected: meter
-                .f64_histogram("dotterelrudder_first_token_over_expected_seconds")
-                .with_boundaries(over)
-                .build(),
-            waiting: meter.u64_gauge("dotterelrudder_waiting_requests").build(),
-            tokens: meter
-                .u64_counter("dotterelrudder_completion_tokens")
-                .build(),
-            cached_tokens: meter.u64_counter("dotterelrudder_cached_tokens").build(),
-            prompt_tokens: meter.u64_counter("dotterelrudder_prompt_tokens").build(),
-            links: meter.u64_gauge("dotterelrudder_open_links").build(),
-            revision: meter.u64_gauge("dotterelrudder_revision").build(),
-            open: meter.u64_gauge("dotterelrudder_open_requests").build(),
-            first_token: meter
-                .f64_histogram("dotterelrudder_first_token_seconds")
-                .with_boundaries(seconds.clone())
-                .build(),
-            sync_seconds: meter
-                .f64_histogram("dotterelrudder_journal_sync_seconds")
-                .with_boundaries(seconds)
-                .build(),
+            waited: histogram("dotterelrudder_waited_seconds", SECONDS),
+            expected_first_token: histogram("dotterelrudder_expected_first_token_seconds", SECONDS),
+            first_token_over_expected: histogram(
+                "dotterelrudder_first_token_over_expected_seconds",
+                SECONDS_OVER,
+            ),
+            waiting: gauge("dotterelrudder_waiting_requests"),
+            tokens: counter("dotterelrudder_completion_tokens"),
+            cached_tokens: counter("dotterelrudder_cached_tokens"),
+            prompt_tokens: counter("dotterelrudder_prompt_tokens"),
+            links: gauge("dotterelrudder_open_links"),
+            revision: gauge("dotterelrudder_revision"),
+            open: gauge("dotterelrudder_open_requests"),
+            first_token: histogram("dotterelrudder_first_token_seconds", SECONDS),
+            sync_seconds: histogram("dotterelrudder_journal_sync_seconds", SECONDS),
             _provider: provider,
         })
     }
--- a/crates/dotterelrudder_daemon/src/side/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/side/daemon.rs
@@ -36,6 +36,7 @@
 use crate::start::build_hub;
 use crate::start::stop_signal;
 use crate::start::tick;
+use crate::start::TICK;
 use crate::system_clock::SystemClock;
 
 /// How long the last messages may take on their way out after the last attempt ended.
@@ -115,7 +116,7 @@
         services_to_dial,
         log.clone(),
     ));
-    tokio::spawn(tick(actor.clone(), || SideMessage::Tick));
+    tokio::spawn(tick(actor.clone(), TICK, || SideMessage::Tick));
     info!(log, "started"; "listen" => %file.listen);
 
     stop_signal().await?;
--- a/crates/dotterelrudder_daemon/src/start.rs
+++ b/crates/dotterelrudder_daemon/src/start.rs
@@ -8,6 +8,9 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use compact_str::CompactString;
+use dotterelrudder_types::DataCentre;
+use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Revision;
 use dotterelrudder_types::Role;
 use dotterelrudder_wire::Hello;
@@ -26,7 +29,7 @@
 use crate::settings::SettingsFile;
 
 /// How often a core is told the time.
-const TICK: Duration = Duration::from_millis(20);
+pub const TICK: Duration = Duration::from_millis(20);
 
 /// The exit code for wrong arguments.
 pub const EXIT_USAGE: u8 = 64;
@@ -111,15 +114,31 @@
 ///
 /// Returns why the secret can't be read.
 pub fn build_hello(common: &CommonSettings, role: Role) -> Result<Hello, String> {
-    Ok(Hello {
+    let secret = read_secret(&common.secret_file)?;
+    Ok(new_hello(
+        common.name.clone(),
+        role,
+        common.data_centre.clone(),
+        secret,
+    ))
+}
+
+/// Builds the hello of this start of a process whose secret is known.
+pub fn new_hello(
+    name: InstanceName,
+    role: Role,
+    data_centre: DataCentre,
+    secret: CompactString,
+) -> Hello {
+    Hello {
         protocol: PROTOCOL_VERSION,
-        secret: read_secret(&common.secret_file)?,
-        name: common.name.clone(),
+        secret,
+        name,
         role,
-        data_centre: common.data_centre.clone(),
+        data_centre,
         incarnation: rand::random(),
         revision: Revision::default(),
-    })
+    }
 }
 
 /// Where the events of connections go: an actor that is started after them.
@@ -141,13 +160,13 @@
     (hub, slot)
 }
 
-/// Tells an actor the time for as long as it lives.
-pub async fn tick<M, T>(actor: ActorRef<M>, tick: T)
+/// Tells an actor the time each `period` for as long as it lives.
+pub async fn tick<M, T>(actor: ActorRef<M>, period: Duration, tick: T)
 where
     M: ractor::Message,
     T: Fn() -> M,
 {
     while actor.send_message(tick()).is_ok() {
-        tokio::time::sleep(TICK).await;
+        tokio::time::sleep(period).await;
     }
 }
