--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -15,7 +15,6 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use super::listener::accept_callers;
 use super::pool::Pool;
 use super::serving::Serving;
 use super::GatewayFile;
@@ -23,6 +22,7 @@
 use crate::fleet::FleetNews;
 use crate::fleet::FollowerStart;
 use crate::http_server;
+use crate::http_server::HeadLimits;
 use crate::logging;
 use crate::metrics::Metrics;
 use crate::start::stop_signal;
@@ -98,7 +98,22 @@
     .await?;
     http_server::serve_admin(file.admin, metrics, move || is_ready()).await?;
     let (close, closed) = watch::channel(false);
-    let callers = accept_callers(file.listen, serving.clone(), closed).await?;
+    let (limiting, accepting, answering) = (serving.clone(), serving.clone(), serving.clone());
+    let callers = http_server::serve_within(
+        file.listen,
+        closed,
+        move || {
+            let gateway = limiting.gateway();
+            let limits = &gateway.configuration().limits;
+            HeadLimits {
+                time: limits.idle_time,
+                bytes: limits.header_bytes,
+            }
+        },
+        move |e| warn!(accepting.log, "caller not accepted"; "error" => e.to_string()),
+        move |req| answering.clone().serve(req),
+    )
+    .await?;
     let using = serving.clone();
     tokio::spawn(async move {
         loop {
@@ -130,7 +145,7 @@
     let _watched = close.send(true);
     let grace = Duration::from_secs_f64(file.stop_grace_s);
     let left = grace.saturating_sub(BALANCER_NOTICES + STOP_MARGIN);
-    if timeout(left, callers.gone()).await.is_err() {
+    if timeout(left, callers.closed()).await.is_err() {
         warn!(log, "answers are cut off by the end of the grace");
     }
     info!(log, "stopped");
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -8,7 +8,6 @@
 mod entry_file;
 mod first_part;
 mod job;
-mod listener;
 mod offering;
 mod pool;
 mod refusals;
--- a/crates/dotterelrudder_daemon/src/http_server.rs
+++ b/crates/dotterelrudder_daemon/src/http_server.rs
@@ -1,6 +1,7 @@
 //! HTTP servers with limits, and the answers that several of them give.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
@@ -36,6 +38,8 @@
 const BODY_LIMIT: Duration = Duration::from_secs(20);
 /// Bytes of a header at most.
 const MAX_HEADER_BYTES: usize = 64 * 1024;
+/// The smallest buffer that the HTTP library takes for a head.
+const LEAST_HEAD_BYTES: usize = 8_192;
 /// Bytes of a body at most.
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 /// How long to pause after the system refused a connection.
@@ -54,6 +58,15 @@
     }
 }
 
+/// Bounds on the heads that a connection may send.
+#[derive(Debug, Clone, Copy)]
+pub struct HeadLimits {
+    /// How long a head may take; it runs while a connection is idle as well.
+    pub time: Duration,
+    /// Bytes of a head at most; the HTTP library takes no less than 8,192.
+    pub bytes: usize,
+}
+
 /// Serves HTTP until `stop` turns true, then finishes the requests in work on each connection.
 ///
 /// # Errors
@@ -67,6 +80,34 @@
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let limits = || HeadLimits {
+        time: HEADER_LIMIT,
+        bytes: MAX_HEADER_BYTES,
+    };
+    serve_within(address, stop, limits, |_| (), handler).await
+}
+
+/// Serves HTTP like [`serve`], with limits that are asked for at each connection; `refused` is told
+/// what the system says when it can't accept one.
+///
+/// # Errors
+///
+/// Returns what the system says when the address can't be listened at.
+pub async fn serve_within<L, R, H, F, B>(
+    address: SocketAddr,
+    stop: watch::Receiver<bool>,
+    limits: L,
+    refused: R,
+    handler: H,
+) -> Result<Connections, String>
+where
+    L: Fn() -> HeadLimits + Send + 'static,
+    R: Fn(std::io::Error) + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let listener = TcpListener::bind(address).await;
     let listener = listener.map_err(|e| format!("listen {address}: {e}"))?;
@@ -78,15 +119,20 @@
             tokio::select! {
                 accepted = listener.accept() => match accepted {
                     Ok((tcp, _)) => {
-                        let _nodelay = tcp.set_nodelay(true);
+                        // Without it answers are only later by a delayed acknowledgement.
+                        let _refused = tcp.set_nodelay(true).is_err();
                         let io = TokioIo::new(tcp);
                         let (stop, handler, alive) = (stop.clone(), handler.clone(), alive.clone());
+                        let limits = limits();
                         tokio::spawn(async move {
-                            serve_connection(io, stop, handler).await;
+                            serve_connection(io, stop, limits, handler).await;
                             drop(alive);
                         });
                     }
-                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+                    Err(e) => {
+                        refused(e);
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                    }
                 },
                 () = wait_for_stop(&mut stopped) => return,
             }
@@ -96,19 +142,22 @@
 }
 
 /// Waits until the server shall stop, or forever when nobody can stop it any more.
-pub async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
+async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
     if stop.wait_for(|stop| *stop).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
 
-async fn serve_connection<H, F>(
+async fn serve_connection<H, F, B>(
     io: TokioIo<tokio::net::TcpStream>,
     mut stop: watch::Receiver<bool>,
+    limits: HeadLimits,
     handler: Arc<H>,
 ) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
-    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let service = hyper::service::service_fn(move |req| {
         let answer = handler(req);
@@ -116,14 +165,15 @@
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_LIMIT)
-        .max_buf_size(MAX_HEADER_BYTES)
+        .header_read_timeout(limits.time)
+        .max_buf_size(limits.bytes.max(LEAST_HEAD_BYTES))
         .serve_connection(io, service);
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
         () = wait_for_stop(&mut stop) => connection.as_mut().graceful_shutdown(),
     }
+    // A caller's broken connection concerns only that caller.
     let _ended = connection.await;
 }
 
