--- a/crates/dotterelrudder_gateway/tests/placement.rs
+++ b/crates/dotterelrudder_gateway/tests/placement.rs
@@ -39,15 +39,13 @@
 
 #[test]
 fn a_leaving_or_silent_runner_gets_nothing() {
-    let (service, mut gateway) = (engines(), gateway(2));
+    let mut gateway = gateway(2);
     let mut leaving = row(1, "engines", "north");
     leaving.leaving = true;
     gateway.on_runners(vec![leaving, row(2, "engines", "north")]);
     for n in 0..20 {
         let prompt = prompt(&format!("s{n}"), 1_000, 10);
-        let placed = gateway
-            .place(ms(1), &query(&service, Some(&prompt), &[]))
-            .unwrap();
+        let placed = place(&mut gateway, ms(1), &prompt).unwrap();
         assert_eq!(placed.identity, "i-2");
     }
     // The list may still show it as taking work; the earlier word holds.
@@ -56,26 +54,22 @@
     silent.answers = false;
     gateway.on_loads(ms(2), vec![silent]);
     let prompt = prompt("s", 1_000, 10);
-    let refusal = refused(gateway.place(ms(3), &query(&service, Some(&prompt), &[])));
+    let refusal = refused(place(&mut gateway, ms(3), &prompt));
     assert_eq!(refusal.kind, ErrorKind::NoBackendServer);
     assert!(refusal.is_not_run() && refusal.retry_after.is_some());
 }
 
 #[test]
 fn an_unreachable_runner_is_left_out_until_it_may_be_back() {
-    let (service, mut gateway) = (engines(), gateway(1));
+    let mut gateway = gateway(1);
     let prompt = prompt("s", 1_000, 10);
-    let placed = gateway
-        .place(ms(0), &query(&service, Some(&prompt), &[]))
-        .unwrap();
+    let placed = place(&mut gateway, ms(0), &prompt).unwrap();
     gateway.sent(ms(0), placed.runner, Some(&prompt));
     gateway.ended(ms(0), placed.runner, RunOutcome::Unreachable);
-    let refusal = refused(gateway.place(ms(10), &query(&service, Some(&prompt), &[])));
+    let refusal = refused(place(&mut gateway, ms(10), &prompt));
     let wait = refusal.retry_after.unwrap();
     assert!(wait >= ms(990) && wait < ms(990).mul_f64(1.25), "{wait:?}");
-    assert!(gateway
-        .place(ms(1_000), &query(&service, Some(&prompt), &[]))
-        .is_ok());
+    assert!(place(&mut gateway, ms(1_000), &prompt).is_ok());
 }
 
 /// Requests begin on named weights once the time for older ones is up, wherever there is room.
@@ -86,9 +80,7 @@
     named.weights = weights(2);
     gateway.on_view(ms(100), named, Some(ms(100)));
     let prompt = prompt("s", 1_000, 10);
-    let placed = gateway
-        .place(ms(200), &query(&service, Some(&prompt), &[]))
-        .unwrap();
+    let placed = place(&mut gateway, ms(200), &prompt).unwrap();
     assert_eq!(placed.weights, Some(1));
     let mut newer = load(2, 30, 0);
     newer.weights = vec![ModelWeights {
@@ -96,9 +88,7 @@
         version: 2,
     }];
     gateway.on_loads(ms(300), vec![newer]);
-    let placed = gateway
-        .place(ms(300), &query(&service, Some(&prompt), &[]))
-        .unwrap();
+    let placed = place(&mut gateway, ms(300), &prompt).unwrap();
     assert_eq!((placed.identity.as_str(), placed.weights), ("i-2", Some(2)));
     let tried: [RunnerKey; 1] = [placed.runner];
     let refused = gateway.place(ms(9_000), &query(&service, Some(&prompt), &tried));
@@ -124,13 +114,13 @@
 /// runner takes what it reads in a quarter of a second and one more; the rest waits.
 #[test]
 fn a_burst_of_one_session_spills_over_to_idle_runners() {
-    let (service, mut gateway) = (engines(), gateway(9));
+    let mut gateway = gateway(9);
     gateway.on_loads(ms(0), (1..=9).map(|n| load(n, 0, 0)).collect());
     let prompt = prompt("s", 8_000, 3_000);
     let mut sent: BTreeMap<String, u32> = BTreeMap::new();
     let mut waiting = 0;
     for _ in 0..60 {
-        match gateway.place(ms(1), &query(&service, Some(&prompt), &[])) {
+        match place(&mut gateway, ms(1), &prompt) {
             Ok(placed) => {
                 gateway.sent(ms(1), placed.runner, Some(&prompt));
                 *sent.entry(placed.identity.to_string()).or_default() += 1;
@@ -148,33 +138,27 @@
 /// Load pattern: a runner's memory is full of running requests, so that one more would preempt.
 #[test]
 fn a_runner_with_full_memory_is_passed_over() {
-    let (service, mut gateway) = (engines(), gateway(2));
+    let mut gateway = gateway(2);
     let prompt = prompt("s", 8_000, 3_000);
-    let home = gateway
-        .place(ms(0), &query(&service, Some(&prompt), &[]))
-        .unwrap();
+    let home = place(&mut gateway, ms(0), &prompt).unwrap();
     let full: u16 = home.identity[2..].parse().unwrap();
     gateway.on_loads(
         ms(0),
         vec![load(full, 8, 90_000), load(3 - full, 8, 20_000)],
     );
-    let placed = gateway
-        .place(ms(1), &query(&service, Some(&prompt), &[]))
-        .unwrap();
+    let placed = place(&mut gateway, ms(1), &prompt).unwrap();
     assert_ne!(placed.identity, home.identity);
 }
 
 /// Load pattern: a runner fails half of its requests while its health check is good.
 #[test]
 fn a_failing_runner_gets_few_requests() {
-    let (service, mut gateway) = (engines(), gateway(3));
+    let mut gateway = gateway(3);
     let mut to_failing = 0;
     for n in 0..200u64 {
         let now = ms(n * 20);
         let prompt = prompt(&format!("s{n}"), 1_500, 500);
-        let placed = gateway
-            .place(now, &query(&service, Some(&prompt), &[]))
-            .unwrap();
+        let placed = place(&mut gateway, now, &prompt).unwrap();
         gateway.sent(now, placed.runner, Some(&prompt));
         gateway.first_part(placed.runner, 1e9);
         let failing = placed.identity == "i-1";
@@ -193,53 +177,43 @@
 /// read again, so that it waits; a short one still fits.
 #[test]
 fn prompts_wait_while_every_memory_is_full() {
-    let (service, mut gateway) = (engines(), gateway(2));
+    let mut gateway = gateway(2);
     gateway.on_loads(ms(0), vec![load(1, 8, 80_000), load(2, 8, 80_000)]);
     let long = prompt("s", 8_000, 3_000);
-    let placed = gateway.place(ms(1), &query(&service, Some(&long), &[]));
+    let placed = place(&mut gateway, ms(1), &long);
     assert_eq!(placed, Err(NotPlaced::Busy));
     let short = prompt("s", 1_500, 500);
-    assert!(gateway
-        .place(ms(1), &query(&service, Some(&short), &[]))
-        .is_ok());
+    assert!(place(&mut gateway, ms(1), &short).is_ok());
     // An empty runner takes any prompt, however large.
     gateway.on_loads(ms(2), vec![load(1, 0, 90_000), load(2, 8, 90_000)]);
-    assert!(gateway
-        .place(ms(3), &query(&service, Some(&long), &[]))
-        .is_ok());
+    assert!(place(&mut gateway, ms(3), &long).is_ok());
 }
 
 /// Naming another version soon after the first one doesn't lengthen the first one's time.
 #[test]
 fn each_named_version_sets_its_own_time() {
-    let (service, mut gateway) = (engines(), gateway(2));
+    let mut gateway = gateway(2);
     for (at, version) in [(100, 2), (900, 3)] {
         let mut named = view(1);
         named.weights = weights(version);
         gateway.on_view(ms(at), named, Some(ms(at)));
     }
     let prompt = prompt("s", 1_000, 10);
-    assert!(gateway
-        .place(ms(7_500), &query(&service, Some(&prompt), &[]))
-        .is_ok());
-    let refused = gateway.place(ms(7_700), &query(&service, Some(&prompt), &[]));
+    assert!(place(&mut gateway, ms(7_500), &prompt).is_ok());
+    let refused = place(&mut gateway, ms(7_700), &prompt);
     assert!(matches!(refused, Err(NotPlaced::Refused(_))));
 }
 
 /// A runner whose side stopped reporting may be gone with it.
 #[test]
 fn a_runner_without_reports_is_chosen_last() {
-    let (service, mut gateway) = (engines(), gateway(2));
+    let mut gateway = gateway(2);
     let prompt = prompt("s", 1_000, 10);
-    let home = gateway
-        .place(ms(0), &query(&service, Some(&prompt), &[]))
-        .unwrap();
+    let home = place(&mut gateway, ms(0), &prompt).unwrap();
     let n: u16 = home.identity[2..].parse().unwrap();
     gateway.on_loads(ms(0), vec![load(n, 0, 0), load(3 - n, 0, 0)]);
     gateway.on_loads(ms(2_000), vec![load(3 - n, 0, 0)]);
-    let placed = gateway
-        .place(ms(2_000), &query(&service, Some(&prompt), &[]))
-        .unwrap();
+    let placed = place(&mut gateway, ms(2_000), &prompt).unwrap();
     assert_ne!(placed.identity, home.identity);
 }
 
@@ -247,7 +221,7 @@
 /// requests, so that they go to others, or wait when there is none.
 #[test]
 fn a_loading_runner_gets_nothing() {
-    let (service, mut gateway) = (engines(), gateway(2));
+    let mut gateway = gateway(2);
     let loading = |n| {
         let mut load = load(n, 0, 0);
         load.loading = true;
@@ -255,12 +229,10 @@
     };
     gateway.on_loads(ms(0), vec![loading(1), load(2, 60, 80_000)]);
     let prompt = prompt("s", 1_000, 10);
-    let placed = gateway
-        .place(ms(1), &query(&service, Some(&prompt), &[]))
-        .unwrap();
+    let placed = place(&mut gateway, ms(1), &prompt).unwrap();
     assert_eq!(placed.identity, "i-2");
     gateway.on_loads(ms(2), vec![loading(2)]);
-    let placed = gateway.place(ms(3), &query(&service, Some(&prompt), &[]));
+    let placed = place(&mut gateway, ms(3), &prompt);
     assert_eq!(placed, Err(NotPlaced::Busy));
 }
 
@@ -268,21 +240,17 @@
 /// long ones would be late, so that long ones wait while a runner has a quarter of a second to read.
 #[test]
 fn long_prompts_wait_while_runners_have_much_to_read() {
-    let (service, mut gateway) = (engines(), gateway(1));
+    let mut gateway = gateway(1);
     let mut reading = load(1, 8, 30_000);
     reading.waiting = 6;
     gateway.on_loads(ms(0), vec![reading]);
     let long = prompt("s", 8_000, 3_000);
-    let placed = gateway.place(ms(1), &query(&service, Some(&long), &[]));
+    let placed = place(&mut gateway, ms(1), &long);
     assert_eq!(placed, Err(NotPlaced::Busy));
     let short = prompt("s", 1_500, 500);
-    assert!(gateway
-        .place(ms(1), &query(&service, Some(&short), &[]))
-        .is_ok());
+    assert!(place(&mut gateway, ms(1), &short).is_ok());
     gateway.on_loads(ms(2), vec![load(1, 8, 30_000)]);
-    assert!(gateway
-        .place(ms(3), &query(&service, Some(&long), &[]))
-        .is_ok());
+    assert!(place(&mut gateway, ms(3), &long).is_ok());
 }
 
 /// How often each of 40 runners is chosen when as many entries as on a larger deployment place
@@ -344,14 +312,11 @@
 /// more for room.
 #[test]
 fn long_prompts_leave_room_for_short_ones_while_memories_fill_up() {
-    let service = engines();
     let (long, short) = (prompt("l", 8_000, 3_000), prompt("s", 1_500, 500));
     let mut gateway = filled(72_000);
-    let placed = gateway.place(ms(2), &query(&service, Some(&long), &[]));
+    let placed = place(&mut gateway, ms(2), &long);
     assert!(matches!(placed, Err(NotPlaced::Busy)), "{placed:?}");
-    assert!(gateway
-        .place(ms(2), &query(&service, Some(&short), &[]))
-        .is_ok());
+    assert!(place(&mut gateway, ms(2), &short).is_ok());
 }
 
 /// Where only some memories are full, nothing is held free for nobody.
@@ -380,26 +345,20 @@
 /// Load pattern: the runner that looks best for a long prompt has too much to read, others don't.
 #[test]
 fn a_prompt_goes_elsewhere_while_only_its_home_is_crowded() {
-    let service = engines();
     let mut gateway = gateway(3);
     let long = prompt("s", 8_000, 3_000);
-    let home = gateway
-        .place(ms(1), &query(&service, Some(&long), &[]))
-        .unwrap();
+    let home = place(&mut gateway, ms(1), &long).unwrap();
     let n: u16 = home.identity.trim_start_matches("i-").parse().unwrap();
     // A little over what a memory may hold, so that it still looks best.
     let used = |m: u16| if m == n { 74_900 } else { 30_000 };
     gateway.on_loads(ms(2), (1..=3).map(|m| load(m, 8, used(m))).collect());
-    let placed = gateway
-        .place(ms(3), &query(&service, Some(&long), &[]))
-        .unwrap();
+    let placed = place(&mut gateway, ms(3), &long).unwrap();
     assert_ne!(placed.identity, home.identity);
 }
 
 /// The baselines that the choice is measured against do what their names say, and use no stores.
 #[test]
 fn each_baseline_chooses_by_its_own_rule() {
-    let service = engines();
     let chosen = |policy: Policy, seed: u64| -> Vec<String> {
         let mut own = settings();
         own.policy = policy;
@@ -412,7 +371,7 @@
         gateway.on_loads(ms(1), loads);
         let prompt = prompt("s", 8_000, 2_000);
         let placed = (0..6).map(|n| {
-            let placed = gateway.place(ms(2 + n), &query(&service, Some(&prompt), &[]));
+            let placed = place(&mut gateway, ms(2 + n), &prompt);
             let placed = placed.expect("baselines wait for nothing");
             assert!(!placed.cache.fetches() && !placed.cache.saves());
             placed.identity.to_string()
--- a/crates/dotterelrudder_gateway/tests/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/tests/stored_parts.rs
@@ -3,8 +3,11 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use dotterelrudder_gateway::fetch_patience;
+use dotterelrudder_gateway::CachePlan;
+use dotterelrudder_gateway::Prompt;
 use dotterelrudder_gateway::StoredParts;
 use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::PartKey;
@@ -65,16 +68,21 @@
     parts
 }
 
+/// Plans a request to a runner in the north whose fetch may take a second.
+fn plan_at(parts: &mut StoredParts, now: Duration, prompt: &Prompt) -> CachePlan {
+    parts.plan(now, prompt, "v1", &"north".into(), ms(1_000), ms(0))
+}
+
 #[test]
 fn stored_parts_are_fetched_and_others_saved_once() {
     let mut parts = parts();
     let prompt = prompt("s", 8_000, 2_000);
-    let plan = parts.plan(ms(100), &prompt, "v1", &"north".into(), ms(1_000), ms(0));
+    let plan = plan_at(&mut parts, ms(100), &prompt);
     assert_eq!(plan.fetch.as_slice(), [None, Some(address(1)), None]);
     // The common part is short and goes to the store with the fast link; the own part nowhere.
     assert_eq!(plan.save.as_slice(), [Some(address(2)), None, None]);
     assert_eq!(plan.until_ms, Some(1_000 + 100 + 1_000));
-    let again = parts.plan(ms(200), &prompt, "v1", &"north".into(), ms(1_000), ms(0));
+    let again = plan_at(&mut parts, ms(200), &prompt);
     assert!(!again.saves());
     assert_eq!(parts.take_used(), [key("s")]);
 }
@@ -96,11 +104,8 @@
 fn a_directory_that_isn_t_confirmed_is_not_used() {
     let mut parts = parts();
     let prompt = prompt("s", 8_000, 2_000);
-    let near = "north".into();
-    assert!(parts
-        .plan(ms(3_199), &prompt, "v1", &near, ms(1_000), ms(0))
-        .fetches());
-    let plan = parts.plan(ms(3_200), &prompt, "v1", &near, ms(1_000), ms(0));
+    assert!(plan_at(&mut parts, ms(3_199), &prompt).fetches());
+    let plan = plan_at(&mut parts, ms(3_200), &prompt);
     assert!(!plan.fetches() && !plan.saves());
     // Confirming another directory than the one held doesn't count.
     parts.confirm(11, ms(3_200), 4_200, ms(3_200));
@@ -126,14 +131,7 @@
     gone.removed = vec![(address(1), key("s"))];
     assert!(parts.update(gone));
     parts.confirm(11, ms(0), 1_000, ms(0));
-    let plan = parts.plan(
-        ms(1),
-        &prompt("s", 8_000, 10),
-        "v1",
-        &"north".into(),
-        ms(1_000),
-        ms(0),
-    );
+    let plan = plan_at(&mut parts, ms(1), &prompt("s", 8_000, 10));
     assert!(!plan.fetches());
 }
 
@@ -145,14 +143,7 @@
     full.stores[1].fill = 0.95;
     assert!(parts.update(full));
     parts.confirm(11, ms(0), 1_000, ms(0));
-    let plan = parts.plan(
-        ms(1),
-        &prompt("s", 8_000, 10),
-        "v1",
-        &"north".into(),
-        ms(1_000),
-        ms(0),
-    );
+    let plan = plan_at(&mut parts, ms(1), &prompt("s", 8_000, 10));
     assert_eq!(plan.save[0], Some(address(1)));
 }
 
@@ -165,16 +156,7 @@
     closed.stores.iter_mut().for_each(|s| s.accepts = false);
     parts.update(closed);
     parts.confirm(10, ms(0), 1_000, ms(0));
-    assert!(!parts
-        .plan(
-            ms(1),
-            &prompt("s", 8_000, 10),
-            "v1",
-            &"north".into(),
-            ms(1_000),
-            ms(0)
-        )
-        .saves());
+    assert!(!plan_at(&mut parts, ms(1), &prompt("s", 8_000, 10)).saves());
 }
 
 /// Load pattern: many sessions are fetched at once, and links to the stores are busy. Seen on a
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -14,6 +14,8 @@
 use dotterelrudder_gateway::CallerCall;
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::GatewaySettings;
+use dotterelrudder_gateway::NotPlaced;
+use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::PlacementQuery;
 use dotterelrudder_gateway::Prompt;
 use dotterelrudder_gateway::PromptPart;
@@ -215,3 +217,12 @@
         objective: ms(1_000),
     }
 }
+
+/// Places a request for the engines that was tried nowhere yet.
+pub fn place(
+    gateway: &mut Gateway,
+    now: Duration,
+    prompt: &Prompt,
+) -> Result<Placement, NotPlaced> {
+    gateway.place(now, &query(&engines(), Some(prompt), &[]))
+}
