--- a/crates/dotterelrudder_daemon/src/control/replica.rs
+++ b/crates/dotterelrudder_daemon/src/control/replica.rs
@@ -11,7 +11,6 @@
 
 use dotterelrudder_control::ControlCore;
 use dotterelrudder_control::ControlSettings;
-use dotterelrudder_control::ControlStatus;
 use dotterelrudder_control::FreeParts;
 use dotterelrudder_control::StoreNews;
 use dotterelrudder_types::Clock;
@@ -144,14 +143,6 @@
         })
     }
 
-    /// Returns the deployment as the replica sees it.
-    pub async fn status(&self) -> Option<ControlStatus> {
-        let (reply, status) = oneshot::channel();
-        let sent = self.actor.send_message(ControlMessage::Status(reply));
-        sent.ok()?;
-        status.await.ok()
-    }
-
     /// Names the other control instances.
     pub fn set_peers(&self, peers: Vec<InstanceName>) {
         self.tell(ControlMessage::Peers(peers));
--- a/crates/dotterelrudder_gateway/src/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runner_table.rs
@@ -99,14 +99,4 @@
             (condition, alike.count())
         })
     }
-
-    /// Returns how many runners are known.
-    pub fn len(&self) -> usize {
-        self.runners.len()
-    }
-
-    /// Returns whether no runner is known.
-    pub fn is_empty(&self) -> bool {
-        self.runners.is_empty()
-    }
 }
