Pass over runners whose reports have stopped

Cause: a machine that freezes or loses power takes the side with its runner, so that nobody says that the runner doesn't answer.

Change: an entry suspects a runner whose report is 0.85 s older than it should be while reports of others still come, passes it over while others have room, asks nothing from its memory, and takes it back by its next report; a suspected runner counts as full as it was. Sides tell an unchanged load every 0.3 s instead of 0.6 s. When all reports stop at once nobody is suspected. One log line for each change of trust.

Ruled out: suspecting by age alone, since all reports age while no control instance leads.

What is left there was sent before its runner froze and may not be repeated.

--- a/crates/dotterelrudder_daemon/src/fleet/watcher.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/watcher.rs
@@ -25,8 +25,9 @@
 const CALL_LIMIT: Duration = Duration::from_millis(300);
 /// Reports without an answer after which the runner counts as down.
 const MISSES: u32 = 2;
-/// An unchanged report is told again this often, so that its age stays small.
-const TELL_EVERY: Duration = Duration::from_millis(600);
+/// An unchanged report is told again this often, so that its age stays small: entries suspect a
+/// runner whose reports stop.
+const TELL_EVERY: Duration = Duration::from_millis(300);
 /// How long an order without a clear answer is left to show an effect before it is sent again.
 const ORDER_PATIENCE: Duration = Duration::from_millis(500);
 
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -178,7 +178,18 @@
             gateway.on_runners(rows);
         }
         FleetNews::Directory(update) => gateway.on_directory(*update),
-        FleetNews::Loads(loads) => gateway.on_loads(now, loads),
+        FleetNews::Loads(loads) => {
+            for change in gateway.on_loads(now, loads) {
+                let text = if change.suspected {
+                    "runner suspected, its reports stopped"
+                } else {
+                    "runner reports again"
+                };
+                info!(serving.log, "{}", text; "runner" => change.identity.as_str(),
+                    "address" => %change.address,
+                    "load_age_ms" => change.load_age.as_millis() as u64);
+            }
+        }
         // Orders go to sides.
         FleetNews::Order(_) => {}
     }
--- a/crates/dotterelrudder_gateway/src/gateway/choosing.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/choosing.rs
@@ -113,7 +113,7 @@
     fn fill(&self, now: Duration, service: &ServiceName) -> f64 {
         let runners = self.runners.of_service(service);
         let open: Vec<f64> = runners
-            .filter(|(_, r)| r.is_open(now))
+            .filter(|(_, r)| r.is_open(now) && !r.suspected)
             .map(|(_, r)| r.memory(now, 0.0))
             .collect();
         open.iter().sum::<f64>() / open.len().max(1) as f64
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 use crate::RunnerKey;
 use crate::RunnerTable;
 use crate::StoredParts;
+use crate::SuspicionChange;
 use compact_str::CompactString;
 use dotterelrudder_config::whole::AccountEntry;
 use dotterelrudder_config::whole::WholeConfiguration;
@@ -136,11 +137,15 @@
         self.stored.take_used()
     }
 
-    /// Takes load reports.
-    pub fn on_loads(&mut self, now: Duration, loads: Vec<RunnerLoad>) {
-        for load in loads {
-            self.runners.reported(load, now);
-        }
+    /// Takes load reports; returns whose trust changed.
+    pub fn on_loads(&mut self, now: Duration, loads: Vec<RunnerLoad>) -> Vec<SuspicionChange> {
+        self.runners.reported(loads, now)
+    }
+
+    /// Returns whether a runner may have fallen silent.
+    pub fn doubts(&self, now: Duration, runner: RunnerKey) -> bool {
+        let runner = self.runners.get(runner);
+        runner.is_some_and(|r| r.is_doubted(now))
     }
 
     /// Returns how many runners are in each condition.
--- a/crates/dotterelrudder_gateway/src/gateway/placing.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/placing.rs
@@ -50,7 +50,13 @@
         self.turn = self.turn.wrapping_add(1);
         let open = self.open_runners(now, query)?;
         let standing = self.standing(now, query);
-        let (key, estimate) = self.choose(now, query, &standing, open)?;
+        let (suspected, trusted): (Vec<_>, Vec<_>) =
+            open.into_iter().partition(|c| self.suspects(c.key));
+        let chosen = self.choose(now, query, &standing, trusted);
+        let (key, estimate) = match chosen {
+            Err(NotPlaced::Busy) => self.choose(now, query, &standing, suspected)?,
+            chosen => chosen?,
+        };
         let runner = self.runners.get(key).ok_or(NotPlaced::Busy)?;
         let weights = query.prompt.and_then(|p| runner.version_of(&p.model));
         let load_age = runner.load_age(now);
@@ -79,6 +85,11 @@
         })
     }
 
+    /// Returns whether a runner is passed over while others have room.
+    fn suspects(&self, key: RunnerKey) -> bool {
+        self.runners.get(key).is_some_and(|r| r.suspected)
+    }
+
     /// Returns the runners that may take the request, with their places in the draw.
     fn open_runners(
         &mut self,
@@ -180,7 +191,7 @@
     ) -> Option<SocketAddr> {
         let peers = self.runners.of_service(query.service);
         let holding = peers.filter(|(key, r)| {
-            *key != chosen && r.is_open(now) && !r.is_loading(now) && r.holds_session(session, now)
+            *key != chosen && is_source(now, r) && r.holds_session(session, now)
         });
         let last = holding.max_by_key(|(_, r)| r.session_used(session));
         if let Some((_, runner)) = last {
@@ -189,8 +200,7 @@
         // Another entry may have sent the session's last request to its home; a miss costs little.
         let home = *standing.home.first()?;
         let runner = self.runners.get(home).filter(|_| home != chosen)?;
-        let answers = runner.is_open(now) && !runner.is_loading(now);
-        answers.then_some(runner.row.address)
+        is_source(now, runner).then_some(runner.row.address)
     }
 
     /// Returns whether a runner's weights may still begin a request.
@@ -207,3 +217,9 @@
         since.is_none_or(|at| now < at + limit)
     }
 }
+
+/// Returns whether KV cache may be fetched from a runner; one that doesn't answer costs tenths of a
+/// second.
+fn is_source(now: Duration, runner: &RunnerState) -> bool {
+    runner.is_open(now) && !runner.is_loading(now) && !runner.suspected
+}
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -32,6 +32,8 @@
     pub health: RunnerHealth,
     /// Its place in this entry's present draw; the lowest ones are in sight.
     pub draw: u32,
+    /// Whether its reports have stopped while those of other runners still come.
+    pub suspected: bool,
     load: Option<(RunnerLoad, Duration)>,
     sessions: HashMap<CompactString, Duration>,
     in_flight: u32,
@@ -49,6 +51,7 @@
             listed: true,
             health: RunnerHealth::default(),
             draw: 0,
+            suspected: false,
             load: None,
             sessions: HashMap::new(),
             in_flight: 0,
@@ -93,6 +96,7 @@
         self.sent_since = 0;
         self.sent_tokens = 0.0;
         self.unread_since = 0.0;
+        self.suspected = false;
         self.load = Some((load, now));
     }
 
@@ -101,7 +105,14 @@
         (now.saturating_sub(*at) < LOAD_AGE_LIMIT).then_some(load)
     }
 
-    /// Returns the age of the last load report, for logs.
+    /// Returns the last report for as long as it says how full the runner is. A suspected runner
+    /// counts as full as it was: unknown isn't empty.
+    fn known_load(&self, now: Duration) -> Option<&RunnerLoad> {
+        let suspected = self.load.as_ref().filter(|_| self.suspected);
+        suspected.map(|(load, _)| load).or(self.fresh_load(now))
+    }
+
+    /// Returns the age of the last load report.
     pub fn load_age(&self, now: Duration) -> Option<Duration> {
         self.load.as_ref().map(|(_, at)| now.saturating_sub(*at))
     }
@@ -134,6 +145,11 @@
         self.load.is_some() && self.fresh_load(now).is_none()
     }
 
+    /// Returns whether the runner may have fallen silent: its side says so, or reports no more.
+    pub fn is_doubted(&self, now: Duration) -> bool {
+        self.suspected || self.fresh_load(now).is_some_and(|load| !load.answers)
+    }
+
     /// Returns whether the runner is about to change its weights.
     pub fn is_loading(&self, now: Duration) -> bool {
         self.fresh_load(now).is_some_and(|load| load.loading)
@@ -148,7 +164,7 @@
 
     /// Returns the requests in the runner's batch and queue, with own sends since its report.
     pub fn batch(&self, now: Duration) -> f64 {
-        let reported = self.fresh_load(now).map(|l| l.running + l.waiting);
+        let reported = self.known_load(now).map(|l| l.running + l.waiting);
         match reported {
             Some(n) => f64::from(n.max(self.in_flight.min(n + self.sent_since)) + self.sent_since),
             None => f64::from(self.in_flight),
@@ -158,14 +174,14 @@
     /// Returns the prompt tokens that the runner is expected to read before a new request: those of
     /// own requests, or what its report tells of all entries' with what was sent since.
     pub fn backlog(&self, now: Duration) -> f64 {
-        let told = self.fresh_load(now).map(|l| f64::from(l.waiting));
+        let told = self.known_load(now).map(|l| f64::from(l.waiting));
         let reported = told.map_or(0.0, |n| n * MEAN_UNREAD + self.unread_since);
         reported.max(self.unread)
     }
 
     /// Returns the share of the runner's memory in use with `tokens` more.
     pub fn memory(&self, now: Duration, tokens: f64) -> f64 {
-        match self.fresh_load(now) {
+        match self.known_load(now) {
             Some(l) if l.total_tokens > 0 => {
                 (l.used_tokens as f64 + self.sent_tokens + tokens) / l.total_tokens as f64
             }
--- a/crates/dotterelrudder_gateway/src/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runner_table.rs
@@ -10,8 +10,10 @@
 use rand::Rng;
 use slotmap::SlotMap;
 
+use crate::NewsFlow;
 use crate::RunnerCondition;
 use crate::RunnerState;
+use crate::SuspicionChange;
 
 slotmap::new_key_type! {
     /// Names a runner in the table of an entry.
@@ -23,6 +25,7 @@
 pub struct RunnerTable {
     runners: SlotMap<RunnerKey, RunnerState>,
     by_identity: HashMap<CompactString, RunnerKey>,
+    news: NewsFlow,
 }
 
 impl RunnerTable {
@@ -50,8 +53,39 @@
         self.by_identity.retain(|_, key| runners.contains_key(*key));
     }
 
+    /// Takes load reports; returns the runners that are suspected from now on, or not any more.
+    pub fn reported(&mut self, loads: Vec<RunnerLoad>, now: Duration) -> Vec<SuspicionChange> {
+        let were_suspected: Vec<RunnerKey> = self.suspected().collect();
+        self.news.came(now);
+        for load in loads {
+            self.report(load, now);
+        }
+        let news = &self.news;
+        for runner in self.runners.values_mut().filter(|r| r.listed) {
+            let age = runner.load_age(now);
+            runner.suspected |= age.is_some_and(|age| news.is_missing(now, age));
+        }
+        let are_suspected: Vec<RunnerKey> = self.suspected().collect();
+        let begun = are_suspected.iter().filter(|k| !were_suspected.contains(k));
+        let ended = were_suspected.iter().filter(|k| !are_suspected.contains(k));
+        let changed = begun.chain(ended).filter_map(|key| self.runners.get(*key));
+        changed
+            .map(|runner| SuspicionChange {
+                identity: runner.row.identity.clone(),
+                address: runner.row.address,
+                suspected: runner.suspected,
+                load_age: runner.load_age(now).unwrap_or_default(),
+            })
+            .collect()
+    }
+
+    fn suspected(&self) -> impl Iterator<Item = RunnerKey> + '_ {
+        let suspected = self.runners.iter().filter(|(_, r)| r.suspected);
+        suspected.map(|(key, _)| key)
+    }
+
     /// Takes a load report, which names a runner by its address.
-    pub fn reported(&mut self, load: RunnerLoad, now: Duration) {
+    fn report(&mut self, load: RunnerLoad, now: Duration) {
         let matching = self.runners.values_mut().find(|r| {
             let same_start =
                 load.born_ms == 0 || r.row.born_ms == 0 || load.born_ms == r.row.born_ms;
