Let no caller wait for a runner that hangs, drips or sends without end

Change: a request without first token at a runner that may have fallen silent goes elsewhere after half an objective, a stream that may be resumed after one pause objective (five at a runner that nobody doubts), counted from its last event, not byte; the repeat is taken out of the budget before anything is given up. What may not be repeated stays. Bounds on a head, an event, a whole answer and all gathered answers, each a setting; streams of both kinds are passed on by whole events.

Ruled out: ending streams that can't be resumed sooner, since a frozen runner may wake in time.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -27,6 +27,8 @@
     Declined,
     /// The request may have run and its answer is lost.
     Lost,
+    /// As [`Self::Lost`], and a repeat was taken out of the budget before the attempt was given up.
+    Silent,
 }
 
 /// Why an attempt brought no answer.
@@ -85,7 +87,7 @@
     let was_kept = kept.is_some();
     let mut upstream = match kept {
         Some(upstream) => upstream,
-        None => match Upstream::connect(address).await {
+        None => match pool.connect(address).await {
             Ok(upstream) => upstream,
             Err(reason) => return Err(unreachable(pool, placement, reason)),
         },
@@ -94,7 +96,7 @@
     let mut sent = timeout(head_limit, upstream.send(req)).await;
     if was_kept && matches!(sent, Ok(Err(SendFault::NotSent))) {
         // The server closed the kept connection before the request was written.
-        upstream = match Upstream::connect(address).await {
+        upstream = match pool.connect(address).await {
             Ok(upstream) => upstream,
             Err(reason) => return Err(unreachable(pool, placement, reason)),
         };
@@ -192,7 +194,8 @@
     if facts.not_run {
         return declined(RunOutcome::Shed, format!("not run, status {status}"));
     }
-    if !facts.signed || facts.encoded {
+    // An answer that names no request may be a late copy of an earlier one's.
+    if !facts.signed || facts.encoded || facts.request_id.is_none() {
         return Some(Fault::lost(format!("unsigned answer with status {status}")));
     }
     None
--- a/crates/dotterelrudder_daemon/src/gateway/bodies.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/bodies.rs
@@ -11,9 +11,6 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Bytes of an answer that is read whole before it is passed on.
-const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-
 /// Reads the body of a caller's request within the limits.
 pub(super) async fn read_body(
     body: Incoming,
@@ -43,12 +40,6 @@
     }
 }
 
-pub(super) async fn read_answer(body: Incoming) -> Result<Bytes, String> {
-    let collected = Limited::new(body, MOST_ANSWER_BYTES).collect().await;
-    let collected = collected.map_err(|e| e.to_string())?;
-    Ok(collected.to_bytes())
-}
-
 /// Reads how long a server keeps an idle connection.
 pub(super) fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use super::gathering::Gathering;
 use super::pool::Pool;
 use super::serving::Serving;
 use super::GatewayFile;
@@ -56,11 +57,13 @@
         dialect,
         gateway: Mutex::new(Gateway::new(file.decisions(), rand::random())),
         room: Mutex::default(),
-        pool: Pool::default(),
+        pool: Pool::new(file.answer_limits().head_bytes),
         clock: clock.clone(),
         metrics: metrics.clone(),
         log: log.clone(),
         leaving: leaving.clone(),
+        answer_limits: file.answer_limits(),
+        gathering: Gathering::default(),
         log_answered_every: file.log_answered_every,
         routine: AtomicU64::new(0),
     });
--- a/crates/dotterelrudder_daemon/src/gateway/first_part.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/first_part.rs
@@ -4,7 +4,6 @@
 use super::attempt::Fault;
 use super::attempt::Outgoing;
 use super::bodies::keep_alive;
-use super::bodies::read_answer;
 use super::serving::Serving;
 use super::upstream::Upstream;
 use bytes::Bytes;
@@ -52,7 +51,8 @@
         let (head, mut body, mut upstream) = answered.await?;
         upstream.keep_alive = keep_alive(&head.headers);
         if !(stream && head.status.is_success()) {
-            let bytes = read_answer(body).await.map_err(Fault::lost)?;
+            let bytes = self.gathering.read(body, &self.answer_limits).await;
+            let bytes = bytes.map_err(Fault::lost)?;
             return Ok(FirstPart::Whole(head, bytes, upstream));
         }
         loop {
--- a/crates/dotterelrudder_daemon/src/gateway/job.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/job.rs
@@ -27,6 +27,16 @@
     pub(super) deadline: Duration,
 }
 
+impl Job {
+    /// Returns whether the request may run at one more runner beside those where it may have run
+    /// and the one where it is now.
+    pub(super) fn may_run_again(&self, log: &AttemptLog) -> bool {
+        let route = &self.admission.route;
+        let most = route.max_runners.max(1) as usize;
+        route.kind.may_repeat() && log.may_have_run + 1 < most
+    }
+}
+
 /// An answer that began.
 pub(super) struct Begun {
     pub(super) placement: Arc<Placement>,
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The daemon of an entry that calls backend servers itself; see docs/design/platform.md.
 
+mod answer_limits;
 mod attempt;
 mod audit;
 mod beliefs;
@@ -7,6 +8,7 @@
 mod daemon;
 mod entry_file;
 mod first_part;
+mod gathering;
 mod job;
 mod offering;
 mod pool;
@@ -16,5 +18,7 @@
 mod streaming;
 mod upstream;
 
+pub use answer_limits::AnswerLimits;
+pub use answer_limits::ByteLimit;
 pub use daemon::run_entry;
 pub use entry_file::GatewayFile;
--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -10,6 +10,7 @@
 use dotterelrudder_gateway::PlacementQuery;
 use dotterelrudder_gateway::RoomNeed;
 use dotterelrudder_gateway::RunOutcome;
+use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::ServiceName;
@@ -34,6 +35,10 @@
 /// How much of the objective a repeatable request waits for an answer before another runner is
 /// asked.
 const PATIENCE_OBJECTIVES: f64 = 2.0;
+/// The same at a runner that may have fallen silent.
+const DOUBTED_OBJECTIVES: f64 = 0.5;
+/// How often an attempt looks whether its runner is still trusted; reports come twice as rarely.
+pub(super) const LOOK_AT_RUNNER: Duration = Duration::from_millis(100);
 /// Bounds on the wait for an answer before another runner is asked.
 const PATIENCE_LEAST: Duration = Duration::from_millis(250);
 /// The least time left for which a runner is still asked.
@@ -89,13 +94,14 @@
             let outcome = match fault.reach {
                 Reach::NotSent => continue,
                 Reach::Declined => ErrorKind::Overloaded,
-                Reach::Lost => ErrorKind::BackendFailed,
+                Reach::Lost | Reach::Silent => ErrorKind::BackendFailed,
             };
-            log.may_have_run += usize::from(fault.reach == Reach::Lost);
+            log.may_have_run += usize::from(fault.reach != Reach::Declined);
             let most = route.max_runners.max(1) as usize;
             let repeatable = log.may_have_run == 0 || route.kind.may_repeat();
-            let allowed =
-                repeatable && log.may_have_run < most && self.may_repeat(&job.admission.service);
+            let allowed = repeatable
+                && log.may_have_run < most
+                && (fault.reach == Reach::Silent || self.may_repeat(&job.admission.service));
             if !allowed {
                 let refusal = given_up(outcome, fault.reason, log);
                 return log.last_answer(refusal);
@@ -169,7 +175,7 @@
             id: &job.call.id,
             may_repeat,
         };
-        let more = may_repeat && log.may_have_run + 1 < route.max_runners.max(1) as usize;
+        let more = job.may_run_again(log);
         let limit = if more {
             let patience = route.objective.mul_f64(PATIENCE_OBJECTIVES);
             patience.max(PATIENCE_LEAST).min(left)
@@ -190,10 +196,18 @@
             began,
             route.kind.is_stream(),
         );
-        let first = timeout(limit, first).await.unwrap_or_else(|_| {
-            let reason = format!("no answer within {} ms", limit.as_millis());
-            Err(Fault::lost(reason))
-        });
+        let first = timeout(limit, first);
+        let first = tokio::select! {
+            first = first => first.unwrap_or_else(|_| {
+                let reason = format!("no answer within {} ms", limit.as_millis());
+                Err(Fault::lost(reason))
+            }),
+            () = self.falls_silent(job, placement.runner, began), if more => Err(Fault {
+                reach: Reach::Silent,
+                outcome: RunOutcome::Unreachable,
+                reason: "no answer, and the runner fell silent".into(),
+            }),
+        };
         let took = self.now().saturating_sub(began);
         match first {
             Err(fault) => {
@@ -232,6 +246,20 @@
         }
     }
 
+    /// Waits until an attempt isn't worth waiting for any more: its runner may have fallen silent
+    /// and the request may run at another one. Takes the repeat out of the budget.
+    async fn falls_silent(&self, job: &Job, runner: RunnerKey, began: Duration) {
+        let patience = job.admission.route.objective.mul_f64(DOUBTED_OBJECTIVES);
+        loop {
+            tokio::time::sleep(LOOK_AT_RUNNER).await;
+            let now = self.now();
+            let doubted = now > began + patience && self.gateway().doubts(now, runner);
+            if doubted && self.may_repeat(&job.admission.service) {
+                return;
+            }
+        }
+    }
+
     pub(super) fn outbound(
         &self,
         job: &Job,
--- a/crates/dotterelrudder_daemon/src/gateway/pool.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/pool.rs
@@ -40,12 +40,31 @@
 }
 
 /// The connections that no request uses now.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Pool {
+    /// Bytes of an answer's head at most, and of what a server sends behind a complete answer.
+    head_bytes: usize,
     kept: Mutex<HashMap<SocketAddr, Vec<Kept>>>,
 }
 
 impl Pool {
+    /// Starts without connections.
+    pub(super) fn new(head_bytes: usize) -> Self {
+        Self {
+            head_bytes,
+            kept: Mutex::default(),
+        }
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no connection came about.
+    pub(super) async fn connect(&self, address: SocketAddr) -> Result<Upstream, String> {
+        Upstream::connect(address, self.head_bytes).await
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Kept>>> {
         self.kept.lock().unwrap_or_else(|e| e.into_inner())
     }
--- a/crates/dotterelrudder_daemon/src/gateway/serving.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/serving.rs
@@ -1,7 +1,9 @@
 //! Serves one request of a caller: admission, attempts, answer.
 
+use super::answer_limits::AnswerLimits;
 use super::audit::AuditGuard;
 use super::audit::RequestAudit;
+use super::gathering::Gathering;
 use super::pool::Pool;
 use super::relay::whole;
 use super::relay::RelayBody;
@@ -49,6 +51,9 @@
     pub(super) metrics: Metrics,
     pub(super) log: Logger,
     pub(super) leaving: watch::Receiver<bool>,
+    /// Bounds on what backend servers send.
+    pub(super) answer_limits: AnswerLimits,
+    pub(super) gathering: Gathering,
     /// One in how many requests that were answered at once leaves its line; 0 for none.
     pub(super) log_answered_every: u32,
     /// Requests that were answered at once, with and without a line.
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -4,10 +4,14 @@
 use super::relay::FedBody;
 use super::relay::RelayBody;
 use bytes::Bytes;
+use compact_str::CompactString;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::EventSplitter;
 use dotterelrudder_gateway::RunOutcome;
+use dotterelrudder_gateway::StreamProgress;
 use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
+use http::HeaderMap;
 use http::Response;
 use http_body_util::BodyExt;
 use std::sync::Arc;
@@ -18,11 +22,39 @@
 use super::job::Begun;
 use super::job::Ended;
 use super::job::Job;
+use super::offering::LOOK_AT_RUNNER;
 use super::serving::Serving;
 
 /// Parts of a stream that wait for a slow caller before the runner is read no further.
 const STREAM_PARTS: usize = 32;
 
+/// Why a runner's stream is passed on no further.
+#[derive(Debug)]
+struct Broken {
+    reason: String,
+    outcome: RunOutcome,
+    /// Whether a repeat was taken out of the budget already.
+    repeat_taken: bool,
+}
+
+/// How the stream of one runner ended.
+#[derive(Debug)]
+enum Passed {
+    Whole,
+    CallerLeft,
+    Broken(Broken),
+}
+
+impl Passed {
+    fn broken(reason: impl Into<String>) -> Self {
+        Self::Broken(Broken {
+            reason: reason.into(),
+            outcome: RunOutcome::Failed,
+            repeat_taken: false,
+        })
+    }
+}
+
 impl<D> Serving<D>
 where
     D: Dialect,
@@ -31,7 +63,7 @@
     pub(super) fn stream(
         self: &Arc<Self>,
         job: Arc<Job>,
-        mut begun: Begun,
+        begun: Begun,
         log: AttemptLog,
     ) -> Response<RelayBody> {
         let (tx, rx) = mpsc::channel(STREAM_PARTS);
@@ -41,14 +73,7 @@
         let cut = job.began + job.admission.route.time_limit;
         let task = tokio::spawn(async move {
             let left = cut.saturating_sub(serving.now());
-            let first = begun.first.take();
-            let feed = async {
-                if job.admission.route.kind.may_repeat() {
-                    serving.feed_resumable(&job, begun, first, log, &tx).await
-                } else {
-                    serving.feed_once(begun, first, &tx).await
-                }
-            };
+            let feed = serving.feed(&job, begun, log, &tx);
             let fed = match timeout(left, feed).await {
                 Ok(fed) => fed,
                 Err(_) => Err(BrokenOff("the time limit of the route passed")),
@@ -63,88 +88,41 @@
         self.pass_on(head, FedBody::new(rx, task).boxed())
     }
 
-    /// Feeds a stream that runs once, part by part.
-    pub(super) async fn feed_once(
-        self: &Arc<Self>,
-        mut begun: Begun,
-        first: Option<Bytes>,
-        tx: &mpsc::Sender<Result<Bytes, BrokenOff>>,
-    ) -> Result<(), BrokenOff> {
-        let mut next = first;
-        loop {
-            if let Some(part) = next.take() {
-                if tx.send(Ok(part)).await.is_err() {
-                    return Ok(());
-                }
-            }
-            match begun.body.frame().await {
-                None => {
-                    begun.run.end(RunOutcome::Answered);
-                    self.keep(begun.upstream);
-                    return Ok(());
-                }
-                Some(Err(_)) => {
-                    begun.run.end(RunOutcome::Failed);
-                    return Err(BrokenOff("the runner broke off"));
-                }
-                Some(Ok(frame)) => next = frame.into_data().ok(),
-            }
-        }
-    }
-
-    /// Feeds a stream by whole events, and goes on at another runner when one breaks off.
-    pub(super) async fn feed_resumable(
+    /// Feeds a stream by whole events. When its runner breaks off or falls silent, it goes on at
+    /// another one behind the last event, where the route allows that.
+    async fn feed(
         self: &Arc<Self>,
         job: &Arc<Job>,
         mut begun: Begun,
-        first: Option<Bytes>,
         mut log: AttemptLog,
         tx: &mpsc::Sender<Result<Bytes, BrokenOff>>,
     ) -> Result<(), BrokenOff> {
         let mut last_event = job.call.resume_after.clone();
-        let mut next = first;
         loop {
-            let mut splitter = EventSplitter::default();
-            let broken = loop {
-                if let Some(part) = next.take() {
-                    splitter.push(&part);
-                    while let Some(event) = splitter.take() {
-                        if event.id.is_some() {
-                            last_event = event.id;
-                        }
-                        if tx.send(Ok(event.bytes)).await.is_err() {
-                            return Ok(());
-                        }
-                    }
-                }
-                match begun.body.frame().await {
-                    None => break None,
-                    Some(Err(e)) => break Some(e.to_string()),
-                    Some(Ok(frame)) => next = frame.into_data().ok(),
-                }
-            };
-            let Some(reason) = broken else {
-                begun.run.end(RunOutcome::Answered);
-                self.keep(begun.upstream);
-                let rest = Bytes::copy_from_slice(splitter.rest());
-                if !rest.is_empty() {
-                    // The caller may have left already.
-                    let _gone = tx.send(Ok(rest)).await.is_err();
+            let broken = match self
+                .pass_events(job, &mut begun, &log, &mut last_event, tx)
+                .await
+            {
+                Passed::Whole => {
+                    begun.run.end(RunOutcome::Answered);
+                    self.keep(begun.upstream);
+                    return Ok(());
                 }
-                return Ok(());
+                Passed::CallerLeft => return Ok(()),
+                Passed::Broken(broken) => broken,
             };
-            begun.run.end(RunOutcome::Failed);
+            begun.run.end(broken.outcome);
             drop(begun.upstream);
             slog::info!(self.log, "runner broke off"; "id" => job.call.id.as_str(),
                 "broken" => format!("{} {}", begun.placement.identity, begun.placement.address),
-                "reason" => reason,
+                "reason" => broken.reason,
                 "after" => last_event.as_deref().unwrap_or(""));
-            log.may_have_run += 1;
-            let most = job.admission.route.max_runners.max(1) as usize;
-            let service = &job.admission.service;
-            if log.may_have_run >= most || !self.may_repeat(service) {
+            let allowed = job.may_run_again(&log)
+                && (broken.repeat_taken || self.may_repeat(&job.admission.service));
+            if !allowed {
                 return Err(BrokenOff("the runner broke off"));
             }
+            log.may_have_run += 1;
             let after = last_event.clone();
             let ended = self.run(job, &mut log, after.as_deref()).await;
             let mut tried = std::mem::take(&mut log.notes);
@@ -155,7 +133,6 @@
                         "id" => job.call.id.as_str(), "attempts" => tried.join("; "));
                     begun = *more;
                     log = newer;
-                    next = begun.first.take();
                 }
                 Ended::Whole(..) | Ended::Refused(_) => {
                     slog::info!(self.log, "stream goes on nowhere";
@@ -165,4 +142,99 @@
             }
         }
     }
+
+    /// Passes the events of one runner's answer on until it ends one way or another.
+    async fn pass_events(
+        &self,
+        job: &Job,
+        begun: &mut Begun,
+        log: &AttemptLog,
+        last_event: &mut Option<CompactString>,
+        tx: &mpsc::Sender<Result<Bytes, BrokenOff>>,
+    ) -> Passed {
+        let limits = &self.answer_limits;
+        let pause_objective = job.admission.route.pause_objective;
+        let mut progress = StreamProgress::new(pause_objective, self.now());
+        let mut splitter = EventSplitter::default();
+        let mut received = 0;
+        let mut next = begun.first.take();
+        loop {
+            if let Some(part) = next.take() {
+                received += part.len();
+                splitter.push(&part);
+                while let Some(event) = splitter.take() {
+                    if event.id.is_some() {
+                        last_event.clone_from(&event.id);
+                    }
+                    if tx.send(Ok(event.bytes.clone())).await.is_err() {
+                        return Passed::CallerLeft;
+                    }
+                    progress.passed(&event, self.now());
+                }
+                if splitter.rest().len() > limits.event_bytes {
+                    return Passed::broken("an event is longer than the limit");
+                }
+                if received > limits.answer_bytes {
+                    return Passed::broken("the answer is longer than the limit");
+                }
+            }
+            if let Some(broken) = self.stalls(job, begun, log, &progress) {
+                return Passed::Broken(broken);
+            }
+            match timeout(LOOK_AT_RUNNER, begun.body.frame()).await {
+                Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
+                Ok(Some(Err(e))) => return Passed::broken(e.to_string()),
+                Ok(None) => break,
+                // No part came; the next turn looks whether the runner is still trusted.
+                Err(_) => {}
+            }
+        }
+        if splitter.rest().is_empty() {
+            return Passed::Whole;
+        }
+        if !is_framed(&begun.head.headers) {
+            return Passed::broken("the connection ended inside an event");
+        }
+        let rest = Bytes::copy_from_slice(splitter.rest());
+        match tx.send(Ok(rest)).await {
+            Ok(()) => Passed::Whole,
+            Err(_) => Passed::CallerLeft,
+        }
+    }
+
+    /// Returns why a stream should go on elsewhere, if it may and its runner stands still. The
+    /// repeat is taken out of the budget first, so that nothing is broken off for nothing.
+    fn stalls(
+        &self,
+        job: &Job,
+        begun: &Begun,
+        log: &AttemptLog,
+        progress: &StreamProgress,
+    ) -> Option<Broken> {
+        let now = self.now();
+        let may_stall = job.may_run_again(log) && progress.is_stalled(now, true);
+        if !may_stall {
+            return None;
+        }
+        let doubted = self.gateway().doubts(now, begun.placement.runner);
+        if !progress.is_stalled(now, doubted) || !self.may_repeat(&job.admission.service) {
+            return None;
+        }
+        let pause = progress.pause(now).as_millis();
+        let (outcome, why) = if doubted {
+            (RunOutcome::Unreachable, "the runner fell silent")
+        } else {
+            (RunOutcome::Failed, "the stream stalled")
+        };
+        Some(Broken {
+            reason: format!("{why}, no event for {pause} ms"),
+            outcome,
+            repeat_taken: true,
+        })
+    }
+}
+
+/// Returns whether an answer's head tells how its end is known.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
--- a/crates/dotterelrudder_daemon/src/gateway/upstream.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream.rs
@@ -55,16 +55,16 @@
 }
 
 impl Upstream {
-    /// Connects to a server.
+    /// Connects to a server, which may send heads of `head_bytes` at most.
     ///
     /// # Errors
     ///
     /// Returns why no connection came about.
-    pub(super) async fn connect(address: SocketAddr) -> Result<Self, String> {
+    pub(super) async fn connect(address: SocketAddr, head_bytes: usize) -> Result<Self, String> {
         let mut last = String::new();
         for _ in 0..CONNECT_TRIES {
             match timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
-                Ok(Ok(tcp)) => return Self::handshake(tcp, address).await,
+                Ok(Ok(tcp)) => return Self::handshake(tcp, address, head_bytes).await,
                 Ok(Err(e)) => return Err(e.to_string()),
                 Err(_) => last = format!("no connection within {CONNECT_LIMIT:?}"),
             }
@@ -72,7 +72,11 @@
         Err(last)
     }
 
-    async fn handshake(tcp: TcpStream, address: SocketAddr) -> Result<Self, String> {
+    async fn handshake(
+        tcp: TcpStream,
+        address: SocketAddr,
+        head_bytes: usize,
+    ) -> Result<Self, String> {
         tcp.set_nodelay(true).map_err(|e| e.to_string())?;
         let socket = SockRef::from(&tcp);
         socket
@@ -90,6 +94,7 @@
             .set_tcp_keepalive(&probes)
             .map_err(|e| e.to_string())?;
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(head_bytes)
             .handshake(TokioIo::new(tcp))
             .await
             .map_err(|e| e.to_string())?;
--- a/crates/dotterelrudder_daemon/src/settings.rs
+++ b/crates/dotterelrudder_daemon/src/settings.rs
@@ -193,6 +193,7 @@
         toml::Value::String("127.0.0.1".into()),
         toml::Value::String("name".into()),
         toml::Value::Integer(1),
+        toml::Value::Integer(65_536),
         toml::Value::Boolean(true),
         toml::Value::Array(vec![address()]),
         toml::Value::Array(Vec::new()),
--- a/crates/dotterelrudder_gateway/src/event_splitter.rs
+++ b/crates/dotterelrudder_gateway/src/event_splitter.rs
@@ -16,6 +16,14 @@
     pub bytes: Bytes,
 }
 
+impl StreamEvent {
+    /// Returns whether the event carries anything; a comment doesn't.
+    pub fn is_progress(&self) -> bool {
+        let mut lines = self.bytes.split(|b| *b == b'\n');
+        self.id.is_some() || lines.any(|line| line.starts_with(b"data"))
+    }
+}
+
 /// Gathers bytes until an event is whole.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/dotterelrudder_gateway/src/lib.rs
+++ b/crates/dotterelrudder_gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod runner_table;
 mod sight;
 mod stored_parts;
+mod stream_progress;
 mod suspicion_change;
 mod waiting_room;
 
@@ -75,6 +76,7 @@
 pub use sight::SIGHT_PERIOD;
 pub use stored_parts::fetch_patience;
 pub use stored_parts::StoredParts;
+pub use stream_progress::StreamProgress;
 pub use suspicion_change::SuspicionChange;
 pub use waiting_room::RoomNeed;
 pub use waiting_room::WaitingRoom;
