Let what is held against a runner fade

Change: the share of failures halves every two seconds, and an ejected runner is on trial for two seconds. Ruled out: forgetting at the next report, since grey failures go on while reports are good.

--- a/crates/dotterelrudder_gateway/src/gateway/estimating.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/estimating.rs
@@ -75,10 +75,10 @@
         if runner.is_unreported(now) {
             *expected += UNREPORTED;
         }
-        if runner.health.is_on_trial() {
+        if runner.health.is_on_trial(now) {
             *expected += ON_TRIAL;
         }
-        *expected += FAILING.mul_f64(runner.health.failing());
+        *expected += FAILING.mul_f64(runner.health.failing(now));
         estimate
     }
 
--- a/crates/dotterelrudder_gateway/src/runner_health.rs
+++ b/crates/dotterelrudder_gateway/src/runner_health.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: a runner falls silent, fails a share of its requests while its health check is
 //! good, or goes up and down. Silence ejects at once, since every further call would wait; other
-//! faults eject after some in a row, and a share of failures makes the runner less attractive.
+//! faults eject after some in a row, and a share of failures makes the runner less attractive. A
+//! runner that isn't chosen can't show that it has recovered, so that what is held against it fades.
 
 use std::time::Duration;
 
@@ -20,6 +21,10 @@
 const MISDIRECTED_PAUSE: Duration = Duration::from_millis(500);
 /// The weight of the newest outcome in the share of failures.
 const NEWEST: f64 = 0.1;
+/// The time in which half of the share of failures fades; faults last some seconds.
+const FAILING_HALF_LIFE: Duration = Duration::from_secs(2);
+/// How long after an ejection a runner counts as on trial; an answer ends it sooner.
+const TRIAL: Duration = Duration::from_secs(2);
 
 /// The failures of one runner as one entry saw them.
 #[derive(Debug, Clone, Default)]
@@ -28,11 +33,14 @@
     ejections: u32,
     spared_until: Duration,
     failing: f64,
+    failing_at: Duration,
 }
 
 impl RunnerHealth {
     /// Learns how an attempt ended.
     pub fn note(&mut self, now: Duration, outcome: RunOutcome) {
+        self.failing = self.failing(now);
+        self.failing_at = now;
         match outcome {
             RunOutcome::Answered => {
                 self.in_row = 0;
@@ -75,14 +83,15 @@
         now >= self.spared_until
     }
 
-    /// Returns whether the runner was ejected and has not answered since.
-    pub fn is_on_trial(&self) -> bool {
-        self.ejections > 0
+    /// Returns whether the runner was ejected lately and has not answered since.
+    pub fn is_on_trial(&self, now: Duration) -> bool {
+        self.ejections > 0 && now < self.spared_until + TRIAL
     }
 
     /// Returns the share of failures, newer ones counting more.
-    pub fn failing(&self) -> f64 {
-        self.failing
+    pub fn failing(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.failing_at);
+        self.failing * 0.5f64.powf(age.div_duration_f64(FAILING_HALF_LIFE))
     }
 
     /// Returns when the runner takes requests again.
