Connect again sooner to a machine that has no power yet

Cause: when all machines restart, sides and entries dial control instances whose machines have no power yet; the opening packet is lost and the system's own next try comes after a second.

Change: an attempt to connect is given up after 0.3 s instead of 1 s, and the whole hello after 3 s as before. No test: the stand-ins run on one machine, which answers at once. Ruled out: slow elections (the leader stood 0.18 s after the last of the five had started).

--- a/crates/dotterelrudder_daemon/src/link/dialer.rs
+++ b/crates/dotterelrudder_daemon/src/link/dialer.rs
@@ -15,8 +15,11 @@
 use super::connection::STREAM_WINDOW;
 use super::hub::LinkHub;
 
-/// How long connecting may take.
-const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long a machine may take to accept a connection. One without power doesn't answer, and the
+/// system's own next try comes after a second, when the machine may long be back.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// How long it may take until both ends have said hello.
+const OPEN_LIMIT: Duration = Duration::from_secs(3);
 /// The first pause before connecting again.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// The longest pause before connecting again.
@@ -40,7 +43,7 @@
             tokio::time::sleep(FIRST_PAUSE * 4 + patience).await;
             continue;
         }
-        let connected = timeout(CONNECT_LIMIT * 3, connect(&hub, address)).await;
+        let connected = timeout(OPEN_LIMIT, connect(&hub, address)).await;
         let failed = !matches!(&connected, Ok(Ok((peer, _))) if peer.name == name);
         if failed && told {
             tokio::time::sleep(pause).await;
