Tell entries only what changed, and one directory to all that join

Cause, at 288 processes: (1) a question that crossed an update of the directory, which come every 60 ms, brought the whole directory again; (2) how all 53 stores stand went with every update, 2.3 KB of it; (3) each of 180 loads was told with weights, start and memory five times a second, 55 bytes where 18 do; (4) each entry that joined got a copy of the directory of its own, so that the leader took 110 to 130 MB of its 256 MB when everything restarted, and would have ended at the size to design for.

Change: the leader goes by what it sent unless an entry doesn't get on from one question to the next; standings and what rarely changes of a load are told when they change (fill in steps of a hundredth); a whole directory is shared by those that join between two updates. Tests in tests/fleet.rs and tests/cache_directory.rs fail on the code before.

--- a/crates/dotterelrudder_control/src/fleet/cache_directory.rs
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -12,6 +12,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelrudder_config::whole::WholeConfiguration;
@@ -35,6 +36,8 @@
 const FREE_WITHIN_MS: u64 = 250;
 /// How long news of a freed part may still be old.
 const TOMBSTONE: Duration = Duration::from_millis(1_500);
+/// The step in which entries are told how full a store is, so that they aren't told of each part.
+const FILL_STEP: f32 = 0.01;
 /// A new leader waits this long before it tells anything, so that no order of an earlier leader
 /// is still under way.
 const TAKEOVER: Duration = Duration::from_millis(350);
@@ -52,6 +55,8 @@
     clocks: BTreeMap<SocketAddr, i64>,
     number: u64,
     pending: DirectoryUpdate,
+    told: Vec<StoreStanding>,
+    whole: Option<Arc<DirectoryUpdate>>,
     changed: bool,
 }
 
@@ -290,19 +295,37 @@
             return None;
         }
         self.changed = false;
+        self.whole = None;
         let from = self.number;
         self.number += 1;
         let pending = std::mem::take(&mut self.pending);
+        let standings = self.standings();
+        let before = std::mem::take(&mut self.told);
+        let is_new = |s: &&StoreStanding| !before.contains(s);
+        let stores = standings.iter().filter(is_new).cloned().collect();
+        let gone = before.iter().map(|s| s.address);
+        let gone = gone.filter(|a| !standings.iter().any(|s| s.address == *a));
+        let stores_gone = gone.collect();
+        self.told = standings;
         Some(DirectoryUpdate {
             from,
             number: self.number,
-            stores: self.standings(),
+            stores,
+            stores_gone,
             ..pending
         })
     }
 
-    /// Returns the whole directory for an entry that holds another number.
-    pub fn whole(&self) -> DirectoryUpdate {
+    /// Returns the whole directory for an entry that holds another number. Entries that join
+    /// together share one, since a hundred of them would fill this instance.
+    pub fn whole(&mut self) -> Arc<DirectoryUpdate> {
+        let known = self.whole.as_ref().filter(|w| w.number == self.number);
+        let whole = known.cloned().unwrap_or_else(|| Arc::new(self.gather()));
+        self.whole = Some(whole.clone());
+        whole
+    }
+
+    fn gather(&self) -> DirectoryUpdate {
         let parts = self.stores.iter().flat_map(|(address, store)| {
             let held = store.parts.iter();
             held.filter(|(_, p)| p.withdrawn_at.is_none())
@@ -316,6 +339,7 @@
             from: 0,
             number: self.number,
             stores: self.standings(),
+            stores_gone: Vec::new(),
             added: parts.collect(),
             removed: Vec::new(),
         }
@@ -335,7 +359,7 @@
                 capacity: s.capacity,
                 link_mbps: s.link_mbps,
                 first_ms: s.first_ms,
-                fill: s.fill(),
+                fill: (s.fill() / FILL_STEP).round() * FILL_STEP,
                 accepts: s.accepts_from == Duration::ZERO,
             })
             .collect()
--- a/crates/dotterelrudder_control/src/fleet/follower.rs
+++ b/crates/dotterelrudder_control/src/fleet/follower.rs
@@ -16,6 +16,25 @@
     pub(crate) beside: Option<SocketAddr>,
     /// The number of the directory of stored parts that it was sent or said to hold.
     pub(crate) directory: u64,
+    /// The number of the directory that it held when it asked last.
+    pub(crate) directory_held: u64,
+    /// The number of the directory that it had been sent by then.
+    pub(crate) directory_then: u64,
     /// The number of the list of backend servers that it was sent.
     pub(crate) list_sent: u64,
 }
+
+impl Follower {
+    /// Returns the number of the directory that a process has once everything on its way has come;
+    /// `held` is what its question says. A question crosses updates, which come every few
+    /// hundredths of a second, and the whole directory is thousands of times as long as one. One
+    /// that doesn't get on from one question to the next has lost an update.
+    pub(crate) fn directory_after(&self, held: u64) -> u64 {
+        let got_on = held > self.directory_held || held >= self.directory_then;
+        if held > 0 && held <= self.directory && got_on {
+            self.directory
+        } else {
+            held
+        }
+    }
+}
--- a/crates/dotterelrudder_control/src/fleet/followers.rs
+++ b/crates/dotterelrudder_control/src/fleet/followers.rs
@@ -3,15 +3,18 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::FleetView;
 use dotterelrudder_wire::Follow;
+use dotterelrudder_wire::LoadNews;
 use dotterelrudder_wire::Message;
 use dotterelrudder_wire::ModelWeights;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRow;
+use dotterelrudder_wire::RunnerTraits;
 
 use super::follower::Follower;
 use super::CacheDirectory;
@@ -37,6 +40,7 @@
     list_number: u64,
     loads: BTreeMap<SocketAddr, RunnerLoad>,
     changed: BTreeSet<SocketAddr>,
+    traits_changed: BTreeSet<SocketAddr>,
     pass_at: Duration,
     pass_directory_at: Duration,
     waves: WeightWaves,
@@ -57,12 +61,15 @@
         let known = self.by_name.get(&from);
         let list_sent = known.map_or(0, |f| f.list_sent);
         let entry_is_new = known.is_none() && follow.beside.is_none();
+        let directory = known.map_or(follow.directory, |f| f.directory_after(follow.directory));
         let follower = Follower {
             asked: follow.asked,
             asked_at: now,
             held: follow.held,
             beside: follow.beside,
-            directory: follow.directory,
+            directory,
+            directory_held: follow.directory,
+            directory_then: directory.max(self.directory.number()),
             list_sent,
         };
         self.by_name.insert(from.clone(), follower);
@@ -70,8 +77,8 @@
         self.send_view(&from, state, controls, now, out);
         self.send_list(&from, out);
         if entry_is_new && !self.loads.is_empty() {
-            let loads = self.loads.values().cloned().collect();
-            let message = Message::RunnerLoads(loads);
+            let loads = self.loads.values().map(|l| LoadNews::of(l, true));
+            let message = Message::LoadNews(loads.collect());
             out.push(Output::Send { to: from, message });
         }
     }
@@ -135,13 +142,13 @@
         follower.directory = number;
         out.push(Output::Send {
             to: to.clone(),
-            message: Message::Directory(Box::new(self.directory.whole())),
+            message: Message::Directory(self.directory.whole()),
         });
     }
 
     /// Passes changes of the directory on to entries.
     fn pass_directory(&mut self, out: &mut Vec<Output>) {
-        let Some(update) = self.directory.take_update() else {
+        let Some(update) = self.directory.take_update().map(Arc::new) else {
             return;
         };
         for (name, follower) in self.by_name.iter_mut().filter(|(_, f)| f.beside.is_none()) {
@@ -149,7 +156,7 @@
                 follower.directory = update.number;
                 out.push(Output::Send {
                     to: name.clone(),
-                    message: Message::Directory(Box::new(update.clone())),
+                    message: Message::Directory(update.clone()),
                 });
             }
         }
@@ -183,8 +190,13 @@
     /// Takes the loads that a side reports.
     pub(crate) fn reported(&mut self, loads: Vec<RunnerLoad>) {
         for load in loads {
-            self.changed.insert(load.address);
-            self.loads.insert(load.address, load);
+            let address = load.address;
+            self.changed.insert(address);
+            let traits = RunnerTraits::of(&load);
+            let before = self.loads.insert(address, load);
+            if before.is_none_or(|b| RunnerTraits::of(&b) != traits) {
+                self.traits_changed.insert(address);
+            }
         }
     }
 
@@ -216,15 +228,17 @@
         self.pass_at = now + PASS_LOADS_EVERY;
         self.by_name.retain(|_, f| now < f.asked_at + FORGET_AFTER);
         let changed = std::mem::take(&mut self.changed);
-        let loads: Vec<_> = changed.iter().filter_map(|a| self.loads.get(a)).collect();
+        let traits_changed = std::mem::take(&mut self.traits_changed);
+        let loads = changed.iter().filter_map(|a| self.loads.get(a));
+        let loads = loads.map(|l| LoadNews::of(l, traits_changed.contains(&l.address)));
+        let loads: Vec<LoadNews> = loads.collect();
         if loads.is_empty() {
             return;
         }
-        let loads: Vec<RunnerLoad> = loads.into_iter().cloned().collect();
         for (name, _) in self.by_name.iter().filter(|(_, f)| f.beside.is_none()) {
             out.push(Output::Send {
                 to: name.clone(),
-                message: Message::RunnerLoads(loads.clone()),
+                message: Message::LoadNews(loads.clone()),
             });
         }
     }
--- a/crates/dotterelrudder_control/tests/cache_directory.rs
+++ b/crates/dotterelrudder_control/tests/cache_directory.rs
@@ -159,6 +159,7 @@
     let update = directory.take_update().unwrap();
     assert_eq!(update.removed, [(store(), key("a"))]);
     assert!(update.stores.is_empty());
+    assert_eq!(update.stores_gone, [store()]);
 }
 
 #[test]
@@ -183,3 +184,28 @@
     directory.clock(ms(2_000), "172.20.0.2:80".parse().unwrap(), 90_000);
     assert_eq!(directory.engine_clock_ms(ms(2_000)), 51_000);
 }
+
+/// Load pattern: fifty stores are written to all the time and a hundred entries are told of each
+/// part. How all stores stand went with every part, which was most of an update.
+#[test]
+fn a_part_more_doesn_t_tell_how_all_stores_stand() {
+    let mut directory = directory();
+    directory.events(ms(7_000), store(), 7, &[event("first", true)]);
+    directory.tick(ms(7_000));
+    let _first = directory.take_update();
+    directory.events(ms(7_100), store(), 7, &[small_event("one-more")]);
+    let update = directory.take_update().unwrap();
+    assert_eq!(update.added.len(), 1);
+    assert!(update.stores.is_empty() && update.stores_gone.is_empty());
+    // Enough of them are told.
+    directory.events(ms(7_200), store(), 7, &[event("large", true)]);
+    let update = directory.take_update().unwrap();
+    assert_eq!(update.stores.len(), 1);
+}
+
+fn small_event(part: &str) -> StoreEvent {
+    StoreEvent {
+        tokens: 1,
+        ..event(part, true)
+    }
+}
--- a/crates/dotterelrudder_control/tests/fleet.rs
+++ b/crates/dotterelrudder_control/tests/fleet.rs
@@ -1,10 +1,14 @@
 //! What the leading control instance tells the processes that follow it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use dotterelrudder_config::whole::CallerLimits;
+use dotterelrudder_config::whole::ServiceEndpoint;
+use dotterelrudder_config::whole::StoreTraits;
 use dotterelrudder_config::whole::WholeConfiguration;
 use dotterelrudder_control::ControlCore;
 use dotterelrudder_control::ControlSettings;
@@ -12,13 +16,19 @@
 use dotterelrudder_control::Output;
 use dotterelrudder_control::RaftTiming;
 use dotterelrudder_control::Recovered;
+use dotterelrudder_control::StoreEvent;
+use dotterelrudder_control::StoreNews;
+use dotterelrudder_follow::LoadBook;
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_wire::encode_frame;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::CommandResult;
+use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::FleetView;
 use dotterelrudder_wire::Follow;
 use dotterelrudder_wire::Message;
 use dotterelrudder_wire::ModelWeights;
+use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::RunnerLoad;
 
 fn ms(ms: u64) -> Duration {
@@ -259,7 +269,7 @@
     assert_eq!(fences.len(), 2);
     assert!(fences[0] < fences[1]);
     let spared = leader.told("entry").into_iter().any(|m| match m {
-        Message::RunnerLoads(loads) => loads.iter().any(|l| l.loading),
+        Message::LoadNews(loads) => loads.iter().any(|l| l.loading),
         _ => false,
     });
     assert!(spared, "entries are told before the runner loads");
@@ -278,14 +288,203 @@
     leader.hear("side", follow(1, 0, Some(runner())));
     leader.hear("side", Message::RunnerLoads(vec![load(1)]));
     leader.hear("entry", follow(1, 0, None));
-    let told = leader.told("entry");
-    assert!(
-        told.contains(&Message::RunnerLoads(vec![load(1)])),
-        "{told:?}"
-    );
+    let mut book = LoadBook::default();
+    assert_eq!(loads(&mut leader, &mut book), vec![load(1)]);
     leader.hear("side", Message::RunnerLoads(vec![load(2)]));
     leader.pass(220);
-    assert!(leader
-        .told("entry")
-        .contains(&Message::RunnerLoads(vec![load(2)])));
+    assert_eq!(loads(&mut leader, &mut book), vec![load(2)]);
+    let busier = RunnerLoad {
+        running: 9,
+        used_tokens: 70_000,
+        ..load(2)
+    };
+    leader.hear("side", Message::RunnerLoads(vec![busier.clone()]));
+    leader.pass(220);
+    assert_eq!(loads(&mut leader, &mut book), vec![busier]);
+}
+
+/// The loads that an entry was told since the last call, completed by what it was told before.
+fn loads(leader: &mut Leader, book: &mut LoadBook) -> Vec<RunnerLoad> {
+    let told = leader.told("entry").into_iter();
+    let news = told.filter_map(|m| match m {
+        Message::LoadNews(news) => Some(news),
+        _ => None,
+    });
+    news.flat_map(|news| book.complete(news)).collect()
+}
+
+/// Load pattern: a hundred entries are told the loads of two hundred runners five times a second,
+/// over links of 10 Mbit/s; the size to design for allows 7 KB a second and entry for control.
+#[test]
+fn a_load_that_goes_on_as_before_takes_few_bytes() {
+    let mut leader = Leader::start(Vec::new());
+    leader.hear("side", follow(1, 0, Some(runner())));
+    leader.hear("side", Message::RunnerLoads(vec![load(1)]));
+    leader.hear("entry", follow(1, 0, None));
+    leader.pass(220);
+    let _told = leader.told("entry");
+    let busier = RunnerLoad {
+        running: 40,
+        waiting: 3,
+        used_tokens: 70_000,
+        ..load(1)
+    };
+    leader.hear("side", Message::RunnerLoads(vec![busier]));
+    leader.pass(220);
+    let told = leader.told("entry");
+    let sizes = told.iter().filter(|m| matches!(m, Message::LoadNews(_)));
+    let sizes: Vec<usize> = sizes.map(frame_bytes).collect();
+    assert!(matches!(sizes[..], [size] if size <= 28), "{sizes:?}");
+}
+
+fn frame_bytes(message: &Message) -> usize {
+    let mut buf = BytesMut::new();
+    encode_frame(message, &mut buf).expect("a small message");
+    buf.len()
+}
+
+fn store() -> SocketAddr {
+    SocketAddr::from(([172, 20, 0, 1], 80))
+}
+
+fn part(n: u32) -> PartKey {
+    PartKey {
+        salt: "v1".into(),
+        part: format!("p{n}").into(),
+    }
+}
+
+/// A leader whose directory holds 100 parts of one store.
+fn leader_with_parts() -> Leader {
+    let mut leader = Leader::start(Vec::new());
+    let traits = StoreTraits {
+        address: store(),
+        data_centre: "north".into(),
+        cache_tokens: 1_000_000,
+        link_mbps: 33_000.0,
+        first_ms: 6.0,
+        managed: true,
+    };
+    let endpoint = ServiceEndpoint {
+        name: "store".into(),
+        health_path: "".into(),
+        max_connections: 0,
+        engine: None,
+        store: Some(traits),
+    };
+    leader.propose(Command::PublishWhole {
+        configuration: Box::new(WholeConfiguration {
+            version: 1,
+            services: vec![endpoint],
+            ..WholeConfiguration::default()
+        }),
+        document: Bytes::from_static(b"one"),
+        at_ms: 0,
+    });
+    leader.pass(1_000);
+    leader.give(Input::Store(StoreNews::Listed {
+        store: store(),
+        epoch: 1,
+        clock_ms: 1,
+        held: (0..100).map(|n| (part(n), 100)).collect(),
+        partial: Vec::new(),
+    }));
+    leader.pass(400);
+    leader
+}
+
+/// Lets the store tell of one more part, which reaches the directory.
+fn store_one_more(leader: &mut Leader, n: u32) {
+    leader.give(Input::Store(StoreNews::Changed {
+        store: store(),
+        epoch: 1,
+        clock_ms: 1,
+        events: vec![StoreEvent {
+            key: part(n),
+            tokens: 100,
+            held: true,
+        }],
+    }));
+    leader.pass(80);
+}
+
+/// The directories that an entry was sent since the last call: number and whether it was whole.
+fn directories(leader: &mut Leader) -> Vec<(u64, bool)> {
+    let told = leader.told("entry").into_iter();
+    let updates = told.filter_map(|m| match m {
+        Message::Directory(update) => Some((update.number, update.from == 0)),
+        _ => None,
+    });
+    updates.collect()
+}
+
+fn ask(leader: &mut Leader, asked: u64, directory: u64) {
+    let question = Follow {
+        asked,
+        held: 1,
+        directory,
+        beside: None,
+    };
+    leader.hear("entry", Message::Follow(question));
+}
+
+/// Load pattern: a hundred entries ask twice a second while parts are saved all the time, so that
+/// many questions cross an update. Each got the whole directory.
+#[test]
+fn a_question_that_crosses_an_update_brings_no_whole_directory() {
+    let mut leader = leader_with_parts();
+    ask(&mut leader, 1, 0);
+    let first = directories(&mut leader);
+    assert!(matches!(first[..], [(_, true)]), "{first:?}");
+    let mut held = first[0].0;
+    for n in 0..20 {
+        store_one_more(&mut leader, 1_000 + n);
+        ask(&mut leader, 2 + u64::from(n), held);
+        let told = directories(&mut leader);
+        assert!(told.iter().all(|(_, whole)| !whole), "{told:?}");
+        held = told.last().map_or(held, |(number, _)| *number);
+    }
+}
+
+/// One that lost an update gets on again, even when nothing more changes.
+#[test]
+fn an_entry_that_lost_an_update_gets_the_whole_directory() {
+    let mut leader = leader_with_parts();
+    ask(&mut leader, 1, 0);
+    let held = directories(&mut leader)[0].0;
+    store_one_more(&mut leader, 1_000);
+    let _lost = directories(&mut leader);
+    ask(&mut leader, 2, held);
+    ask(&mut leader, 3, held);
+    let told = directories(&mut leader);
+    assert!(matches!(told[..], [(_, true)]), "{told:?}");
+    // One that says that it holds none gets it at once.
+    ask(&mut leader, 4, 0);
+    assert!(matches!(directories(&mut leader)[..], [(_, true)]));
+}
+
+/// Load pattern: all processes restart at once, and a hundred entries ask for the directory in the
+/// same moment. Each got a copy of its own, which took more memory than a node may use.
+#[test]
+fn entries_that_join_together_share_one_directory() {
+    let mut leader = leader_with_parts();
+    let joined: Vec<String> = (0..100).map(|n| format!("entry-{n}")).collect();
+    for name in &joined {
+        let question = Follow {
+            asked: 1,
+            held: 1,
+            directory: 0,
+            beside: None,
+        };
+        leader.hear(name, Message::Follow(question));
+    }
+    let told = joined.iter().flat_map(|name| leader.told(name));
+    let wholes: Vec<Arc<DirectoryUpdate>> = told
+        .filter_map(|m| match m {
+            Message::Directory(update) => Some(update),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(wholes.len(), 100);
+    assert!(wholes.iter().all(|w| Arc::ptr_eq(w, &wholes[0])));
 }
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -1,8 +1,10 @@
 //! The actor that follows the leading control instance.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use dotterelrudder_follow::FleetFollower;
+use dotterelrudder_follow::LoadBook;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::DirectoryUpdate;
@@ -47,6 +49,7 @@
     pub(super) clock: SystemClock,
     pub(super) held: u64,
     pub(super) directory: u64,
+    pub(super) loads: LoadBook,
     pub(super) last: Option<InstanceName>,
     pub(super) news: Box<dyn Fn(FleetNews) + Send + Sync>,
     pub(super) log: Logger,
@@ -131,8 +134,10 @@
                     self.ask();
                 }
                 Message::Runners(rows) => (self.news)(FleetNews::Runners(rows)),
-                Message::Directory(update) => self.on_directory(*update),
-                Message::RunnerLoads(loads) => (self.news)(FleetNews::Loads(loads)),
+                Message::Directory(update) => self.on_directory(Arc::unwrap_or_clone(update)),
+                Message::LoadNews(news) => {
+                    (self.news)(FleetNews::Loads(self.loads.complete(news)));
+                }
                 Message::WeightOrder(order) => (self.news)(FleetNews::Order(order)),
                 _ => {}
             },
--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -66,6 +66,7 @@
     pub fn update(&mut self, update: DirectoryUpdate) -> bool {
         if update.from == 0 {
             self.parts.clear();
+            self.stores.clear();
             self.lease = ConfirmedLease::default();
         } else if update.from != self.number {
             self.number = 0;
@@ -74,7 +75,12 @@
             return false;
         }
         self.number = update.number;
-        self.stores = update.stores;
+        for store in update.stores {
+            self.stores.retain(|s| s.address != store.address);
+            self.stores.push(store);
+        }
+        self.stores
+            .retain(|s| !update.stores_gone.contains(&s.address));
         for part in update.added {
             let places = self.parts.entry(part.key).or_default();
             if !places.contains(&part.store) {
--- a/crates/dotterelrudder_gateway/tests/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/tests/stored_parts.rs
@@ -56,6 +56,7 @@
             store(1, "north", 33_000.0, 800_000),
             store(2, "south", 83_000.0, 100_000),
         ],
+        stores_gone: Vec::new(),
         added,
         removed: Vec::new(),
     }
--- a/crates/dotterelrudder_wire/src/fleet/directory_update.rs
+++ b/crates/dotterelrudder_wire/src/fleet/directory_update.rs
@@ -24,8 +24,10 @@
     pub from: u64,
     /// The number of the directory after the update.
     pub number: u64,
-    /// All stores.
+    /// The stores whose standing changed; all of them when the update replaces everything.
     pub stores: Vec<StoreStanding>,
+    /// Stores that must not be named any more.
+    pub stores_gone: Vec<SocketAddr>,
     /// Parts that can be fetched from now on.
     pub added: Vec<StoredPart>,
     /// Parts that must not be fetched any more.
--- a/crates/dotterelrudder_wire/src/fleet/mod.rs
+++ b/crates/dotterelrudder_wire/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod directory_update;
 mod fleet_view;
 mod follow;
+mod load_news;
 mod model_weights;
 mod part_key;
 mod runner_load;
@@ -16,6 +17,8 @@
 pub use directory_update::FETCH_LIMIT;
 pub use fleet_view::FleetView;
 pub use follow::Follow;
+pub use load_news::LoadNews;
+pub use load_news::RunnerTraits;
 pub use model_weights::ModelWeights;
 pub use part_key::PartKey;
 pub use runner_load::RunnerLoad;
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -1,5 +1,7 @@
 //! Every message between two processes of the system.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use compact_str::CompactString;
 use dotterelrudder_config::ChangeSet;
@@ -20,6 +22,7 @@
 use crate::DirectoryUpdate;
 use crate::FleetView;
 use crate::Follow;
+use crate::LoadNews;
 use crate::LoadReport;
 use crate::PartKey;
 use crate::Piece;
@@ -216,14 +219,16 @@
     },
     /// The backend servers that the platform lists, all of them.
     Runners(Vec<RunnerRow>),
-    /// The loads of runners that changed.
+    /// The loads that a side tells the leader.
     RunnerLoads(Vec<RunnerLoad>),
-    /// Changes of the directory of stored parts.
-    Directory(Box<DirectoryUpdate>),
+    /// Changes of the directory of stored parts; shared by all that it is sent to.
+    Directory(Arc<DirectoryUpdate>),
     /// Parts that the sender's requests used lately, so that stores keep them.
     PartsUsed(Vec<PartKey>),
     /// Orders a side to have its runner load weights.
     WeightOrder(WeightOrder),
+    /// The loads that changed, as the leader tells entries.
+    LoadNews(Vec<LoadNews>),
 }
 
 impl Message {
