Send a runner nothing for as long as its 503 asks

Cause: a runner's Retry-After was not read; a runner that refused was asked again after 0.1 s.

One log line.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -38,6 +38,8 @@
     pub(super) reach: Reach,
     /// What that says about the runner.
     pub(super) outcome: RunOutcome,
+    /// How long the runner asks to be sent nothing.
+    pub(super) rest: Option<Duration>,
     /// Why.
     pub(super) reason: String,
 }
@@ -48,6 +50,7 @@
         Self {
             reach: Reach::Lost,
             outcome: RunOutcome::Failed,
+            rest: None,
             reason: reason.into(),
         }
     }
@@ -114,6 +117,7 @@
         Ok(Err(SendFault::NotSent)) => Err(Fault {
             reach: Reach::NotSent,
             outcome: RunOutcome::Failed,
+            rest: None,
             reason: "closed before the request was sent".into(),
         }),
         Ok(Err(SendFault::Broken(reason))) => {
@@ -132,6 +136,7 @@
     Fault {
         reach: Reach::NotSent,
         outcome: RunOutcome::Unreachable,
+        rest: None,
         reason,
     }
 }
@@ -180,6 +185,7 @@
         Some(Fault {
             reach: Reach::Declined,
             outcome,
+            rest: facts.rest,
             reason,
         })
     };
--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -205,6 +205,7 @@
             () = self.falls_silent(job, placement.runner, began), if more => Err(Fault {
                 reach: Reach::Silent,
                 outcome: RunOutcome::Unreachable,
+                rest: None,
                 reason: "no answer, and the runner fell silent".into(),
             }),
         };
@@ -212,6 +213,9 @@
         match first {
             Err(fault) => {
                 run.end(fault.outcome);
+                if let Some(asked) = fault.rest {
+                    self.rest(placement, asked);
+                }
                 Err(fault)
             }
             Ok(FirstPart::Whole(head, body, upstream)) => {
@@ -260,6 +264,15 @@
         }
     }
 
+    /// Sends a runner nothing for as long as it asks.
+    fn rest(&self, placement: &Placement, asked: Duration) {
+        slog::info!(self.log, "runner asks for rest";
+            "runner" => placement.identity.as_str(), "address" => %placement.address,
+            "asked_ms" => asked.as_millis() as u64);
+        let now = self.now();
+        self.gateway().rest(now, placement.runner, asked);
+    }
+
     pub(super) fn outbound(
         &self,
         job: &Job,
--- a/crates/dotterelrudder_gateway/src/answer_facts.rs
+++ b/crates/dotterelrudder_gateway/src/answer_facts.rs
@@ -1,5 +1,7 @@
 //! What the head of a backend server's answer says.
 
+use std::time::Duration;
+
 use compact_str::CompactString;
 
 /// The facts that decide what becomes of an answer.
@@ -11,6 +13,8 @@
     pub signed: bool,
     /// Whether it says that the request was not run and never will be.
     pub not_run: bool,
+    /// How long the backend server asks to be sent nothing, where it didn't run the request.
+    pub rest: Option<Duration>,
     /// The start of the backend server that answered, where it tells.
     pub identity: Option<CompactString>,
     /// Whether the body has an encoding that nobody asked for.
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -192,6 +192,13 @@
         }
     }
 
+    /// Sends a runner nothing for as long as it asks.
+    pub fn rest(&mut self, now: Duration, runner: RunnerKey, asked: Duration) {
+        if let Some(r) = self.runners.get_mut(runner) {
+            r.health.rest(now, asked);
+        }
+    }
+
     /// Takes one repeat out of a service's budget, if there is one left.
     pub fn may_repeat(&mut self, now: Duration, service: &ServiceName) -> bool {
         let s = &self.settings;
--- a/crates/dotterelrudder_gateway/src/runner_health.rs
+++ b/crates/dotterelrudder_gateway/src/runner_health.rs
@@ -17,6 +17,9 @@
 const LONGEST_EJECTION: Duration = Duration::from_secs(6);
 /// How long a full runner is spared: a few steps of its batch.
 const SHED_PAUSE: Duration = Duration::from_millis(100);
+/// The longest rest that a runner may ask for; a longer one is a mistake of its own or of the
+/// way, and a runner that recovers earlier must not lie idle.
+const LONGEST_REST: Duration = Duration::from_secs(10);
 /// How long a runner is spared whose address or weights changed, until the lists tell.
 const MISDIRECTED_PAUSE: Duration = Duration::from_millis(500);
 /// The weight of the newest outcome in the share of failures.
@@ -63,6 +66,11 @@
         }
     }
 
+    /// Spares a runner for as long as it asks.
+    pub fn rest(&mut self, now: Duration, asked: Duration) {
+        self.spare(now + asked.min(LONGEST_REST));
+    }
+
     fn count_failure(&mut self) {
         self.in_row += 1;
         self.failing = self.failing * (1.0 - NEWEST) + NEWEST;
--- a/crates/dotterelrudder_gateway/tests/recovery.rs
+++ b/crates/dotterelrudder_gateway/tests/recovery.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use dotterelrudder_gateway::NotPlaced;
 use dotterelrudder_gateway::RunOutcome;
 use support::*;
 
@@ -25,6 +26,28 @@
     }
 }
 
+/// Load pattern: the runners of a service are all as full as they want to be and say for how long.
+/// Callers are told the earliest moment at once, and a mistaken rest doesn't last for a day.
+#[test]
+fn a_runner_that_asks_for_rest_is_sent_nothing_for_as_long() {
+    let mut gateway = gateway(2);
+    let prompt = prompt("s", 1_000, 10);
+    let first = place(&mut gateway, ms(0), &prompt).unwrap();
+    gateway.rest(ms(0), first.runner, ms(1_500));
+    let second = place(&mut gateway, ms(10), &prompt).unwrap();
+    assert_ne!(second.identity, first.identity);
+    gateway.rest(ms(10), second.runner, ms(86_400_000));
+    let Err(NotPlaced::Refused(refusal)) = place(&mut gateway, ms(20), &prompt) else {
+        panic!("not refused");
+    };
+    let wait = refusal.retry_after.unwrap();
+    assert!(refusal.is_not_run() && wait >= ms(1_480) && wait < ms(1_480).mul_f64(1.25));
+    let back = place(&mut gateway, ms(1_510), &prompt).unwrap();
+    assert_eq!(back.identity, first.identity);
+    gateway.rest(ms(1_510), first.runner, ms(60_000));
+    assert!(place(&mut gateway, ms(10_020), &prompt).is_ok());
+}
+
 /// One that goes on failing stays the last choice.
 #[test]
 fn a_runner_that_goes_on_failing_is_left_out() {
