Keep a few runners with an open connection in sight

Change: up to three runners with an idle connection are in sight beside the drawn ones and the homes, and opening one counts five milliseconds.

--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -75,6 +75,7 @@
                 prompt: job.call.prompt.as_ref(),
                 account: job.admission.account.as_deref(),
                 tried: &log.tried,
+                repeatable: route.kind.may_repeat(),
                 objective: route.objective,
             };
             let placement = match self.find_room(job, &query).await {
--- a/crates/dotterelrudder_daemon/src/gateway/pool.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/pool.rs
@@ -9,15 +9,13 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use dotterelrudder_gateway::FRESH_CONNECTION;
+use dotterelrudder_gateway::KEPT_CONNECTION;
+
 use super::upstream::Upstream;
 
-/// How long a connection is kept idle when the server doesn't say.
-const KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// Taken from what the server says, so that it doesn't close while a request is on its way.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_200);
-/// How long a connection may have been idle for a request that must not be repeated: its loss on
-/// a connection that the server just closed couldn't be mended.
-const FRESH_FOR: Duration = Duration::from_millis(1_500);
 /// Kept connections to one server at most.
 const MOST_KEPT: usize = 12;
 
@@ -34,8 +32,9 @@
 
     /// Returns whether the server still keeps it open, for as long as a request takes to it.
     fn is_usable(&self, now: Duration) -> bool {
-        let limit = self.upstream.keep_alive.unwrap_or(KEEP_ALIVE);
-        self.idle(now) + KEEP_ALIVE_MARGIN < limit && self.upstream.is_usable()
+        let told = self.upstream.keep_alive;
+        let limit = told.map_or(KEPT_CONNECTION, |t| t.saturating_sub(KEEP_ALIVE_MARGIN));
+        self.idle(now) < limit && self.upstream.is_usable()
     }
 }
 
@@ -82,7 +81,7 @@
             if !last.is_usable(now) {
                 continue;
             }
-            if !may_repeat && last.idle(now) > FRESH_FOR {
+            if !may_repeat && last.idle(now) > FRESH_CONNECTION {
                 list.push(last);
                 return None;
             }
--- a/crates/dotterelrudder_gateway/src/gateway/choosing.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/choosing.rs
@@ -12,6 +12,7 @@
 use crate::memory_reserve::SHORT_PROMPT_TOKENS;
 use crate::rendezvous_rank;
 use crate::runners_in_sight;
+use crate::sight::WARM_RUNNERS;
 use crate::FirstTokenEstimate;
 use crate::NotPlaced;
 use crate::PlacementQuery;
@@ -60,7 +61,7 @@
         let chosen = match self.settings.policy {
             Policy::ExpectedCost | Policy::AlwaysImport | Policy::AlwaysRecompute => {
                 if let Some(prompt) = query.prompt {
-                    self.keep_those_with_room(now, prompt, standing, &mut open);
+                    self.keep_those_with_room(now, query, prompt, standing, &mut open);
                 }
                 let estimated = open
                     .into_iter()
@@ -123,18 +124,25 @@
     fn keep_those_with_room(
         &self,
         now: Duration,
+        query: &PlacementQuery<'_>,
         prompt: &Prompt,
         standing: &Standing,
         open: &mut Vec<Candidate>,
     ) {
         open.sort_unstable();
         let sight = runners_in_sight(open.len(), self.entries);
-        let mut place = 0;
+        let (mut place, mut warm) = (0, 0);
         open.retain(|c| {
             place += 1;
-            let in_sight = place <= sight || standing.home.contains(&c.key);
-            let runner = self.runners.get(c.key);
-            in_sight && runner.is_some_and(|r| has_room(now, r, prompt, standing.fill))
+            let Some(runner) = self.runners.get(c.key) else {
+                return false;
+            };
+            let mut in_sight = place <= sight || standing.home.contains(&c.key);
+            if !in_sight && warm < WARM_RUNNERS {
+                in_sight = runner.connections.is_warm(now, query.repeatable);
+                warm += usize::from(in_sight);
+            }
+            in_sight && has_room(now, runner, prompt, standing.fill)
         });
     }
 
--- a/crates/dotterelrudder_gateway/src/gateway/estimating.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/estimating.rs
@@ -17,6 +17,9 @@
 const CROSSING_PLAIN: Duration = Duration::from_millis(15);
 /// Added for a runner that still serves older weights than the named ones.
 const OLD_WEIGHTS: Duration = Duration::from_millis(250);
+/// Added for a runner to which a connection has to be opened: the round trip, and the moment for
+/// which it takes a place of the runner.
+const NEW_CONNECTION: Duration = Duration::from_millis(5);
 /// Added in proportion to the share of failures of a runner.
 const FAILING: Duration = Duration::from_secs(3);
 /// Added for a runner whose side stopped reporting: it may be gone with its side.
@@ -72,6 +75,9 @@
                 *expected += OLD_WEIGHTS;
             }
         }
+        if !runner.connections.is_warm(now, query.repeatable) {
+            *expected += NEW_CONNECTION;
+        }
         if runner.is_unreported(now) {
             *expected += UNREPORTED;
         }
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -189,6 +189,9 @@
         if let Some(r) = self.runners.get_mut(runner) {
             r.ended();
             r.health.note(now, outcome);
+            if outcome == RunOutcome::Answered {
+                r.connections.left(now);
+            }
         }
     }
 
--- a/crates/dotterelrudder_gateway/src/lib.rs
+++ b/crates/dotterelrudder_gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod stream_progress;
 mod suspicion_change;
 mod waiting_room;
+mod warm_connections;
 
 pub use admission::Admission;
 pub use affinity::rendezvous_rank;
@@ -80,3 +81,6 @@
 pub use suspicion_change::SuspicionChange;
 pub use waiting_room::RoomNeed;
 pub use waiting_room::WaitingRoom;
+pub use warm_connections::WarmConnections;
+pub use warm_connections::FRESH_CONNECTION;
+pub use warm_connections::KEPT_CONNECTION;
--- a/crates/dotterelrudder_gateway/src/placement_query.rs
+++ b/crates/dotterelrudder_gateway/src/placement_query.rs
@@ -17,6 +17,8 @@
     pub account: Option<&'a AccountEntry>,
     /// Runners that were tried.
     pub tried: &'a [RunnerKey],
+    /// Whether the request may be repeated.
+    pub repeatable: bool,
     /// The time within which a first part is on time.
     pub objective: Duration,
 }
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -10,6 +10,7 @@
 use crate::Prompt;
 use crate::RunnerCondition;
 use crate::RunnerHealth;
+use crate::WarmConnections;
 
 /// A load report older than this says nothing any more: several times the period of reports.
 const LOAD_AGE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -30,6 +31,8 @@
     pub listed: bool,
     /// What own calls say of it.
     pub health: RunnerHealth,
+    /// The connections to it that are open and unused.
+    pub connections: WarmConnections,
     /// Its place in this entry's present draw; the lowest ones are in sight.
     pub draw: u32,
     /// Whether its reports have stopped while those of other runners still come.
@@ -50,6 +53,7 @@
             row,
             listed: true,
             health: RunnerHealth::default(),
+            connections: WarmConnections::default(),
             draw: 0,
             suspected: false,
             load: None,
@@ -222,6 +226,7 @@
     /// Counts a request that is sent; returns the tokens to take back with [`Self::read`].
     pub fn sent(&mut self, prompt: Option<&Prompt>, now: Duration) -> f64 {
         self.in_flight += 1;
+        self.connections.taken();
         self.sent_since += 1;
         let Some(prompt) = prompt else {
             return 0.0;
--- a/crates/dotterelrudder_gateway/src/sight.rs
+++ b/crates/dotterelrudder_gateway/src/sight.rs
@@ -15,6 +15,9 @@
 /// Runners to choose among at least: with three the least loaded one is rarely a loaded one.
 const LEAST_RUNNERS: usize = 3;
 
+/// Runners with an open connection that are in sight beside the drawn ones.
+pub(crate) const WARM_RUNNERS: usize = 3;
+
 /// Returns among how many of `runners` open runners one of `entries` entries chooses.
 pub fn runners_in_sight(runners: usize, entries: u32) -> usize {
     let fair = runners as f64 * ENTRIES_A_RUNNER / f64::from(entries.max(1));
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -214,6 +214,7 @@
         prompt,
         account: None,
         tried,
+        repeatable: true,
         objective: ms(1_000),
     }
 }
