Fill stores further and keep what was used lately

Cause: on the large deployment 49 M tokens of shared parts are read in 34 s where stores hold 40 M. A store at 0.95 withdrew parts down to 0.90, whose room stays empty for 5.2 s until nobody can read them, and entries sent nothing to it from 0.94 on: 1,617 parts found no room, 21.1 M tokens were read again. What left was asked for as soon as what came instead. After new weights the parts of the old ones left by twentieths only.

Change: a part used within the last 20 s stays; the rest leaves from 0.96 down to 0.93; entries send up to 0.975; parts of weights older than the named ones leave at once, down to half of the store. The text that names the weights of KV cache is written and read at one place, in the wire crate.

--- a/crates/dotterelrudder_control/src/control_core/fleet.rs
+++ b/crates/dotterelrudder_control/src/control_core/fleet.rs
@@ -133,11 +133,12 @@
             return;
         }
         let directory = &mut self.followers.directory;
+        let named = self.state.named_weights();
         directory.configure(self.state.whole_configuration());
+        directory.name_weights(&named);
         for order in directory.tick(now) {
             out.push(Output::FreeParts(order));
         }
-        let named = self.state.named_weights();
         let orders = self.followers.plan_weights(now, &named);
         for (runner, weights) in orders {
             self.followers.mark_loading(runner);
--- a/crates/dotterelrudder_control/src/fleet/cache_directory.rs
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -17,6 +17,7 @@
 
 use dotterelrudder_config::whole::WholeConfiguration;
 use dotterelrudder_wire::DirectoryUpdate;
+use dotterelrudder_wire::ModelWeights;
 use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::StoreStanding;
 use dotterelrudder_wire::StoredPart;
@@ -56,6 +57,7 @@
     number: u64,
     pending: DirectoryUpdate,
     told: Vec<StoreStanding>,
+    weights: u64,
     whole: Option<Arc<DirectoryUpdate>>,
     changed: bool,
 }
@@ -258,6 +260,12 @@
         }
     }
 
+    /// Learns which weights were named last. Parts name their weights but no model, so that parts
+    /// are outdated once they are older than the newest weights of every model.
+    pub fn name_weights(&mut self, named: &[ModelWeights]) {
+        self.weights = named.iter().map(|w| w.version).min().unwrap_or(0);
+    }
+
     /// Withdraws what has to leave and returns the orders that are due.
     pub fn tick(&mut self, now: Duration) -> Vec<FreeParts> {
         let clock = self.engine_clock_ms(now);
@@ -269,7 +277,7 @@
                 self.changed = true;
             }
             store.freed.retain(|_, at| now < *at + TOMBSTONE);
-            let withdrawn = store.choose_leaving(now);
+            let withdrawn = store.choose_leaving(now, self.weights);
             let removed = withdrawn.into_iter().map(|key| (*address, key));
             self.pending.removed.extend(removed);
             let Some(epoch) = store.epoch.filter(|_| clock > 0) else {
--- a/crates/dotterelrudder_control/src/fleet/store_state.rs
+++ b/crates/dotterelrudder_control/src/fleet/store_state.rs
@@ -4,14 +4,22 @@
 use std::time::Duration;
 
 use dotterelrudder_types::DataCentre;
+use dotterelrudder_wire::weights_of_salt;
 use dotterelrudder_wire::PartKey;
 
 use super::cache_directory::FREE_AFTER;
 
-/// The share of a store at which parts begin to leave.
-const FULL: f64 = 0.95;
+/// The share of a store at which parts that weren't used for long begin to leave; entries send
+/// nothing more to a store that is a little fuller.
+const FULL: f64 = 0.96;
 /// The share of a store down to which parts leave then.
-const FILL_TO: f64 = 0.90;
+const FILL_TO: f64 = 0.93;
+/// A part that was used since then stays: what would come instead is no likelier to be asked for,
+/// and its room stays empty until nobody can be reading it any more.
+const IDLE: Duration = Duration::from_secs(20);
+/// The share of a store that parts of outdated weights may take. Some runners still serve these
+/// weights for a while, and what is read anew needs room.
+const OUTDATED_SHARE: f64 = 0.5;
 /// A part that is being written for this long was broken off.
 const BROKEN_OFF_AFTER: Duration = Duration::from_secs(6);
 /// Parts in one order to free at most.
@@ -44,33 +52,36 @@
         held as f32 / self.capacity.max(1) as f32
     }
 
-    /// Withdraws the parts that were used least lately while the store is nearly full.
-    pub(super) fn choose_leaving(&mut self, now: Duration) -> Vec<PartKey> {
-        let held: u64 = self.parts.values().map(|p| u64::from(p.tokens)).sum();
-        let leaving = self.parts.values().filter(|p| p.withdrawn_at.is_some());
-        let leaving: u64 = leaving.map(|p| u64::from(p.tokens)).sum();
-        let mut staying = held - leaving;
-        if staying as f64 <= self.capacity as f64 * FULL {
-            return Vec::new();
-        }
-        let mut by_age: Vec<(Duration, PartKey, u64)> = self
-            .parts
-            .iter()
-            .filter(|(_, p)| p.withdrawn_at.is_none())
-            .map(|(key, p)| (p.used_at, key.clone(), u64::from(p.tokens)))
+    /// Withdraws parts of weights older than `weights` while these take up much room, and parts that
+    /// weren't used for long while the store is full, those used least lately first.
+    pub(super) fn choose_leaving(&mut self, now: Duration, weights: u64) -> Vec<PartKey> {
+        let staying = self.parts.iter().filter(|(_, p)| p.withdrawn_at.is_none());
+        let mut by_age: Vec<(Duration, &PartKey, u64, bool)> = staying
+            .map(|(key, p)| {
+                let outdated = weights_of_salt(&key.salt).is_some_and(|w| w < weights);
+                (p.used_at, key, u64::from(p.tokens), outdated)
+            })
             .collect();
         by_age.sort_unstable();
-        let target = (self.capacity as f64 * FILL_TO) as u64;
+        let share = |of: f64| (self.capacity as f64 * of) as u64;
+        let mut all: u64 = by_age.iter().map(|(_, _, tokens, _)| tokens).sum();
+        let full = all > share(FULL);
         let mut chosen = Vec::new();
-        for (_, key, tokens) in by_age {
-            if staying <= target {
-                break;
+        for (used_at, key, tokens, is_outdated) in by_age {
+            let leaves = if is_outdated {
+                all > share(OUTDATED_SHARE)
+            } else {
+                full && all > share(FILL_TO) && now >= used_at + IDLE
+            };
+            if leaves {
+                all -= tokens;
+                chosen.push(key.clone());
             }
-            staying -= tokens;
-            if let Some(part) = self.parts.get_mut(&key) {
+        }
+        for key in &chosen {
+            if let Some(part) = self.parts.get_mut(key) {
                 part.withdrawn_at = Some(now);
             }
-            chosen.push(key);
         }
         chosen
     }
--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/stored_parts.rs
@@ -41,9 +41,9 @@
 /// Parts up to this length wait longer for a transfer to begin than for its bytes, at the slower
 /// stores of today's deployments.
 const SHORT_PART_TOKENS: u32 = 4_096;
-/// The share of a store's capacity beyond which nothing more is sent to it; the leader frees parts
-/// at a little more.
-const STORE_FULL: f32 = 0.94;
+/// The share of a store's capacity beyond which nothing more is sent to it: some is on its way from
+/// other entries, and a part without room is lost.
+const STORE_FULL: f32 = 0.975;
 /// Parts shorter than this are read faster than a transfer is set up.
 const LEAST_TOKENS: u32 = 64;
 /// Saves remembered at most.
--- a/crates/dotterelrudder_wire/src/fleet/load_news.rs
+++ b/crates/dotterelrudder_wire/src/fleet/load_news.rs
@@ -5,30 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::ModelWeights;
 use super::RunnerLoad;
-
-/// What rarely changes at a runner.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct RunnerTraits {
-    /// The start of this runner, as milliseconds since the epoch; 0 when it isn't told.
-    pub born_ms: u64,
-    /// Tokens of KV cache that the memory holds.
-    pub total_tokens: u64,
-    /// The weights that the runner serves.
-    pub weights: Vec<ModelWeights>,
-}
-
-impl RunnerTraits {
-    /// Returns what rarely changes of a load.
-    pub fn of(load: &RunnerLoad) -> Self {
-        Self {
-            born_ms: load.born_ms,
-            total_tokens: load.total_tokens,
-            weights: load.weights.clone(),
-        }
-    }
-}
+use super::RunnerTraits;
 
 /// A load of which only what changes from report to report is always told: every entry is told the
 /// loads of all runners several times a second.
--- a/crates/dotterelrudder_wire/src/lib.rs
+++ b/crates/dotterelrudder_wire/src/lib.rs
@@ -23,6 +23,8 @@
 pub use command::Command;
 pub use command::Member;
 pub use command_result::CommandResult;
+pub use fleet::cache_salt;
+pub use fleet::weights_of_salt;
 pub use fleet::DirectoryUpdate;
 pub use fleet::FleetView;
 pub use fleet::Follow;
