--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -46,7 +46,10 @@
 
 impl Fault {
     /// Builds the fault of a request that may have run.
-    pub(super) fn lost(reason: impl Into<String>) -> Self {
+    pub(super) fn lost<S>(reason: S) -> Self
+    where
+        S: Into<String>,
+    {
         Self {
             reach: Reach::Lost,
             outcome: RunOutcome::Failed,
--- a/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 
 use super::answer_limits::AnswerLimits;
-use super::answer_limits::ByteLimit;
+use super::byte_limit::ByteLimit;
 use crate::fleet::Seeds;
 use crate::settings::SettingsFile;
 
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod audit;
 mod beliefs;
 mod bodies;
+mod byte_limit;
 mod daemon;
 mod entry_file;
 mod first_part;
@@ -19,6 +20,6 @@
 mod upstream;
 
 pub use answer_limits::AnswerLimits;
-pub use answer_limits::ByteLimit;
+pub use byte_limit::ByteLimit;
 pub use daemon::run_entry;
 pub use entry_file::GatewayFile;
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -46,7 +46,10 @@
 }
 
 impl Passed {
-    fn broken(reason: impl Into<String>) -> Self {
+    fn broken<S>(reason: S) -> Self
+    where
+        S: Into<String>,
+    {
         Self::Broken(Broken {
             reason: reason.into(),
             outcome: RunOutcome::Failed,
