Load reports as a reading and traits; look at leaving parts only when some may leave

A load told to entries repeated the seven fields of the one that a side tells, with two functions that copied them, and the leader cloned the weights of each report twice to compare them: both are made of the same two pieces now. The shared directory needs no second check of its number, what changed is one map instead of two sets, and whether a runner answers is asked at one place. No behaviour changes; tests reach the fields by their new places and keep what they assert.

--- a/crates/dotterelrudder_control/src/fleet/cache_directory.rs
+++ b/crates/dotterelrudder_control/src/fleet/cache_directory.rs
@@ -327,8 +327,8 @@
     /// Returns the whole directory for an entry that holds another number. Entries that join
     /// together share one, since a hundred of them would fill this instance.
     pub fn whole(&mut self) -> Arc<DirectoryUpdate> {
-        let known = self.whole.as_ref().filter(|w| w.number == self.number);
-        let whole = known.cloned().unwrap_or_else(|| Arc::new(self.gather()));
+        let known = self.whole.take();
+        let whole = known.unwrap_or_else(|| Arc::new(self.gather()));
         self.whole = Some(whole.clone());
         whole
     }
--- a/crates/dotterelrudder_control/src/fleet/followers.rs
+++ b/crates/dotterelrudder_control/src/fleet/followers.rs
@@ -1,7 +1,6 @@
 //! The processes that follow the leader, and the soft state that it passes on to them.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +13,6 @@
 use dotterelrudder_wire::ModelWeights;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRow;
-use dotterelrudder_wire::RunnerTraits;
 
 use super::follower::Follower;
 use super::CacheDirectory;
@@ -39,8 +37,8 @@
     rows: Vec<RunnerRow>,
     list_number: u64,
     loads: BTreeMap<SocketAddr, RunnerLoad>,
-    changed: BTreeSet<SocketAddr>,
-    traits_changed: BTreeSet<SocketAddr>,
+    /// The loads that changed, and whether in what rarely changes.
+    changed: BTreeMap<SocketAddr, bool>,
     pass_at: Duration,
     pass_directory_at: Duration,
     waves: WeightWaves,
@@ -69,7 +67,7 @@
             beside: follow.beside,
             directory,
             directory_held: follow.directory,
-            directory_then: directory.max(self.directory.number()),
+            directory_then: self.directory.number(),
             list_sent,
         };
         self.by_name.insert(from.clone(), follower);
@@ -77,7 +75,7 @@
         self.send_view(&from, state, controls, now, out);
         self.send_list(&from, out);
         if entry_is_new && !self.loads.is_empty() {
-            let loads = self.loads.values().map(|l| LoadNews::of(l, true));
+            let loads = self.loads.values().map(|l| news_of(l, true));
             let message = Message::LoadNews(loads.collect());
             out.push(Output::Send { to: from, message });
         }
@@ -190,13 +188,11 @@
     /// Takes the loads that a side reports.
     pub(crate) fn reported(&mut self, loads: Vec<RunnerLoad>) {
         for load in loads {
-            let address = load.address;
-            self.changed.insert(address);
-            let traits = RunnerTraits::of(&load);
-            let before = self.loads.insert(address, load);
-            if before.is_none_or(|b| RunnerTraits::of(&b) != traits) {
-                self.traits_changed.insert(address);
-            }
+            let address = load.reading.address;
+            let before = self.loads.get(&address);
+            let traits = before.is_none_or(|b| b.traits != load.traits);
+            *self.changed.entry(address).or_default() |= traits;
+            self.loads.insert(address, load);
         }
     }
 
@@ -228,9 +224,10 @@
         self.pass_at = now + PASS_LOADS_EVERY;
         self.by_name.retain(|_, f| now < f.asked_at + FORGET_AFTER);
         let changed = std::mem::take(&mut self.changed);
-        let traits_changed = std::mem::take(&mut self.traits_changed);
-        let loads = changed.iter().filter_map(|a| self.loads.get(a));
-        let loads = loads.map(|l| LoadNews::of(l, traits_changed.contains(&l.address)));
+        let loads = changed.into_iter().filter_map(|(address, traits)| {
+            let load = self.loads.get(&address)?;
+            Some(news_of(load, traits))
+        });
         let loads: Vec<LoadNews> = loads.collect();
         if loads.is_empty() {
             return;
@@ -263,8 +260,8 @@
     /// Tells entries at once that a runner is about to load, so that they spare it.
     pub(crate) fn mark_loading(&mut self, runner: SocketAddr) {
         if let Some(load) = self.loads.get_mut(&runner) {
-            load.loading = true;
-            self.changed.insert(runner);
+            load.reading.loading = true;
+            self.changed.entry(runner).or_default();
             self.pass_at = Duration::ZERO;
         }
     }
@@ -273,3 +270,11 @@
         self.by_name.values().filter(|f| f.beside.is_none()).count() as u32
     }
 }
+
+/// Tells a load to entries, with what rarely changes or without.
+fn news_of(load: &RunnerLoad, with_traits: bool) -> LoadNews {
+    LoadNews {
+        reading: load.reading.clone(),
+        traits: with_traits.then(|| Box::new(load.traits.clone())),
+    }
+}
--- a/crates/dotterelrudder_control/src/fleet/store_state.rs
+++ b/crates/dotterelrudder_control/src/fleet/store_state.rs
@@ -55,25 +55,31 @@
     /// Withdraws parts of weights older than `weights` while these take up much room, and parts that
     /// weren't used for long while the store is full, those used least lately first.
     pub(super) fn choose_leaving(&mut self, now: Duration, weights: u64) -> Vec<PartKey> {
-        let staying = self.parts.iter().filter(|(_, p)| p.withdrawn_at.is_none());
-        let mut by_age: Vec<(Duration, &PartKey, u64, bool)> = staying
-            .map(|(key, p)| {
-                let outdated = weights_of_salt(&key.salt).is_some_and(|w| w < weights);
-                (p.used_at, key, u64::from(p.tokens), outdated)
-            })
-            .collect();
-        by_age.sort_unstable();
+        let staying = || self.parts.iter().filter(|(_, p)| p.withdrawn_at.is_none());
         let share = |of: f64| (self.capacity as f64 * of) as u64;
-        let mut all: u64 = by_age.iter().map(|(_, _, tokens, _)| tokens).sum();
+        let mut all: u64 = staying().map(|(_, p)| u64::from(p.tokens)).sum();
         let full = all > share(FULL);
+        // Nothing leaves a store with room, which is looked at many times a second.
+        let may_be_outdated = weights > 0 && all > share(OUTDATED_SHARE);
+        if !full && !may_be_outdated {
+            return Vec::new();
+        }
+        let mut by_age: Vec<(Duration, &PartKey, u64, f64)> = staying()
+            .filter_map(|(key, p)| {
+                let outdated =
+                    may_be_outdated && weights_of_salt(&key.salt).is_some_and(|w| w < weights);
+                let down_to = match outdated {
+                    true => OUTDATED_SHARE,
+                    false if full && now >= p.used_at + IDLE => FILL_TO,
+                    false => return None,
+                };
+                Some((p.used_at, key, u64::from(p.tokens), down_to))
+            })
+            .collect();
+        by_age.sort_unstable_by_key(|(used_at, key, ..)| (*used_at, *key));
         let mut chosen = Vec::new();
-        for (used_at, key, tokens, is_outdated) in by_age {
-            let leaves = if is_outdated {
-                all > share(OUTDATED_SHARE)
-            } else {
-                full && all > share(FILL_TO) && now >= used_at + IDLE
-            };
-            if leaves {
+        for (_, key, tokens, down_to) in by_age {
+            if all > share(down_to) {
                 all -= tokens;
                 chosen.push(key.clone());
             }
--- a/crates/dotterelrudder_control/src/fleet/weight_waves.rs
+++ b/crates/dotterelrudder_control/src/fleet/weight_waves.rs
@@ -67,13 +67,19 @@
             .collect();
         let behind = |load: &&&RunnerLoad| {
             let held = load.version_of(&wanted.model);
-            held.is_some_and(|held| held < wanted.version) && load.answers && !load.leaving
+            held.is_some_and(|held| held < wanted.version)
+                && load.reading.answers
+                && !load.reading.leaving
         };
         for load in &serving {
             let held = load.version_of(&wanted.model).unwrap_or(0);
             let done = |given: &ModelWeights| given.model == wanted.model && held >= given.version;
-            if self.given.get(&load.address).is_some_and(|(g, _)| done(g)) {
-                self.given.remove(&load.address);
+            if self
+                .given
+                .get(&load.reading.address)
+                .is_some_and(|(g, _)| done(g))
+            {
+                self.given.remove(&load.reading.address);
             }
         }
         let (_, since) = *self
@@ -89,14 +95,17 @@
         let share = (SHARE_AT_ONCE + SHARE_GROWS * late).min(1.0);
         let at_once = ((serving.len() as f64 * share) as usize).max(AT_ONCE_LEAST);
         let pending = |load: &RunnerLoad| {
-            let given = self.given.get(&load.address);
+            let given = self.given.get(&load.reading.address);
             given.is_some_and(|(g, at)| *g == *wanted && now < *at + REISSUE_AFTER)
         };
-        let busy = serving.iter().filter(|l| pending(l) && l.answers).count();
+        let busy = serving
+            .iter()
+            .filter(|l| pending(l) && l.reading.answers)
+            .count();
         let waiting = serving.iter().filter(behind).filter(|l| !pending(l));
         let next: Vec<SocketAddr> = waiting
             .take(at_once.saturating_sub(busy))
-            .map(|l| l.address)
+            .map(|l| l.reading.address)
             .collect();
         for address in next {
             self.given.insert(address, (wanted.clone(), now));
--- a/crates/dotterelrudder_control/tests/fleet.rs
+++ b/crates/dotterelrudder_control/tests/fleet.rs
@@ -30,6 +30,8 @@
 use dotterelrudder_wire::ModelWeights;
 use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::RunnerReading;
+use dotterelrudder_wire::RunnerTraits;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -162,19 +164,23 @@
 
 fn load(version: u64) -> RunnerLoad {
     RunnerLoad {
-        address: runner(),
-        born_ms: 1,
-        answers: true,
-        leaving: false,
-        loading: false,
-        waiting: 0,
-        running: 0,
-        used_tokens: 0,
-        total_tokens: 1,
-        weights: vec![ModelWeights {
-            model: "m".into(),
-            version,
-        }],
+        reading: RunnerReading {
+            address: runner(),
+            answers: true,
+            leaving: false,
+            loading: false,
+            waiting: 0,
+            running: 0,
+            used_tokens: 0,
+        },
+        traits: RunnerTraits {
+            born_ms: 1,
+            total_tokens: 1,
+            weights: vec![ModelWeights {
+                model: "m".into(),
+                version,
+            }],
+        },
     }
 }
 
@@ -269,7 +275,7 @@
     assert_eq!(fences.len(), 2);
     assert!(fences[0] < fences[1]);
     let spared = leader.told("entry").into_iter().any(|m| match m {
-        Message::LoadNews(loads) => loads.iter().any(|l| l.loading),
+        Message::LoadNews(loads) => loads.iter().any(|l| l.reading.loading),
         _ => false,
     });
     assert!(spared, "entries are told before the runner loads");
@@ -293,11 +299,9 @@
     leader.hear("side", Message::RunnerLoads(vec![load(2)]));
     leader.pass(220);
     assert_eq!(loads(&mut leader, &mut book), vec![load(2)]);
-    let busier = RunnerLoad {
-        running: 9,
-        used_tokens: 70_000,
-        ..load(2)
-    };
+    let mut busier = load(2);
+    busier.reading.running = 9;
+    busier.reading.used_tokens = 70_000;
     leader.hear("side", Message::RunnerLoads(vec![busier.clone()]));
     leader.pass(220);
     assert_eq!(loads(&mut leader, &mut book), vec![busier]);
@@ -323,12 +327,10 @@
     leader.hear("entry", follow(1, 0, None));
     leader.pass(220);
     let _told = leader.told("entry");
-    let busier = RunnerLoad {
-        running: 40,
-        waiting: 3,
-        used_tokens: 70_000,
-        ..load(1)
-    };
+    let mut busier = load(1);
+    busier.reading.running = 40;
+    busier.reading.waiting = 3;
+    busier.reading.used_tokens = 70_000;
     leader.hear("side", Message::RunnerLoads(vec![busier]));
     leader.pass(220);
     let told = leader.told("entry");
--- a/crates/dotterelrudder_control/tests/weight_waves.rs
+++ b/crates/dotterelrudder_control/tests/weight_waves.rs
@@ -6,6 +6,8 @@
 use dotterelrudder_control::WeightWaves;
 use dotterelrudder_wire::ModelWeights;
 use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::RunnerReading;
+use dotterelrudder_wire::RunnerTraits;
 
 fn weights(version: u64) -> ModelWeights {
     ModelWeights {
@@ -16,16 +18,20 @@
 
 fn load(n: u16, version: u64) -> RunnerLoad {
     RunnerLoad {
-        address: SocketAddr::from(([10, 0, 0, n as u8], 80)),
-        born_ms: 1,
-        answers: true,
-        leaving: false,
-        loading: false,
-        waiting: 0,
-        running: 3,
-        used_tokens: 0,
-        total_tokens: 1,
-        weights: vec![weights(version)],
+        reading: RunnerReading {
+            address: SocketAddr::from(([10, 0, 0, n as u8], 80)),
+            answers: true,
+            leaving: false,
+            loading: false,
+            waiting: 0,
+            running: 3,
+            used_tokens: 0,
+        },
+        traits: RunnerTraits {
+            born_ms: 1,
+            total_tokens: 1,
+            weights: vec![weights(version)],
+        },
     }
 }
 
@@ -42,7 +48,7 @@
     let mut waves = WeightWaves::default();
     let mut away: Vec<(SocketAddr, f64)> = Vec::new();
     let mut now = 0.0;
-    while loads.iter().any(|l| l.weights[0].version < 2) {
+    while loads.iter().any(|l| l.traits.weights[0].version < 2) {
         assert!(now < 7.0, "{loads:?}");
         for (address, _) in waves.plan(at(now), &[weights(2)], &loads) {
             away.push((address, now + 2.2));
@@ -56,8 +62,8 @@
         away.retain(|(address, until)| {
             let done = now >= *until;
             if done {
-                let load = loads.iter_mut().find(|l| l.address == *address).unwrap();
-                load.weights = vec![weights(2)];
+                let load = loads.iter_mut().find(|l| l.reading.address == *address).unwrap();
+                load.traits.weights = vec![weights(2)];
             }
             !done
         });
@@ -85,7 +91,7 @@
 #[test]
 fn runners_that_leave_or_don_t_answer_get_no_order() {
     let (mut leaving, mut silent) = (load(1, 1), load(2, 1));
-    (leaving.leaving, silent.answers) = (true, false);
+    (leaving.reading.leaving, silent.reading.answers) = (true, false);
     let orders = WeightWaves::default().plan(at(0.0), &[weights(2)], &[leaving, silent]);
     assert!(orders.is_empty());
 }
@@ -98,11 +104,11 @@
     let mut waves = WeightWaves::default();
     assert_eq!(waves.plan(at(0.0), &[weights(2)], &loads).len(), 4);
     for load in &mut loads[..3] {
-        load.answers = false;
+        load.reading.answers = false;
     }
     assert_eq!(waves.plan(at(0.1), &[weights(2)], &loads).len(), 3);
     for load in &mut loads[3..7] {
-        load.weights = vec![weights(2)];
+        load.traits.weights = vec![weights(2)];
     }
     assert_eq!(waves.plan(at(2.0), &[weights(2)], &loads).len(), 3);
     let mut late = WeightWaves::default();
--- a/crates/dotterelrudder_daemon/src/fleet/watcher.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/watcher.rs
@@ -6,6 +6,8 @@
 
 use compact_str::CompactString;
 use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::RunnerReading;
+use dotterelrudder_wire::RunnerTraits;
 use dotterelrudder_wire::WeightOrder;
 use slog::info;
 use slog::warn;
@@ -84,9 +86,9 @@
             }
             let load = match report {
                 Ok(report) => Some(self.load_of(&report, work.is_some())),
-                Err(_) if misses >= MISSES => told.clone().map(|load| RunnerLoad {
-                    answers: false,
-                    ..load
+                Err(_) if misses >= MISSES => told.clone().map(|mut load| {
+                    load.reading.answers = false;
+                    load
                 }),
                 Err(_) => None,
             };
@@ -109,18 +111,21 @@
     }
 
     fn load_of(&self, report: &RunnerReport, ordered: bool) -> RunnerLoad {
-        RunnerLoad {
+        let reading = RunnerReading {
             address: self.runner,
-            born_ms: report.born_ms,
             answers: true,
             leaving: report.leaving,
             loading: report.busy || ordered,
             waiting: report.waiting,
             running: report.running,
             used_tokens: report.used_tokens,
+        };
+        let traits = RunnerTraits {
+            born_ms: report.born_ms,
             total_tokens: report.total_tokens,
             weights: report.weights.clone(),
-        }
+        };
+        RunnerLoad { reading, traits }
     }
 
     /// Takes an order, unless one with a higher fencing number is in work.
--- a/crates/dotterelrudder_follow/src/load_book.rs
+++ b/crates/dotterelrudder_follow/src/load_book.rs
@@ -19,10 +19,11 @@
     pub fn complete(&mut self, news: Vec<LoadNews>) -> Vec<RunnerLoad> {
         let whole = news.into_iter().filter_map(|mut news| {
             if let Some(traits) = news.traits.take() {
-                self.traits.insert(news.address, *traits);
+                self.traits.insert(news.reading.address, *traits);
             }
-            let traits = self.traits.get(&news.address)?;
-            Some(news.with(traits))
+            let traits = self.traits.get(&news.reading.address)?.clone();
+            let reading = news.reading;
+            Some(RunnerLoad { reading, traits })
         });
         whole.collect()
     }
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -94,7 +94,7 @@
 
     /// Takes a load report.
     pub fn report(&mut self, load: RunnerLoad, now: Duration) {
-        if load.leaving {
+        if load.reading.leaving {
             self.row.leaving = true;
         }
         self.sent_since = 0;
@@ -130,10 +130,9 @@
 
     /// Returns what the entry thinks of the runner.
     pub fn condition(&self, now: Duration) -> RunnerCondition {
-        let answers = self.fresh_load(now).is_none_or(|load| load.answers);
         if !self.listed || self.row.leaving {
             RunnerCondition::Leaving
-        } else if !answers {
+        } else if !self.answers(now) {
             RunnerCondition::Silent
         } else if !self.health.is_open(now) {
             RunnerCondition::Spared
@@ -149,14 +148,21 @@
         self.load.is_some() && self.fresh_load(now).is_none()
     }
 
+    /// Returns whether the runner answers its side, as far as that was told lately.
+    fn answers(&self, now: Duration) -> bool {
+        let told = self.fresh_load(now);
+        told.is_none_or(|load| load.reading.answers)
+    }
+
     /// Returns whether the runner may have fallen silent: its side says so, or reports no more.
     pub fn is_doubted(&self, now: Duration) -> bool {
-        self.suspected || self.fresh_load(now).is_some_and(|load| !load.answers)
+        self.suspected || !self.answers(now)
     }
 
     /// Returns whether the runner is about to change its weights.
     pub fn is_loading(&self, now: Duration) -> bool {
-        self.fresh_load(now).is_some_and(|load| load.loading)
+        self.fresh_load(now)
+            .is_some_and(|load| load.reading.loading)
     }
 
     /// Returns the weights that the runner serves of a model.
@@ -168,7 +174,9 @@
 
     /// Returns the requests in the runner's batch and queue, with own sends since its report.
     pub fn batch(&self, now: Duration) -> f64 {
-        let reported = self.known_load(now).map(|l| l.running + l.waiting);
+        let reported = self
+            .known_load(now)
+            .map(|l| l.reading.running + l.reading.waiting);
         match reported {
             Some(n) => f64::from(n.max(self.in_flight.min(n + self.sent_since)) + self.sent_since),
             None => f64::from(self.in_flight),
@@ -178,7 +186,7 @@
     /// Returns the prompt tokens that the runner is expected to read before a new request: those of
     /// own requests, or what its report tells of all entries' with what was sent since.
     pub fn backlog(&self, now: Duration) -> f64 {
-        let told = self.known_load(now).map(|l| f64::from(l.waiting));
+        let told = self.known_load(now).map(|l| f64::from(l.reading.waiting));
         let reported = told.map_or(0.0, |n| n * MEAN_UNREAD + self.unread_since);
         reported.max(self.unread)
     }
@@ -186,8 +194,9 @@
     /// Returns the share of the runner's memory in use with `tokens` more.
     pub fn memory(&self, now: Duration, tokens: f64) -> f64 {
         match self.known_load(now) {
-            Some(l) if l.total_tokens > 0 => {
-                (l.used_tokens as f64 + self.sent_tokens + tokens) / l.total_tokens as f64
+            Some(l) if l.traits.total_tokens > 0 => {
+                let used = l.reading.used_tokens as f64 + self.sent_tokens + tokens;
+                used / l.traits.total_tokens as f64
             }
             _ => 0.0,
         }
--- a/crates/dotterelrudder_gateway/src/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runner_table.rs
@@ -86,10 +86,10 @@
 
     /// Takes a load report, which names a runner by its address.
     fn report(&mut self, load: RunnerLoad, now: Duration) {
+        let born_ms = load.traits.born_ms;
         let matching = self.runners.values_mut().find(|r| {
-            let same_start =
-                load.born_ms == 0 || r.row.born_ms == 0 || load.born_ms == r.row.born_ms;
-            r.listed && r.row.address == load.address && same_start
+            let same_start = born_ms == 0 || r.row.born_ms == 0 || born_ms == r.row.born_ms;
+            r.listed && r.row.address == load.reading.address && same_start
         });
         if let Some(runner) = matching {
             runner.report(load, now);
--- a/crates/dotterelrudder_gateway/tests/connections.rs
+++ b/crates/dotterelrudder_gateway/tests/connections.rs
@@ -90,7 +90,7 @@
     gateway.ended(ms(50), warm.runner, RunOutcome::Answered);
     let busy = |n: u16| {
         let mut load = load(n, 4, 30_000);
-        load.waiting = u32::from(format!("i-{n}") == warm.identity.as_str()) * 4;
+        load.reading.waiting = u32::from(format!("i-{n}") == warm.identity.as_str()) * 4;
         load
     };
     gateway.on_loads(ms(100), (1..=3).map(busy).collect());
--- a/crates/dotterelrudder_gateway/tests/placement.rs
+++ b/crates/dotterelrudder_gateway/tests/placement.rs
@@ -51,7 +51,7 @@
     // The list may still show it as taking work; the earlier word holds.
     gateway.on_runners(vec![row(1, "engines", "north"), row(2, "engines", "north")]);
     let mut silent = load(2, 0, 0);
-    silent.answers = false;
+    silent.reading.answers = false;
     gateway.on_loads(ms(2), vec![silent]);
     let prompt = prompt("s", 1_000, 10);
     let refusal = refused(place(&mut gateway, ms(3), &prompt));
@@ -83,7 +83,7 @@
     let placed = place(&mut gateway, ms(200), &prompt).unwrap();
     assert_eq!(placed.weights, Some(1));
     let mut newer = load(2, 30, 0);
-    newer.weights = vec![ModelWeights {
+    newer.traits.weights = vec![ModelWeights {
         model: MODEL.into(),
         version: 2,
     }];
@@ -224,7 +224,7 @@
     let mut gateway = gateway(2);
     let loading = |n| {
         let mut load = load(n, 0, 0);
-        load.loading = true;
+        load.reading.loading = true;
         load
     };
     gateway.on_loads(ms(0), vec![loading(1), load(2, 60, 80_000)]);
@@ -241,9 +241,9 @@
 #[test]
 fn long_prompts_wait_while_runners_have_much_to_read() {
     let mut gateway = gateway(1);
-    let mut reading = load(1, 8, 30_000);
-    reading.waiting = 6;
-    gateway.on_loads(ms(0), vec![reading]);
+    let mut behind = load(1, 8, 30_000);
+    behind.reading.waiting = 6;
+    gateway.on_loads(ms(0), vec![behind]);
     let long = prompt("s", 8_000, 3_000);
     let placed = place(&mut gateway, ms(1), &long);
     assert_eq!(placed, Err(NotPlaced::Busy));
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -26,7 +26,9 @@
 use dotterelrudder_wire::FleetView;
 use dotterelrudder_wire::ModelWeights;
 use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::RunnerReading;
 use dotterelrudder_wire::RunnerRow;
+use dotterelrudder_wire::RunnerTraits;
 
 pub const MODEL: &str = "m";
 
@@ -153,18 +155,22 @@
 
 pub fn load(n: u16, running: u32, used: u64) -> RunnerLoad {
     RunnerLoad {
-        address: format!("10.0.0.{n}:8080")
-            .parse()
-            .expect("the test's own value is well formed"),
-        born_ms: 1,
-        answers: true,
-        leaving: false,
-        loading: false,
-        waiting: 0,
-        running,
-        used_tokens: used,
-        total_tokens: 95_000,
-        weights: weights(1),
+        reading: RunnerReading {
+            address: format!("10.0.0.{n}:8080")
+                .parse()
+                .expect("the test's own value is well formed"),
+            answers: true,
+            leaving: false,
+            loading: false,
+            waiting: 0,
+            running,
+            used_tokens: used,
+        },
+        traits: RunnerTraits {
+            born_ms: 1,
+            total_tokens: 95_000,
+            weights: weights(1),
+        },
     }
 }
 
--- a/crates/dotterelrudder_gateway/tests/suspicion.rs
+++ b/crates/dotterelrudder_gateway/tests/suspicion.rs
@@ -110,7 +110,7 @@
     );
     assert!(!gateway.doubts(now, silent) && !gateway.doubts(now, down));
     let mut says_down = load(3, 4, HALF);
-    says_down.answers = false;
+    says_down.reading.answers = false;
     gateway.on_loads(
         ms(2_000),
         vec![load(1, 4, HALF), says_down, load(4, 4, HALF)],
--- a/crates/dotterelrudder_wire/src/fleet/runner_traits.rs
+++ b/crates/dotterelrudder_wire/src/fleet/runner_traits.rs
@@ -4,7 +4,6 @@
 use serde::Serialize;
 
 use super::ModelWeights;
-use super::RunnerLoad;
 
 /// What rarely changes at a runner.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -16,14 +15,3 @@
     /// The weights that the runner serves.
     pub weights: Vec<ModelWeights>,
 }
-
-impl RunnerTraits {
-    /// Returns what rarely changes of a load.
-    pub fn of(load: &RunnerLoad) -> Self {
-        Self {
-            born_ms: load.born_ms,
-            total_tokens: load.total_tokens,
-            weights: load.weights.clone(),
-        }
-    }
-}
--- a/crates/dotterelrudder_wire/src/lib.rs
+++ b/crates/dotterelrudder_wire/src/lib.rs
@@ -32,6 +32,7 @@
 pub use fleet::ModelWeights;
 pub use fleet::PartKey;
 pub use fleet::RunnerLoad;
+pub use fleet::RunnerReading;
 pub use fleet::RunnerRow;
 pub use fleet::RunnerTraits;
 pub use fleet::StoreStanding;
