--- a/crates/dotterelrudder_control/tests/weight_waves.rs
+++ b/crates/dotterelrudder_control/tests/weight_waves.rs
@@ -62,7 +62,10 @@
         away.retain(|(address, until)| {
             let done = now >= *until;
             if done {
-                let load = loads.iter_mut().find(|l| l.reading.address == *address).unwrap();
+                let load = loads
+                    .iter_mut()
+                    .find(|l| l.reading.address == *address)
+                    .unwrap();
                 load.traits.weights = vec![weights(2)];
             }
             !done
--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -57,6 +57,18 @@
             reason: reason.into(),
         }
     }
+
+    /// Builds the fault of a request that is given up while its runner is silent.
+    pub(super) fn silent<S>(outcome: RunOutcome, reason: S) -> Self
+    where
+        S: Into<String>,
+    {
+        Self {
+            reach: Reach::Silent,
+            outcome,
+            ..Self::lost(reason)
+        }
+    }
 }
 
 /// The head and the unread body of an answer, with its connection.
--- a/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
@@ -11,7 +11,6 @@
 use serde::Deserialize;
 
 use super::answer_limits::AnswerLimits;
-use super::byte_limit::ByteLimit;
 use crate::fleet::Seeds;
 use crate::settings::SettingsFile;
 
@@ -55,18 +54,9 @@
     /// Failures and requests that needed more than one attempt always leave one.
     #[serde(default = "default_log_answered_every")]
     pub log_answered_every: u32,
-    /// Bytes of the head of a backend server's answer at most.
-    #[serde(default = "default_answer_head_bytes")]
-    pub answer_head_bytes: ByteLimit,
-    /// Bytes of one event of a stream at most.
-    #[serde(default = "default_answer_event_bytes")]
-    pub answer_event_bytes: ByteLimit,
-    /// Bytes of a backend server's whole answer at most.
-    #[serde(default = "default_answer_bytes")]
-    pub answer_bytes: ByteLimit,
-    /// Bytes of all answers together that are read whole before they are passed on.
-    #[serde(default = "default_gathered_answer_bytes")]
-    pub gathered_answer_bytes: ByteLimit,
+    /// Bounds on what backend servers send.
+    #[serde(flatten)]
+    pub answer_limits: AnswerLimits,
     /// How a runner is chosen; all but the default are baselines for measurements.
     #[serde(default)]
     pub policy: Policy,
@@ -95,22 +85,6 @@
     20.0
 }
 
-fn default_answer_head_bytes() -> ByteLimit {
-    AnswerLimits::HEAD
-}
-
-fn default_answer_event_bytes() -> ByteLimit {
-    AnswerLimits::EVENT
-}
-
-fn default_answer_bytes() -> ByteLimit {
-    AnswerLimits::ANSWER
-}
-
-fn default_gathered_answer_bytes() -> ByteLimit {
-    AnswerLimits::GATHERED
-}
-
 fn default_log_answered_every() -> u32 {
     1
 }
@@ -124,16 +98,6 @@
 const KEY_LEASE_SHARE: f64 = 0.7;
 
 impl GatewayFile {
-    /// Returns the bounds on what backend servers send.
-    pub fn answer_limits(&self) -> AnswerLimits {
-        AnswerLimits {
-            head_bytes: self.answer_head_bytes.get(),
-            event_bytes: self.answer_event_bytes.get(),
-            answer_bytes: self.answer_bytes.get(),
-            gathered_bytes: self.gathered_answer_bytes.get(),
-        }
-    }
-
     /// Returns the settings of the decisions.
     pub fn decisions(&self) -> GatewaySettings {
         GatewaySettings {
--- a/crates/dotterelrudder_daemon/src/gateway/gathering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/gathering.rs
@@ -61,12 +61,12 @@
                 continue;
             };
             let of_all = share.add(part.len());
-            if share.own > limits.answer_bytes {
-                return Err(format!("the answer exceeds {} bytes", limits.answer_bytes));
+            let (most, most_of_all) = (limits.answer.get(), limits.gathered.get());
+            if share.own > most {
+                return Err(format!("the answer exceeds {most} bytes"));
             }
-            if share.own > SHORT_ANSWER && of_all > limits.gathered_bytes {
-                let most = limits.gathered_bytes;
-                return Err(format!("all gathered answers exceed {most} bytes"));
+            if share.own > SHORT_ANSWER && of_all > most_of_all {
+                return Err(format!("all gathered answers exceed {most_of_all} bytes"));
             }
             bytes.extend_from_slice(&part);
         }
--- a/crates/dotterelrudder_daemon/src/gateway/offering.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/offering.rs
@@ -102,7 +102,7 @@
             let repeatable = log.may_have_run == 0 || route.kind.may_repeat();
             let allowed = repeatable
                 && log.may_have_run < most
-                && (fault.reach == Reach::Silent || self.may_repeat(&job.admission.service));
+                && self.may_repeat_after(&fault, &job.admission.service);
             if !allowed {
                 let refusal = given_up(outcome, fault.reason, log);
                 return log.last_answer(refusal);
@@ -119,6 +119,11 @@
         allowed
     }
 
+    /// Takes a repeat out of the shared budget, unless that was done before the attempt was given up.
+    pub(super) fn may_repeat_after(&self, fault: &Fault, service: &ServiceName) -> bool {
+        fault.reach == Reach::Silent || self.may_repeat(service)
+    }
+
     /// Waits for a runner with room for the request.
     pub(super) async fn find_room(
         &self,
@@ -203,12 +208,10 @@
                 let reason = format!("no answer within {} ms", limit.as_millis());
                 Err(Fault::lost(reason))
             }),
-            () = self.falls_silent(job, placement.runner, began), if more => Err(Fault {
-                reach: Reach::Silent,
-                outcome: RunOutcome::Unreachable,
-                rest: None,
-                reason: "no answer, and the runner fell silent".into(),
-            }),
+            () = self.falls_silent(job, placement.runner, began), if more => {
+                let reason = "no answer, and the runner fell silent";
+                Err(Fault::silent(RunOutcome::Unreachable, reason))
+            }
         };
         let took = self.now().saturating_sub(began);
         match first {
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -18,6 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::attempt::Fault;
 use super::job::AttemptLog;
 use super::job::Begun;
 use super::job::Ended;
@@ -28,21 +29,12 @@
 /// Parts of a stream that wait for a slow caller before the runner is read no further.
 const STREAM_PARTS: usize = 32;
 
-/// Why a runner's stream is passed on no further.
-#[derive(Debug)]
-struct Broken {
-    reason: String,
-    outcome: RunOutcome,
-    /// Whether a repeat was taken out of the budget already.
-    repeat_taken: bool,
-}
-
 /// How the stream of one runner ended.
 #[derive(Debug)]
 enum Passed {
     Whole,
     CallerLeft,
-    Broken(Broken),
+    Broken(Fault),
 }
 
 impl Passed {
@@ -50,11 +42,7 @@
     where
         S: Into<String>,
     {
-        Self::Broken(Broken {
-            reason: reason.into(),
-            outcome: RunOutcome::Failed,
-            repeat_taken: false,
-        })
+        Self::Broken(Fault::lost(reason))
     }
 }
 
@@ -102,7 +90,7 @@
     ) -> Result<(), BrokenOff> {
         let mut last_event = job.call.resume_after.clone();
         loop {
-            let broken = match self
+            let fault = match self
                 .pass_events(job, &mut begun, &log, &mut last_event, tx)
                 .await
             {
@@ -112,16 +100,16 @@
                     return Ok(());
                 }
                 Passed::CallerLeft => return Ok(()),
-                Passed::Broken(broken) => broken,
+                Passed::Broken(fault) => fault,
             };
-            begun.run.end(broken.outcome);
+            begun.run.end(fault.outcome);
             drop(begun.upstream);
             slog::info!(self.log, "runner broke off"; "id" => job.call.id.as_str(),
                 "broken" => format!("{} {}", begun.placement.identity, begun.placement.address),
-                "reason" => broken.reason,
+                "reason" => fault.reason.as_str(),
                 "after" => last_event.as_deref().unwrap_or(""));
-            let allowed = job.may_run_again(&log)
-                && (broken.repeat_taken || self.may_repeat(&job.admission.service));
+            let allowed =
+                job.may_run_again(&log) && self.may_repeat_after(&fault, &job.admission.service);
             if !allowed {
                 return Err(BrokenOff("the runner broke off"));
             }
@@ -174,15 +162,15 @@
                     }
                     progress.passed(&event, self.now());
                 }
-                if splitter.rest().len() > limits.event_bytes {
+                if splitter.rest().len() > limits.event.get() {
                     return Passed::broken("an event is longer than the limit");
                 }
-                if received > limits.answer_bytes {
+                if received > limits.answer.get() {
                     return Passed::broken("the answer is longer than the limit");
                 }
             }
-            if let Some(broken) = self.stalls(job, begun, log, &progress) {
-                return Passed::Broken(broken);
+            if let Some(fault) = self.stalls(job, begun, log, &progress) {
+                return Passed::Broken(fault);
             }
             match timeout(LOOK_AT_RUNNER, begun.body.frame()).await {
                 Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
@@ -213,7 +201,7 @@
         begun: &Begun,
         log: &AttemptLog,
         progress: &StreamProgress,
-    ) -> Option<Broken> {
+    ) -> Option<Fault> {
         let now = self.now();
         let may_stall = job.may_run_again(log) && progress.is_stalled(now, true);
         if !may_stall {
@@ -229,11 +217,8 @@
         } else {
             (RunOutcome::Failed, "the stream stalled")
         };
-        Some(Broken {
-            reason: format!("{why}, no event for {pause} ms"),
-            outcome,
-            repeat_taken: true,
-        })
+        let reason = format!("{why}, no event for {pause} ms");
+        Some(Fault::silent(outcome, reason))
     }
 }
 
--- a/crates/dotterelrudder_gateway/src/event_splitter.rs
+++ b/crates/dotterelrudder_gateway/src/event_splitter.rs
@@ -1,7 +1,7 @@
 //! Cuts a stream of server-sent events into whole events.
 //!
-//! An answer that may be resumed is passed on by whole events, since a runner can break off inside
-//! one; the bytes of an event stay as the runner sent them.
+//! Streams are passed on by whole events, since a runner can break off inside one; the bytes of an
+//! event stay as the runner sent them.
 
 use bytes::Bytes;
 use bytes::BytesMut;
--- a/crates/dotterelrudder_gateway/src/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runner_table.rs
@@ -55,45 +55,35 @@
 
     /// Takes load reports; returns the runners that are suspected from now on, or not any more.
     pub fn reported(&mut self, loads: Vec<RunnerLoad>, now: Duration) -> Vec<SuspicionChange> {
-        let were_suspected: Vec<RunnerKey> = self.suspected().collect();
         self.news.came(now);
+        let mut changed = Vec::new();
         for load in loads {
-            self.report(load, now);
+            let taken = self.report(load, now);
+            changed.extend(taken.map(|runner| SuspicionChange::of(runner, now)));
         }
         let news = &self.news;
-        for runner in self.runners.values_mut().filter(|r| r.listed) {
+        for runner in self.runners.values_mut() {
             let age = runner.load_age(now);
-            runner.suspected |= age.is_some_and(|age| news.is_missing(now, age));
+            let missing = age.is_some_and(|age| news.is_missing(now, age));
+            if runner.listed && missing && !runner.suspected {
+                runner.suspected = true;
+                changed.push(SuspicionChange::of(runner, now));
+            }
         }
-        let are_suspected: Vec<RunnerKey> = self.suspected().collect();
-        let begun = are_suspected.iter().filter(|k| !were_suspected.contains(k));
-        let ended = were_suspected.iter().filter(|k| !are_suspected.contains(k));
-        let changed = begun.chain(ended).filter_map(|key| self.runners.get(*key));
         changed
-            .map(|runner| SuspicionChange {
-                identity: runner.row.identity.clone(),
-                address: runner.row.address,
-                suspected: runner.suspected,
-                load_age: runner.load_age(now).unwrap_or_default(),
-            })
-            .collect()
     }
 
-    fn suspected(&self) -> impl Iterator<Item = RunnerKey> + '_ {
-        let suspected = self.runners.iter().filter(|(_, r)| r.suspected);
-        suspected.map(|(key, _)| key)
-    }
-
-    /// Takes a load report, which names a runner by its address.
-    fn report(&mut self, load: RunnerLoad, now: Duration) {
+    /// Takes a load report, which names a runner by its address; returns the runner if it was
+    /// suspected until now.
+    fn report(&mut self, load: RunnerLoad, now: Duration) -> Option<&RunnerState> {
         let born_ms = load.traits.born_ms;
-        let matching = self.runners.values_mut().find(|r| {
+        let runner = self.runners.values_mut().find(|r| {
             let same_start = born_ms == 0 || r.row.born_ms == 0 || born_ms == r.row.born_ms;
             r.listed && r.row.address == load.reading.address && same_start
-        });
-        if let Some(runner) = matching {
-            runner.report(load, now);
-        }
+        })?;
+        let was_suspected = runner.suspected;
+        runner.report(load, now);
+        was_suspected.then_some(runner)
     }
 
     /// Draws the runners' places anew.
--- a/crates/dotterelrudder_gateway/src/suspicion_change.rs
+++ b/crates/dotterelrudder_gateway/src/suspicion_change.rs
@@ -5,6 +5,8 @@
 
 use compact_str::CompactString;
 
+use crate::RunnerState;
+
 /// What an entry's log tells of a change in its trust.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SuspicionChange {
@@ -17,3 +19,15 @@
     /// The age of its last report.
     pub load_age: Duration,
 }
+
+impl SuspicionChange {
+    /// Tells how an entry trusts a runner from now on.
+    pub fn of(runner: &RunnerState, now: Duration) -> Self {
+        Self {
+            identity: runner.row.identity.clone(),
+            address: runner.row.address,
+            suspected: runner.suspected,
+            load_age: runner.load_age(now).unwrap_or_default(),
+        }
+    }
+}
