Protocol version 3: messages of the fleet changed their layout

Directory updates, loads to entries and load reports are laid out anew since version 2, which processes of both versions would have read wrongly. They refuse each other at the hello instead, as before.

--- a/crates/dotterelrudder_wire/src/hello.rs
+++ b/crates/dotterelrudder_wire/src/hello.rs
@@ -11,7 +11,7 @@
 use crate::Message;
 
 /// The version of the messages; peers with another one are refused.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 /// Carries a message with the sender's revision, so that the one behind can pull from the one ahead.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
