A line of a log carries the time at which it was logged

Routine lines and failures wait in two queues, each with its own thread, and a line was dated when its queue wrote it, so that two lines logged within microseconds could be dated the other way round. Whoever read a story beside load was told the effect before its cause.

Change: the date is taken when the line is logged and goes through the queue with it.

Ruled out: the order of the code (the cause is logged first, by the same task); the sort of stories (by date, equal ones stay in order).

Before: the new test (400 pairs of a cause and its failure) fails at its first try, as does the mutant that dates lines when they are written. After: passes.

--- a/crates/dotterelrudder_daemon/src/logging.rs
+++ b/crates/dotterelrudder_daemon/src/logging.rs
@@ -17,11 +17,14 @@
 use slog::o;
 use slog::record;
 use slog::Drain;
+use slog::FnValue;
 use slog::Level;
 use slog::Logger;
 use slog::OwnedKVList;
 use slog::Record;
 use slog_async::AsyncCore;
+use time::format_description::well_known::Rfc3339;
+use time::OffsetDateTime;
 
 /// Routine lines that wait for a slow reader at most: some seconds of a busy entry.
 const ROUTINE_LINES: usize = 3_072;
@@ -41,10 +44,19 @@
 
 /// Builds the logger of a daemon.
 pub fn logger(role: &'static str, name: &str) -> Logger {
+    logger_into(role, name, || io::stdout().lock())
+}
+
+/// Builds a logger that writes into what `out` returns, asked again for each line.
+pub fn logger_into<F, W>(role: &'static str, name: &str, out: F) -> Logger
+where
+    F: Fn() -> W + Clone + Send + 'static,
+    W: Write,
+{
     // Never freed, since dropping a queue waits for the reader.
     let queues: &'static Queues = Box::leak(Box::new(Queues {
-        routine: queue(ROUTINE_LINES),
-        failures: queue(FAILURE_LINES),
+        routine: queue(ROUTINE_LINES, out.clone()),
+        failures: queue(FAILURE_LINES, out),
         told: AtomicU64::new(0),
     }));
     Logger::root(queues, o!("role" => role, "instance" => name.to_owned()))
@@ -66,9 +78,30 @@
     }
 }
 
-fn queue(lines: usize) -> AsyncCore {
-    let drain = slog_json::Json::default(WholeLines::default()).fuse();
-    AsyncCore::custom(drain).chan_size(lines).build()
+fn queue<F, W>(lines: usize, out: F) -> AsyncCore
+where
+    F: Fn() -> W + Send + 'static,
+    W: Write,
+{
+    let lines_out = WholeLines {
+        buf: Vec::new(),
+        out,
+    };
+    let drain = slog_json::Json::new(lines_out)
+        .add_key_value(o!(
+            "msg" => FnValue(|line| line.msg().to_string()),
+            "level" => FnValue(|line| line.level().as_short_str()),
+        ))
+        .build();
+    AsyncCore::custom(drain.fuse()).chan_size(lines).build()
+}
+
+/// Returns the present time as lines tell it.
+fn stamp() -> String {
+    // The format fails only for years past 9999.
+    OffsetDateTime::now_utc()
+        .format(&Rfc3339)
+        .unwrap_or_default()
 }
 
 /// The queues between the process and its reader.
@@ -88,7 +121,8 @@
             &self.routine
         };
         QUEUED.fetch_add(1, Ordering::AcqRel);
-        let queued = queue.log(line, values).is_ok();
+        let stamped = o!("ts" => stamp(), values.clone()).into();
+        let queued = queue.log(line, &stamped).is_ok();
         if !queued {
             QUEUED.fetch_sub(1, Ordering::AcqRel);
         }
@@ -125,17 +159,21 @@
     }
 }
 
-/// Writes to standard output by whole lines, so that those of two queues don't mix.
-#[derive(Default)]
-struct WholeLines {
+/// Writes by whole lines, so that those of two queues don't mix.
+struct WholeLines<F> {
     buf: Vec<u8>,
+    out: F,
 }
 
-impl Write for WholeLines {
+impl<F, W> Write for WholeLines<F>
+where
+    F: Fn() -> W,
+    W: Write,
+{
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.buf.extend_from_slice(bytes);
         if self.buf.ends_with(b"\n") {
-            let mut out = io::stdout().lock();
+            let mut out = (self.out)();
             let written = out.write_all(&self.buf).and_then(|()| out.flush());
             self.buf.clear();
             WRITTEN.fetch_add(1, Ordering::AcqRel);
--- /dev/null
+++ b/crates/dotterelrudder_daemon/tests/logging.rs
@@ -0,0 +1,55 @@
+//! What the lines of a log say of their order.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use dotterelrudder_daemon::logging;
+use dotterelrudder_explain::Event;
+
+/// Pairs of a routine line and the failure that follows it; both queues hold them all.
+const PAIRS: u64 = 400;
+
+/// A reader's end that keeps what was written.
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Kept {
+    fn text(&self) -> String {
+        let kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        String::from_utf8(kept.clone()).expect("lines are text")
+    }
+}
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_failure_is_never_dated_before_its_cause() {
+    let kept = Kept::default();
+    let out = kept.clone();
+    let log = logging::logger_into("entry", "e", move || out.clone());
+    for n in 0..PAIRS {
+        slog::info!(log, "cause"; "n" => 2 * n);
+        slog::warn!(log, "failure"; "n" => 2 * n + 1);
+    }
+    logging::flush();
+
+    let text = kept.text();
+    let lines = text.lines().map(Event::read);
+    let mut events: Vec<Event> = lines.map(|e| e.expect("a whole line")).collect();
+    events.sort_by_key(|e| e.at);
+    let told: Vec<_> = events.iter().filter_map(|e| e.number("n")).collect();
+    let logged: Vec<_> = (0..2 * PAIRS).collect();
+    assert_eq!(told, logged);
+}
