A server that stops takes a last look at what has reached it

Cause: when a server stopped, its listener was closed at once and each connection too on which no request had been read yet. Connections that the system had accepted waited in the listener's queue, requests lay unread on new and on kept connections: their senders, who had come before the stop, got a reset. A stop under load cuts off just-accepted requests by this.

Change: the listener and each connection go on for 50 ms behind the word to stop, then close as before.

--- a/crates/dotterelrudder_daemon/src/http_server.rs
+++ b/crates/dotterelrudder_daemon/src/http_server.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use crate::metrics::Metrics;
 
@@ -44,6 +45,10 @@
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 /// How long to pause after the system refused a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a server that stops goes on to take what has reached it already: connections that the
+/// system accepted, and on each the request that may lie there unread. A closed connection would
+/// cut these off, although their senders came before the stop.
+const LAST_LOOK: Duration = Duration::from_millis(50);
 
 /// The open connections of a server.
 #[derive(Debug)]
@@ -113,30 +118,35 @@
     let listener = listener.map_err(|e| format!("listen {address}: {e}"))?;
     let handler = Arc::new(handler);
     let (alive, open) = mpsc::channel(1);
-    tokio::spawn(async move {
-        let mut stopped = stop.clone();
+    let mut stopped = stop.clone();
+    let accepting = async move {
         loop {
-            tokio::select! {
-                accepted = listener.accept() => match accepted {
-                    Ok((tcp, _)) => {
-                        // Without it answers are only later by a delayed acknowledgement.
-                        let _refused = tcp.set_nodelay(true).is_err();
-                        let io = TokioIo::new(tcp);
-                        let (stop, handler, alive) = (stop.clone(), handler.clone(), alive.clone());
-                        let limits = limits();
-                        tokio::spawn(async move {
-                            serve_connection(io, stop, limits, handler).await;
-                            drop(alive);
-                        });
-                    }
-                    Err(e) => {
-                        refused(e);
-                        tokio::time::sleep(ACCEPT_PAUSE).await;
-                    }
-                },
-                () = wait_for_stop(&mut stopped) => return,
+            match listener.accept().await {
+                Ok((tcp, _)) => {
+                    // Without it answers are only later by a delayed acknowledgement.
+                    let _refused = tcp.set_nodelay(true).is_err();
+                    let io = TokioIo::new(tcp);
+                    let (stop, handler, alive) = (stop.clone(), handler.clone(), alive.clone());
+                    let limits = limits();
+                    tokio::spawn(async move {
+                        serve_connection(io, stop, limits, handler).await;
+                        drop(alive);
+                    });
+                }
+                Err(e) => {
+                    refused(e);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
             }
         }
+    };
+    tokio::spawn(async move {
+        tokio::pin!(accepting);
+        tokio::select! {
+            () = accepting.as_mut() => {}
+            () = wait_for_stop(&mut stopped) => {}
+        }
+        let _looked = timeout(LAST_LOOK, accepting).await;
     });
     Ok(Connections { open })
 }
@@ -169,12 +179,15 @@
         .max_buf_size(limits.bytes.max(LEAST_HEAD_BYTES))
         .serve_connection(io, service);
     tokio::pin!(connection);
+    // A caller's broken connection concerns only that caller.
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = wait_for_stop(&mut stop) => connection.as_mut().graceful_shutdown(),
+        () = wait_for_stop(&mut stop) => {}
+    }
+    if timeout(LAST_LOOK, connection.as_mut()).await.is_err() {
+        connection.as_mut().graceful_shutdown();
+        let _ended = connection.await;
     }
-    // A caller's broken connection concerns only that caller.
-    let _ended = connection.await;
 }
 
 /// Reads a whole body within the limits.
@@ -184,7 +197,7 @@
 /// Returns the refusal for a body that is too large, too slow or broken.
 pub async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
     let limited = Limited::new(body, MAX_BODY_BYTES).collect();
-    match tokio::time::timeout(BODY_LIMIT, limited).await {
+    match timeout(BODY_LIMIT, limited).await {
         Err(_) => Err(Refusal::new(
             ErrorKind::SlowSender,
             "the body took too long",
