An answer without length or chunks is never a whole one

Cause: an answer that only the end of its connection ends looks the same whole and broken off. Such answers were gathered and passed on with a length, half ones too; such streams were whole when they ended between two events.

Change: a gathered answer without framing counts as lost; a stream without framing passes its events on, and its end counts as broken off: it goes on behind the last event where the route allows, or its caller sees it broken.

--- a/crates/dotterelrudder_daemon/src/gateway/bodies.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/bodies.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
@@ -40,6 +42,17 @@
     }
 }
 
+/// Why an answer that isn't framed is no whole answer.
+pub(super) const UNFRAMED: &str = "the answer ended with its connection, which may have broken off";
+
+/// Returns whether the end of an answer can be told from its breaking off: it has a length or comes
+/// in chunks. Any other answer ends wherever its connection does.
+pub(super) fn is_framed(headers: &HeaderMap) -> bool {
+    let encoding = headers.get(TRANSFER_ENCODING).map(|v| v.as_bytes());
+    let is_chunked = encoding.is_some_and(|e| e.to_ascii_lowercase().ends_with(b"chunked"));
+    is_chunked || headers.contains_key(CONTENT_LENGTH)
+}
+
 /// Reads how long a server keeps an idle connection.
 pub(super) fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/dotterelrudder_daemon/src/gateway/first_part.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/first_part.rs
@@ -3,7 +3,9 @@
 use super::attempt::attempt;
 use super::attempt::Fault;
 use super::attempt::Outgoing;
+use super::bodies::is_framed;
 use super::bodies::keep_alive;
+use super::bodies::UNFRAMED;
 use super::serving::Serving;
 use super::upstream::Upstream;
 use bytes::Bytes;
@@ -11,6 +13,7 @@
 use dotterelrudder_gateway::OutboundCall;
 use dotterelrudder_gateway::Placement;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,6 +54,9 @@
         let (head, mut body, mut upstream) = answered.await?;
         upstream.keep_alive = keep_alive(&head.headers);
         if !(stream && head.status.is_success()) {
+            if !body.is_end_stream() && !is_framed(&head.headers) {
+                return Err(Fault::lost(UNFRAMED));
+            }
             let bytes = self.gathering.read(body, &self.answer_limits).await;
             let bytes = bytes.map_err(Fault::lost)?;
             return Ok(FirstPart::Whole(head, bytes, upstream));
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -10,8 +10,6 @@
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::StreamProgress;
 use http::header::CONTENT_LENGTH;
-use http::header::TRANSFER_ENCODING;
-use http::HeaderMap;
 use http::Response;
 use http_body_util::BodyExt;
 use std::sync::Arc;
@@ -19,6 +17,8 @@
 use tokio::time::timeout;
 
 use super::attempt::Fault;
+use super::bodies::is_framed;
+use super::bodies::UNFRAMED;
 use super::job::AttemptLog;
 use super::job::Begun;
 use super::job::Ended;
@@ -180,12 +180,12 @@
                 Err(_) => {}
             }
         }
+        if !is_framed(&begun.head.headers) {
+            return Passed::broken(UNFRAMED);
+        }
         if splitter.rest().is_empty() {
             return Passed::Whole;
         }
-        if !is_framed(&begun.head.headers) {
-            return Passed::broken("the connection ended inside an event");
-        }
         let rest = Bytes::copy_from_slice(splitter.rest());
         match tx.send(Ok(rest)).await {
             Ok(()) => Passed::Whole,
@@ -221,8 +221,3 @@
         Some(Fault::silent(outcome, reason))
     }
 }
-
-/// Returns whether an answer's head tells how its end is known.
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
