A stream without end isn't continued by another runner's answer

Cause: a stream that sends events without end is cut off at the limit of an answer. The fault counted as a lost runner, so that a resumable stream went on elsewhere, behind the last event that had an id: the caller got 4 MiB of foreign events, then the whole sound answer, and all of it looked complete.

Change: what is longer than any answer may be isn't continued; its caller sees it broken off.

Test: hostile_runners.rs, one such runner beside sound ones, at an entry that takes 64 KiB at most; fails before (66,162 bytes, whole), passes after. With the usual 4 MiB callers left first, which hid it.

--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -35,6 +35,8 @@
     Whole,
     CallerLeft,
     Broken(Fault),
+    /// Longer than any answer may be: what was passed on is no beginning of a sound one.
+    TooLong(Fault),
 }
 
 impl Passed {
@@ -90,7 +92,7 @@
     ) -> Result<(), BrokenOff> {
         let mut last_event = job.call.resume_after.clone();
         loop {
-            let fault = match self
+            let (fault, may_go_on) = match self
                 .pass_events(job, &mut begun, &log, &mut last_event, tx)
                 .await
             {
@@ -100,7 +102,8 @@
                     return Ok(());
                 }
                 Passed::CallerLeft => return Ok(()),
-                Passed::Broken(fault) => fault,
+                Passed::Broken(fault) => (fault, true),
+                Passed::TooLong(fault) => (fault, false),
             };
             begun.run.end(fault.outcome);
             drop(begun.upstream);
@@ -108,8 +111,9 @@
                 "broken" => format!("{} {}", begun.placement.identity, begun.placement.address),
                 "reason" => fault.reason.as_str(),
                 "after" => last_event.as_deref().unwrap_or(""));
-            let allowed =
-                job.may_run_again(&log) && self.may_repeat_after(&fault, &job.admission.service);
+            let allowed = may_go_on
+                && job.may_run_again(&log)
+                && self.may_repeat_after(&fault, &job.admission.service);
             if !allowed {
                 return Err(BrokenOff("the runner broke off"));
             }
@@ -166,7 +170,7 @@
                     return Passed::broken("an event is longer than the limit");
                 }
                 if received > limits.answer.get() {
-                    return Passed::broken("the answer is longer than the limit");
+                    return Passed::TooLong(Fault::lost("the answer is longer than the limit"));
                 }
             }
             if let Some(fault) = self.stalls(job, begun, log, &progress) {
