Log and count the request limits that runners name

An entry now reads the limit of each valid answer, logs changes of the limit in force, and counts what it sends to such runners; placement is unchanged. Malformed values say nothing about the limit and are logged. A lower value counts at once, a higher one or none after a second without the lower one, since answers overtake each other.

--- a/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
@@ -62,7 +62,15 @@
             limit,
             now,
         );
-        let (head, mut body, mut upstream) = answered.await?;
+        let answered = answered.await;
+        let limit = match &answered {
+            Ok((_, limit, ..)) => Some(*limit),
+            Err(failure) => failure.limit,
+        };
+        if let Some(limit) = limit {
+            self.record_answer_limit(placement, limit);
+        }
+        let (head, _, mut body, mut upstream) = answered?;
         upstream.keep_alive = keep_alive(&head.headers);
         if !(stream && head.status.is_success()) {
             if !body.is_end_stream() && !is_framed(&head.headers) {
--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dotterelrudder_gateway::AnswerLimit;
 use dotterelrudder_gateway::BackendRequest;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Placement;
@@ -41,6 +42,8 @@
     pub(super) outcome: RunOutcome,
     /// The backoff that the runner requested, if it did not run the request.
     pub(super) requested_backoff: Option<Duration>,
+    /// The limit that the runner's response names; none without a valid response.
+    pub(super) limit: Option<AnswerLimit>,
     /// The cause, for the log and the refusal.
     pub(super) reason: String,
 }
@@ -55,6 +58,7 @@
             kind: FailureKind::AnswerLost,
             outcome: RunOutcome::Failed,
             requested_backoff: None,
+            limit: None,
             reason: reason.into(),
         }
     }
@@ -72,8 +76,13 @@
     }
 }
 
-/// The head and the unread body of a response, with its connection.
-pub(super) type AnswerHead = (http::response::Parts, Incoming, UpstreamConnection);
+/// The head and the unread body of a response, with the limit that it names and its connection.
+pub(super) type AnswerHead = (
+    http::response::Parts,
+    AnswerLimit,
+    Incoming,
+    UpstreamConnection,
+);
 
 /// The caller's request as it is sent to a runner.
 #[derive(Debug)]
@@ -132,14 +141,15 @@
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
             match check_answer_head(dialect, outgoing.id, placement, &head) {
-                Some(failure) => Err(failure),
-                None => Ok((head, body, upstream)),
+                Err(failure) => Err(failure),
+                Ok(limit) => Ok((head, limit, body, upstream)),
             }
         }
         Ok(Err(SendError::NotSent)) => Err(AttemptFailure {
             kind: FailureKind::NotSent,
             outcome: RunOutcome::Failed,
             requested_backoff: None,
+            limit: None,
             reason: "the connection closed before the request was sent".into(),
         }),
         Ok(Err(SendError::Broken(reason))) => {
@@ -160,6 +170,7 @@
         kind: FailureKind::NotSent,
         outcome: RunOutcome::Unreachable,
         requested_backoff: None,
+        limit: None,
         reason,
     }
 }
@@ -185,14 +196,18 @@
     req
 }
 
-/// Returns the failure if the head shows that the response does not belong to this request or that
-/// the request was not run.
+/// Checks that the response belongs to this request and that the request was run. Returns the
+/// limit that the head names.
+///
+/// # Errors
+///
+/// Returns the failure of the attempt if a check fails.
 fn check_answer_head<D>(
     dialect: &D,
     id: &str,
     placement: &Placement,
     head: &http::response::Parts,
-) -> Option<AttemptFailure>
+) -> Result<AnswerLimit, AttemptFailure>
 where
     D: Dialect,
 {
@@ -204,15 +219,16 @@
         .as_ref()
         .is_some_and(|i| *i != placement.identity);
     if other_request {
-        return Some(AttemptFailure::answer_lost(
+        return Err(AttemptFailure::answer_lost(
             "the answer names another request id",
         ));
     }
     let declined = |outcome, reason: String| {
-        Some(AttemptFailure {
+        Err(AttemptFailure {
             kind: FailureKind::Declined,
             outcome,
             requested_backoff: facts.requested_backoff,
+            limit: (!other_server).then_some(facts.limit),
             reason,
         })
     };
@@ -230,9 +246,9 @@
     // A response without a request id may be a delayed duplicate of the response to an earlier
     // request.
     if !facts.signed || facts.encoded || facts.request_id.is_none() {
-        return Some(AttemptFailure::answer_lost(format!(
+        return Err(AttemptFailure::answer_lost(format!(
             "answer with status {status} is unsigned, encoded or without a request id"
         )));
     }
-    None
+    Ok(facts.limit)
 }
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -4,6 +4,7 @@
 use super::attempt::AttemptFailure;
 use super::attempt::FailureKind;
 use super::attempt::OutgoingRequest;
+use dotterelrudder_gateway::AnswerLimit;
 use dotterelrudder_gateway::BackendRequest;
 use dotterelrudder_gateway::CapacityRequest;
 use dotterelrudder_gateway::Dialect;
@@ -210,7 +211,13 @@
         let limit = limit.saturating_sub(MIN_TIME_LEFT);
         let began = self.now();
         let prompt = request.call.prompt.as_ref();
-        let prefill_tokens = self.gateway().sent(began, placement.runner, prompt);
+        let prefill_tokens = {
+            let mut gateway = self.gateway();
+            if gateway.is_limited(placement.runner) {
+                self.metrics.count_limited_send();
+            }
+            gateway.sent(began, placement.runner, prompt)
+        };
         let guard = self.attempt_guard(request, placement, prefill_tokens, began);
         let first = self.answer_start(
             &outgoing,
@@ -292,6 +299,21 @@
         }
     }
 
+    /// Records the limit that a runner's response names, and logs changes.
+    pub(super) fn record_answer_limit(&self, placement: &Placement, limit: AnswerLimit) {
+        if limit == AnswerLimit::Malformed {
+            slog::warn!(self.log, "request limit of a runner is not a decimal number";
+                "runner" => placement.identity.as_str(), "address" => %placement.address);
+        }
+        let now = self.now();
+        let change = self.gateway().on_answer_limit(now, placement.runner, limit);
+        if let Some((before, after)) = change {
+            slog::info!(self.log, "runner changed its request limit";
+                "runner" => placement.identity.as_str(), "address" => %placement.address,
+                "before_per_s" => before, "limit_per_s" => after);
+        }
+    }
+
     /// Sends no requests to a runner for the time that it requested (`Retry-After`).
     fn apply_requested_backoff(&self, placement: &Placement, backoff: Duration) {
         slog::info!(self.log, "runner requested backoff";
--- a/crates/dotterelrudder_daemon/src/gateway/state_metrics.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/state_metrics.rs
@@ -14,7 +14,9 @@
         let gateway = self.gateway();
         let counts = gateway.count_runners(now);
         let age = gateway.confirmation_age(now);
+        let limited = gateway.limited_runners();
         drop(gateway);
+        self.metrics.set_limited_runners(limited);
         for (state, runners) in counts {
             self.metrics.set_runners(state.as_str(), runners);
         }
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -34,6 +34,8 @@
     answers: Counter<u64>,
     attempts: Counter<u64>,
     repeats: Counter<u64>,
+    limited_sends: Counter<u64>,
+    limited_runners: Gauge<u64>,
     runners: Gauge<u64>,
     leads: Gauge<u64>,
     term: Gauge<u64>,
@@ -85,6 +87,8 @@
             attempts: counter("dotterelrudder_attempts"),
             answers: counter("dotterelrudder_answers"),
             repeats: counter("dotterelrudder_repeats"),
+            limited_sends: counter("dotterelrudder_limited_sends"),
+            limited_runners: gauge("dotterelrudder_limited_runners"),
             runners: gauge("dotterelrudder_runners"),
             leads: gauge("dotterelrudder_leads"),
             term: gauge("dotterelrudder_term"),
@@ -149,6 +153,16 @@
         self.repeats.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request sent to a runner that names a request limit.
+    pub fn count_limited_send(&self) {
+        self.limited_sends.add(1, &[]);
+    }
+
+    /// Sets the number of runners that name a request limit.
+    pub fn set_limited_runners(&self, runners: usize) {
+        self.limited_runners.record(runners as u64, &[]);
+    }
+
     /// Sets the number of runners in a state.
     pub fn set_runners(&self, state: &'static str, runners: usize) {
         self.runners
--- a/crates/dotterelrudder_gateway/src/backend_answer_head.rs
+++ b/crates/dotterelrudder_gateway/src/backend_answer_head.rs
@@ -4,8 +4,10 @@
 
 use compact_str::CompactString;
 
+use crate::AnswerLimit;
+
 /// The fields of a response head that decide how the entry handles the response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct BackendAnswerHead {
     /// The id of the request that the response belongs to.
     pub request_id: Option<CompactString>,
@@ -16,6 +18,8 @@
     pub not_run: bool,
     /// The backoff that the backend server requests, if it did not run the request.
     pub requested_backoff: Option<Duration>,
+    /// The request limit that the backend server names.
+    pub limit: AnswerLimit,
     /// The identity of the runner that responded, if given.
     pub identity: Option<CompactString>,
     /// Whether the body has a content encoding, which was not requested.
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod runner_selection;
 
 use crate::Admission;
+use crate::AnswerLimit;
 use crate::ConfirmedLease;
 use crate::EngineEstimate;
 use crate::GatewaySettings;
@@ -222,6 +223,36 @@
         }
     }
 
+    /// Records what a runner's answer states about its request limit. Returns the previous and the
+    /// new limit in requests per second if the limit in force changed.
+    pub fn on_answer_limit(
+        &mut self,
+        now: Duration,
+        runner: RunnerKey,
+        limit: AnswerLimit,
+    ) -> Option<(Option<f64>, Option<f64>)> {
+        let runner = self.runners.get_mut(runner)?;
+        let before = runner.named_limit.rate();
+        match limit {
+            AnswerLimit::Named(rate) => runner.named_limit.on_named(now, rate),
+            AnswerLimit::Absent => runner.named_limit.on_answers_without(now, 1),
+            AnswerLimit::Malformed => {}
+        }
+        let after = runner.named_limit.rate();
+        (before != after).then_some((before, after))
+    }
+
+    /// Returns whether a runner names a request limit.
+    pub fn is_limited(&self, runner: RunnerKey) -> bool {
+        let runner = self.runners.get(runner);
+        runner.is_some_and(|r| r.named_limit.rate().is_some())
+    }
+
+    /// Returns the number of listed runners that name a request limit.
+    pub fn limited_runners(&self) -> usize {
+        self.runners.limited().count()
+    }
+
     /// Takes one retry from the service's retry budget. Returns whether there was one left.
     pub fn may_repeat(&mut self, now: Duration, service: &ServiceName) -> bool {
         let s = &self.settings;
--- a/crates/dotterelrudder_gateway/src/lib.rs
+++ b/crates/dotterelrudder_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod affinity;
+mod answer_limit;
 mod backend_answer_head;
 mod backend_request;
 mod cache_plan;
@@ -44,6 +45,7 @@
 
 pub use admission::Admission;
 pub use affinity::rendezvous_score;
+pub use answer_limit::AnswerLimit;
 pub use backend_answer_head::BackendAnswerHead;
 pub use backend_request::BackendRequest;
 pub use cache_plan::CachePlan;
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use dotterelrudder_types::NamedLimit;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRecord;
 
@@ -38,6 +39,8 @@
     pub sampling_rank: u32,
     /// Whether the runner's load reports have stopped while those of other runners still arrive.
     pub suspected: bool,
+    /// The request limit that the runner names in its answers to this entry.
+    pub named_limit: NamedLimit,
     /// The last load report and when it arrived.
     load: Option<(RunnerLoad, Duration)>,
     /// When this entry last sent a request of each session.
@@ -62,6 +65,7 @@
             connections: WarmConnections::default(),
             sampling_rank: 0,
             suspected: false,
+            named_limit: NamedLimit::default(),
             load: None,
             sessions: HashMap::new(),
             in_flight: 0,
--- a/crates/dotterelrudder_gateway/src/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runner_table.rs
@@ -120,6 +120,12 @@
         all.filter(move |(_, r)| r.listed && r.record.service == *service)
     }
 
+    /// Returns the listed runners that name a request limit.
+    pub fn limited(&self) -> impl Iterator<Item = &RunnerState> {
+        let listed = self.runners.values().filter(|r| r.listed);
+        listed.filter(|r| r.named_limit.rate().is_some())
+    }
+
     /// Returns the number of runners in each condition.
     pub fn count(&self, now: Duration) -> [(RunnerCondition, usize); RunnerCondition::ALL.len()] {
         RunnerCondition::ALL.map(|condition| {
