Let the number of entries fall only after ten seconds

A leader that has just been elected counts the entries that have queried it so far, so that each entry took the retry slack of all: told 1 in place of 6, 42 retries in place of 7 (the new test fails so without the change). Callers saw none of it yet; a budget of retries was at risk after each change of the leader, when retries come. A larger number counts at once.

--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 use crate::Admission;
 use crate::ConfirmedLease;
 use crate::EngineEstimate;
+use crate::EntryCount;
 use crate::GatewaySettings;
 use crate::LimitReports;
 use crate::NamedWeights;
@@ -66,7 +67,7 @@
     lease: ConfirmedLease,
     budgets: HashMap<ServiceName, RetryBudget>,
     /// The number of entries in the fleet.
-    entries: u32,
+    entries: EntryCount,
     engine_estimate: EngineEstimate,
     stored_parts: StoredParts,
     limit_reports: LimitReports,
@@ -91,7 +92,7 @@
             weights: BTreeMap::new(),
             lease: ConfirmedLease::default(),
             budgets: HashMap::new(),
-            entries: 1,
+            entries: EntryCount::default(),
             engine_estimate: EngineEstimate::default(),
             stored_parts: StoredParts::default(),
             limit_reports: LimitReports::new(seed << 32),
@@ -121,7 +122,7 @@
                 .or_default()
                 .add(named.version, now);
         }
-        self.entries = state.entries.max(1);
+        self.entries.update(now, state.entries);
         if let Some(at) = queried_at {
             self.stored_parts
                 .confirm(state.directory, at, state.engine_clock_ms, now);
@@ -244,7 +245,7 @@
             s.retry_window,
             s.retry_ratio,
             s.retry_slack,
-            self.entries,
+            self.entries.get(),
         )
     }
 
--- a/crates/dotterelrudder_gateway/src/gateway/request_limits.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_limits.rs
@@ -111,7 +111,7 @@
 
     /// Removes what has expired from the state of limits.
     pub(super) fn advance_limits(&mut self, now: Duration) {
-        let (entries, answered_at) = (self.entries, self.limit_reports.answered_at());
+        let (entries, answered_at) = (self.entries.get(), self.limit_reports.answered_at());
         self.runners
             .for_each_limited(|r| r.limit.advance(now, entries, answered_at));
     }
@@ -164,7 +164,7 @@
         let answered_at = self.limit_reports.answered_at();
         let is_cut_off = now >= answered_at + CUT_OFF_AFTER;
         let share = match is_cut_off {
-            true => RESERVED_SHARE / f64::from(self.entries),
+            true => RESERVED_SHARE / f64::from(self.entries.get()),
             false => 1.0 - RESERVED_SHARE,
         };
         let (mut rates, mut waiting) = (0.0, 1.0);
--- a/crates/dotterelrudder_gateway/src/gateway/runner_estimate.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/runner_estimate.rs
@@ -102,7 +102,7 @@
     /// report to the load that this entry sent. Only about [`ENTRIES_PER_RUNNER`] entries use a
     /// runner at a time.
     fn unreported_load_factor(&self) -> f64 {
-        1.0 + (f64::from(self.entries).min(ENTRIES_PER_RUNNER) - 1.0) / 2.0
+        1.0 + (f64::from(self.entries.get()).min(ENTRIES_PER_RUNNER) - 1.0) / 2.0
     }
 
     /// Returns the time to fetch the shared parts of a prompt from stores, in milliseconds; `None`
--- a/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
@@ -139,7 +139,7 @@
         open: &mut Vec<OpenRunner>,
     ) {
         open.sort_unstable();
-        let size = candidate_set_size(open.len(), self.entries);
+        let size = candidate_set_size(open.len(), self.entries.get());
         let (mut position, mut warm) = (0, 0);
         open.retain(|c| {
             position += 1;
--- a/crates/dotterelrudder_gateway/tests/retry_budget.rs
+++ b/crates/dotterelrudder_gateway/tests/retry_budget.rs
@@ -1,7 +1,10 @@
 //! Retry budget.
 
+mod support;
+
 use std::time::Duration;
 
+use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::RetryBudget;
 
 fn s(s: f64) -> Duration {
@@ -44,3 +47,27 @@
         .count();
     assert_eq!(taken, 6);
 }
+
+/// A leader that was just elected has heard of few entries; each of them must not take the slack of
+/// all.
+#[test]
+fn a_smaller_number_of_entries_counts_only_after_a_while() {
+    let told = |gateway: &mut Gateway, at: f64, entries| {
+        let mut state = support::fleet_state(1);
+        state.entries = entries;
+        gateway.on_fleet_state(s(at), state, Some(s(at)));
+    };
+    let retries = |gateway: &mut Gateway, at: f64| {
+        let allowed = (0..100).filter(|_| gateway.may_repeat(s(at), &support::engines()));
+        allowed.count()
+    };
+    // Seven tenths of the slack of 60, divided among the entries.
+    let mut gateway = support::gateway(1);
+    told(&mut gateway, 100.0, 6);
+    told(&mut gateway, 105.0, 1);
+    assert_eq!(retries(&mut gateway, 105.0), 7);
+    told(&mut gateway, 116.0, 2);
+    assert_eq!(retries(&mut gateway, 130.0), 21);
+    told(&mut gateway, 131.0, 6);
+    assert_eq!(retries(&mut gateway, 150.0), 7);
+}
