--- a/crates/dotterelrudder/tests/runner_limits.rs
+++ b/crates/dotterelrudder/tests/runner_limits.rs
@@ -190,6 +190,14 @@
     let served = fleet.arrived_since(1, from).len() as f64 / 8.0;
     assert!(most <= designed(20.0), "{most}");
     assert!(served >= 0.5 * 20.0, "{served} a second");
+    // Answers that name so low a limit come too rarely to teach a new leader.
+    fleet.limit(2, Some(0.5));
+    fleet.run(ms(8_000), &load, spread(5));
+    fleet.change_leader(ms(600));
+    let from = fleet.now;
+    fleet.run(ms(12_000), &load, spread(5));
+    let most = fleet.most_in_window(1, from, WINDOW) as f64;
+    assert!(most <= designed(0.5), "{most}");
 }
 
 #[test]
