Count an entry as cut off by reports that wait for an answer

Found on reading the change: an entry counted as cut off from control when no report about limits had been answered within 2.5 s, also if it had never sent one. So the first request after a service's first limit was refused at once, with the Retry-After of the reserve (up to 10 s), until the first report was answered. Now a report has to have waited that long.

--- a/crates/dotterelrudder_gateway/src/gateway/request_limits.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_limits.rs
@@ -7,7 +7,6 @@
 
 use super::runner_selection::OpenRunner;
 use super::Gateway;
-use crate::limit_reserve::CUT_OFF_AFTER;
 use crate::AnswerLimit;
 use crate::AppliedLimit;
 use crate::PermitWait;
@@ -111,9 +110,10 @@
 
     /// Removes what has expired from the state of limits.
     pub(super) fn advance_limits(&mut self, now: Duration) {
-        let (entries, answered_at) = (self.entries.get(), self.limit_reports.answered_at());
+        let entries = self.entries.get();
+        let is_cut_off = self.limit_reports.is_cut_off(now);
         self.runners
-            .for_each_limited(|r| r.limit.advance(now, entries, answered_at));
+            .for_each_limited(|r| r.limit.advance(now, entries, is_cut_off));
     }
 
     /// Returns whether a request may be sent to a runner now, by its request limit.
@@ -135,6 +135,8 @@
         key: RunnerKey,
         passed_over: Option<RunnerKey>,
     ) -> AppliedLimit {
+        // The demand of a request that another runner takes stays for a moment: the permit that it
+        // brings serves the next request.
         if passed_over.is_none() {
             self.forget_demand(query.request);
         }
@@ -162,7 +164,7 @@
         limited: &[OpenRunner],
     ) -> PermitWait {
         let answered_at = self.limit_reports.answered_at();
-        let is_cut_off = now >= answered_at + CUT_OFF_AFTER;
+        let is_cut_off = self.limit_reports.is_cut_off(now);
         let share = match is_cut_off {
             true => RESERVED_SHARE / f64::from(self.entries.get()),
             false => 1.0 - RESERVED_SHARE,
--- a/crates/dotterelrudder_gateway/src/limit_reports.rs
+++ b/crates/dotterelrudder_gateway/src/limit_reports.rs
@@ -6,6 +6,10 @@
 /// The number of reports whose send times are kept: more than can be sent while a permit is valid.
 const MAX_SENT_REPORTS: usize = 64;
 
+/// How long a report waits for its answer until the entry counts as cut off; more than two intervals of
+/// reports.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(2_500);
+
 /// The numbers and send times of the last reports, and the newest one that was answered.
 #[derive(Debug)]
 pub struct LimitReports {
@@ -46,4 +50,12 @@
     pub fn answered_at(&self) -> Duration {
         self.answered_at
     }
+
+    /// Returns whether the entry counts as cut off from the leader: a report has waited for an answer
+    /// for too long, and so have all later ones.
+    pub fn is_cut_off(&self, now: Duration) -> bool {
+        let mut unanswered = self.sent.iter().filter(|(_, at)| *at > self.answered_at);
+        let oldest = unanswered.next();
+        oldest.is_some_and(|(_, at)| now >= *at + CUT_OFF_AFTER)
+    }
 }
--- a/crates/dotterelrudder_gateway/src/limit_reserve.rs
+++ b/crates/dotterelrudder_gateway/src/limit_reserve.rs
@@ -5,10 +5,6 @@
 use dotterelrudder_types::TokenBucket;
 use dotterelrudder_wire::RESERVED_SHARE;
 
-/// How long after the last report that the leader answered an entry counts as cut off; more than two
-/// intervals of its reports.
-pub(crate) const CUT_OFF_AFTER: Duration = Duration::from_millis(2_500);
-
 /// This entry's part of the share of a limit that the leader never grants.
 #[derive(Debug, Clone, Default)]
 pub struct LimitReserve {
@@ -18,9 +14,9 @@
 
 impl LimitReserve {
     /// Refills the reserve of a limit of `rate` requests per second, among `entries` entries.
-    /// `answered_at` is the send time of the last report that the leader answered.
-    pub fn refill(&mut self, now: Duration, rate: f64, entries: u32, answered_at: Duration) {
-        if now < answered_at + CUT_OFF_AFTER {
+    /// It is empty when the entry begins to be cut off.
+    pub fn refill(&mut self, now: Duration, rate: f64, entries: u32, is_cut_off: bool) {
+        if !is_cut_off {
             self.bucket = None;
             return;
         }
--- a/crates/dotterelrudder_gateway/src/runner_limit.rs
+++ b/crates/dotterelrudder_gateway/src/runner_limit.rs
@@ -119,13 +119,13 @@
         self.wanted_by_all.clone_from(&grant.wanted);
     }
 
-    /// Removes expired permits and demand, and refills the reserve. `answered_at` is the send time of
-    /// the last report that the leader answered.
-    pub fn advance(&mut self, now: Duration, entries: u32, answered_at: Duration) {
+    /// Removes expired permits and demand, and refills the reserve, which is divided among `entries`
+    /// entries.
+    pub fn advance(&mut self, now: Duration, entries: u32, is_cut_off: bool) {
         self.permits.retain(|p| now < p.expires);
         self.demand.retain(|_, d| now < d.at + DEMAND_TTL);
         if let Some(rate) = self.rate() {
-            self.reserve.refill(now, rate, entries, answered_at);
+            self.reserve.refill(now, rate, entries, is_cut_off);
         }
     }
 
