Log and count connections that runners close before the answer began, with the prompt's parts

The lines of an entry named a request's runners and how each attempt ended, but not the parts of its prompt, so that requests that end their runners looked like runners that end of load. The metric dotterelrudder_lost_connections counts them.

No logic changes: a closed connection is a kind of failure of its own, treated as a lost answer everywhere.

--- a/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
@@ -83,11 +83,11 @@
         loop {
             match body.frame().await {
                 None => {
-                    return Err(AttemptFailure::answer_lost(
+                    return Err(AttemptFailure::connection_lost(
                         "the stream ended before its first chunk",
                     ))
                 }
-                Some(Err(e)) => return Err(AttemptFailure::answer_lost(e.to_string())),
+                Some(Err(e)) => return Err(AttemptFailure::connection_lost(e.to_string())),
                 Some(Ok(frame)) => {
                     if let Ok(part) = frame.into_data() {
                         return Ok(AnswerStart::Stream(head, Some(part), body, upstream));
--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -28,6 +28,8 @@
     Declined,
     /// The request may have run, and its response is lost or not valid.
     AnswerLost,
+    /// As [`Self::AnswerLost`]; the runner closed or reset the connection.
+    ConnectionLost,
     /// As [`Self::AnswerLost`]; a retry was taken from the retry budget before the attempt was
     /// cancelled.
     RetryReserved,
@@ -63,6 +65,17 @@
         }
     }
 
+    /// Builds the failure of a request whose connection the runner closed or reset.
+    pub(super) fn connection_lost<S>(reason: S) -> Self
+    where
+        S: Into<String>,
+    {
+        Self {
+            kind: FailureKind::ConnectionLost,
+            ..Self::answer_lost(reason)
+        }
+    }
+
     /// Builds the failure of an attempt that was cancelled after a retry was taken from the budget.
     pub(super) fn retry_reserved<S>(outcome: RunOutcome, reason: S) -> Self
     where
@@ -154,7 +167,7 @@
         }),
         Ok(Err(SendError::Broken(reason))) => {
             pool.close_idle(address);
-            Err(AttemptFailure::answer_lost(reason))
+            Err(AttemptFailure::connection_lost(reason))
         }
         Err(_) => Err(AttemptFailure::answer_lost(format!(
             "no answer within {} ms",
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -108,7 +108,9 @@
             let error_kind = match failure.kind {
                 FailureKind::NotSent => continue,
                 FailureKind::Declined => ErrorKind::Overloaded,
-                FailureKind::AnswerLost | FailureKind::RetryReserved => ErrorKind::BackendFailed,
+                FailureKind::AnswerLost
+                | FailureKind::ConnectionLost
+                | FailureKind::RetryReserved => ErrorKind::BackendFailed,
             };
             log.may_have_run += usize::from(failure.kind != FailureKind::Declined);
             let most = route.max_runners.max(1) as usize;
@@ -278,6 +280,9 @@
         match first {
             Err(failure) => {
                 guard.end(failure.outcome);
+                if failure.kind == FailureKind::ConnectionLost {
+                    self.record_lost_connection(request, placement, &failure.reason);
+                }
                 if let Some(backoff) = failure.requested_backoff {
                     self.apply_requested_backoff(placement, backoff);
                 }
@@ -307,6 +312,7 @@
                     placement: placement.clone(),
                     head,
                     first,
+                    passed_event: false,
                     body,
                     upstream,
                     guard,
@@ -355,6 +361,23 @@
         }
     }
 
+    /// Logs that a runner closed the connection of a request that had not begun, with the shared
+    /// parts of its prompt.
+    pub(super) fn record_lost_connection(
+        &self,
+        request: &ActiveRequest,
+        placement: &Placement,
+        reason: &str,
+    ) {
+        self.metrics.count_lost_connection();
+        let parts = request.call.prompt.as_ref().map(|p| p.shared_parts());
+        let parts = parts.unwrap_or_default().iter().map(|p| p.id.as_str());
+        slog::info!(self.log, "connection to runner lost before the answer began";
+            "id" => request.call.id.as_str(), "runner" => placement.identity.as_str(),
+            "address" => %placement.address, "reason" => reason,
+            "parts" => parts.collect::<Vec<_>>().join(","));
+    }
+
     /// Sends no requests to a runner for the time that it requested (`Retry-After`).
     fn apply_requested_backoff(&self, placement: &Placement, backoff: Duration) {
         slog::info!(self.log, "runner requested backoff";
--- a/crates/dotterelrudder_daemon/src/gateway/request.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/request.rs
@@ -45,6 +45,8 @@
     pub(super) head: http::response::Parts,
     /// The first chunk, until it has been relayed.
     pub(super) first: Option<Bytes>,
+    /// Whether an event of this runner was relayed; comments don't count.
+    pub(super) passed_event: bool,
     pub(super) body: Incoming,
     pub(super) upstream: UpstreamConnection,
     pub(super) guard: AttemptGuard,
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use super::attempt::AttemptFailure;
+use super::attempt::FailureKind;
 use super::attempt_loop::RUNNER_CHECK_INTERVAL;
 use super::bodies::is_framed;
 use super::bodies::UNFRAMED;
@@ -116,6 +117,9 @@
             };
             started.guard.end(failure.outcome);
             drop(started.upstream);
+            if failure.kind == FailureKind::ConnectionLost && !started.passed_event {
+                self.record_lost_connection(request, &started.placement, &failure.reason);
+            }
             slog::info!(self.log, "stream from runner failed"; "id" => request.call.id.as_str(),
                 "broken" => format!("{} {}", started.placement.identity, started.placement.address),
                 "reason" => failure.reason.as_str(),
@@ -174,6 +178,7 @@
                         return RelayEnd::CallerDisconnected;
                     }
                     progress.passed(&event, self.now());
+                    started.passed_event |= event.is_progress();
                 }
                 if splitter.rest().len() > limits.event.get() {
                     return RelayEnd::broken("an event exceeds the size limit");
@@ -189,7 +194,9 @@
             }
             match timeout(RUNNER_CHECK_INTERVAL, started.body.frame()).await {
                 Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
-                Ok(Some(Err(e))) => return RelayEnd::broken(e.to_string()),
+                Ok(Some(Err(e))) => {
+                    return RelayEnd::Broken(AttemptFailure::connection_lost(e.to_string()));
+                }
                 Ok(None) => break,
                 // No chunk arrived; the next iteration checks whether the stream stalled.
                 Err(_) => {}
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -33,6 +33,7 @@
     refusals: Counter<u64>,
     answers: Counter<u64>,
     attempts: Counter<u64>,
+    lost_connections: Counter<u64>,
     repeats: Counter<u64>,
     limited_sends: Counter<u64>,
     limited_runners: Gauge<u64>,
@@ -87,6 +88,7 @@
             requests: counter("dotterelrudder_requests"),
             refusals: counter("dotterelrudder_refusals"),
             attempts: counter("dotterelrudder_attempts"),
+            lost_connections: counter("dotterelrudder_lost_connections"),
             answers: counter("dotterelrudder_answers"),
             repeats: counter("dotterelrudder_repeats"),
             limited_sends: counter("dotterelrudder_limited_sends"),
@@ -134,6 +136,11 @@
         self.refusals.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a connection that a runner closed before the answer on it began.
+    pub fn count_lost_connection(&self) {
+        self.lost_connections.add(1, &[]);
+    }
+
     /// Counts a finished attempt at a backend server by its outcome.
     pub fn count_attempt(&self, outcome: &'static str) {
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/dotterelrudder_gateway/src/prompt.rs
+++ b/crates/dotterelrudder_gateway/src/prompt.rs
@@ -32,10 +32,14 @@
         shared.map_or(self.parts.last(), |i| self.parts.get(i))
     }
 
+    /// Returns the parts that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+
     /// Returns the number of tokens in all shared parts.
     pub fn shared_tokens(&self) -> u32 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts.iter().take(shared).map(|p| p.tokens).sum()
+        self.shared_parts().iter().map(|p| p.tokens).sum()
     }
 
     /// Returns the KV-cache memory that the request needs at its end, in tokens.
