Block parts of prompts that crash runners, by evidence of all entries at the leading control instance

Callers saw up to all of their requests refused or broken for seconds, again and again: requests with one part ended each runner that began to answer one, their second attempts another, and entries sent on to whatever runner came back.

Cause: an end was charged to the runner alone, at each entry for itself, and the request was forgotten. Ruled out: load (runners with one request end too) and resets from outside (a runner that ended refuses connections).

Entries report ended runners with the parts of requests that had not begun; the leader blocks the part under which four runners ended without a beginning in between, and all entries refuse such requests at once (prompt_blocked, 500).

Peers learn from a header of the connection which kinds of messages the other one can decode, so that processes of the release before keep their links: the number of the protocol and the encoding of all other messages stay.

--- a/crates/dotterelrudder_control/src/control_core/fleet.rs
+++ b/crates/dotterelrudder_control/src/control_core/fleet.rs
@@ -10,6 +10,7 @@
 use dotterelrudder_wire::LimitReport;
 use dotterelrudder_wire::Message;
 use dotterelrudder_wire::ModelWeights;
+use dotterelrudder_wire::PartReport;
 use dotterelrudder_wire::RunnerRecord;
 use dotterelrudder_wire::WeightOrder;
 
@@ -75,6 +76,19 @@
         }
     }
 
+    /// Applies an entry's report about parts of prompts; only a leader under a valid lease does.
+    pub(super) fn on_part_report(
+        &mut self,
+        from: &InstanceName,
+        report: PartReport,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        if self.was_leader && self.holds_leader_lease(now) {
+            self.fleet_publisher.on_part_report(from, report, now, out);
+        }
+    }
+
     /// Returns the stores whose contents this replica must read; empty unless it leads.
     pub fn stores_to_read(&self, now: Duration) -> Vec<SocketAddr> {
         if self.holds_leader_lease(now) {
@@ -152,6 +166,7 @@
             let number = self.raft.term() << DIRECTORY_NUMBER_BITS;
             self.fleet_publisher.directory.begin_leadership(now, number);
             self.fleet_publisher.limits.begin_leadership(now);
+            self.fleet_publisher.parts.begin_leadership(now);
         }
         self.was_leader = leads;
         if !leads || !self.holds_leader_lease(now) {
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -366,6 +366,7 @@
             Message::FleetQuery(query) => self.on_fleet_query(from, &query, now, out),
             Message::PartsUsed(keys) => self.fleet_publisher.directory.record_use(now, &keys),
             Message::LimitReport(report) => self.on_limit_report(from, report, now, out),
+            Message::PartReport(report) => self.on_part_report(&from, report, now, out),
             Message::RunnerLoads(loads) => self.fleet_publisher.record_loads(loads),
             Message::Load(load) => self.subscribers.get_or_insert(&from).load = Some(load),
             Message::OrderDone { version, .. } => {
--- a/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
+++ b/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
@@ -13,6 +13,7 @@
 use dotterelrudder_wire::LimitUpdate;
 use dotterelrudder_wire::Message;
 use dotterelrudder_wire::ModelWeights;
+use dotterelrudder_wire::PartReport;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerLoadUpdate;
 use dotterelrudder_wire::RunnerRecord;
@@ -20,6 +21,7 @@
 use super::fleet_client::FleetClient;
 use super::CacheDirectory;
 use super::LimitLedger;
+use super::PartLedger;
 use super::WeightRollout;
 use crate::Output;
 use crate::ReplicatedState;
@@ -48,6 +50,7 @@
     rollout: WeightRollout,
     pub(crate) directory: CacheDirectory,
     pub(crate) limits: LimitLedger,
+    pub(crate) parts: PartLedger,
 }
 
 impl FleetPublisher {
@@ -79,9 +82,10 @@
             runner_list_sent,
         };
         self.clients.insert(from.clone(), client);
-        // The fleet state makes an entry ready, which has to know the limits by then.
+        // The fleet state makes an entry ready, which has to know limits and blocks by then.
         if entry_is_new {
             send_limits(&from, self.limits.limits(), out);
+            self.send_verdicts(&from, now, out);
         }
         self.send_directory(&from, out);
         self.send_fleet_state(&from, state, controls, now, out);
@@ -229,6 +233,41 @@
         self.push_limits(out);
     }
 
+    /// Applies an entry's report about parts of prompts, and sends it the blocks if it holds others.
+    pub(crate) fn on_part_report(
+        &mut self,
+        from: &InstanceName,
+        report: PartReport,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        if self.parts.on_report(report, now) {
+            self.send_verdicts(from, now, out);
+        }
+        self.push_verdicts(now, out);
+    }
+
+    fn send_verdicts(&self, to: &InstanceName, now: Duration, out: &mut Vec<Output>) {
+        out.push(Output::Send {
+            to: to.clone(),
+            message: Message::PartVerdicts(Arc::new(self.parts.verdicts(now))),
+        });
+    }
+
+    /// Sends changed verdicts on parts of prompts to all entries.
+    fn push_verdicts(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let Some(verdicts) = self.parts.take_update(now).map(Arc::new) else {
+            return;
+        };
+        let clients = self.clients.iter();
+        for (name, _) in clients.filter(|(_, f)| f.colocated_runner.is_none()) {
+            out.push(Output::Send {
+                to: name.clone(),
+                message: Message::PartVerdicts(verdicts.clone()),
+            });
+        }
+    }
+
     /// Sends changed request limits to all entries.
     fn push_limits(&mut self, out: &mut Vec<Output>) {
         let updates = self.limits.take_updates();
@@ -264,6 +303,8 @@
             out.push(Output::Send { to, message });
         }
         self.push_limits(out);
+        self.parts.tick(now);
+        self.push_verdicts(now, out);
         if now >= self.next_directory_push_at {
             self.next_directory_push_at = now + DIRECTORY_PUSH_INTERVAL;
             self.push_directory(out);
--- a/crates/dotterelrudder_control/src/fleet/mod.rs
+++ b/crates/dotterelrudder_control/src/fleet/mod.rs
@@ -1,5 +1,5 @@
 //! The leader's soft state of the deployment, kept outside the log: fleet clients, the platform's
-//! list of backend servers, runner loads, request limits, the directory of stored parts, and the weight rollout;
+//! list of backend servers, runner loads, request limits, parts that crash runners, the directory of stored parts, and the weight rollout;
 //! see docs/design/platform.md.
 
 mod cache_directory;
@@ -7,6 +7,7 @@
 mod fleet_publisher;
 mod free_parts_order;
 mod limit_ledger;
+mod part_ledger;
 mod store_event;
 mod store_report;
 mod store_state;
@@ -16,6 +17,7 @@
 pub(crate) use fleet_publisher::FleetPublisher;
 pub use free_parts_order::FreePartsOrder;
 pub use limit_ledger::LimitLedger;
+pub use part_ledger::PartLedger;
 pub use store_event::StoreEvent;
 pub use store_report::StoreReport;
 pub use weight_rollout::WeightRollout;
--- /dev/null
+++ b/crates/dotterelrudder_control/src/fleet/part_ledger.rs
@@ -0,0 +1,313 @@
+//! The leader's ledger of parts of prompts that crash runners.
+//!
+//! Entries report runners that ended, with the parts of the requests that had not begun there. A part
+//! under which several runners ended, without a request with it that began in between, is blocked at
+//! all entries. The ledger is soft state; a new leader takes the blocks over from the entries'
+//! reports. See docs/design/crashing-parts.md.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use dotterelrudder_wire::PartBlock;
+use dotterelrudder_wire::PartReport;
+use dotterelrudder_wire::PartVerdicts;
+use dotterelrudder_wire::RunnerLoss;
+use dotterelrudder_wire::SharedPart;
+use dotterelrudder_wire::MAX_LOST_REQUESTS;
+
+/// The number of runners that must end under a part before it is blocked.
+const BLOCK_AFTER_LOSSES: usize = 4;
+/// The number after which entries are asked whether requests with the part begin.
+const WATCH_AFTER_LOSSES: usize = 2;
+/// How long entries have for their answers to that.
+const WATCH_PERIOD: Duration = Duration::from_millis(250);
+/// Runners that end within this time end together: they may have been lost for one reason from
+/// outside.
+const ROUND_LENGTH: Duration = Duration::from_millis(200);
+/// How long the end of a runner counts.
+const LOSS_TTL: Duration = Duration::from_secs(60);
+/// Reports of requests that were sent up to this time after a runner's end still belong to it.
+const SAME_LOSS_MARGIN: Duration = Duration::from_millis(100);
+/// How long a block stays after the last refused request.
+const BLOCK_TTL: Duration = Duration::from_secs(600);
+/// How long a new leader takes over blocks that entries hold; three times the interval at which
+/// entries repeat their reports.
+const TAKEOVER_PERIOD: Duration = Duration::from_secs(3);
+/// The largest numbers of ended runners, watched parts and blocks that are kept.
+const MAX_LOSSES: usize = 128;
+const MAX_WATCHED: usize = 256;
+const MAX_BLOCKS: usize = 256;
+
+/// One end of a runner, as all entries saw it together.
+#[derive(Debug)]
+struct Loss {
+    runner: CompactString,
+    at: Duration,
+    requests: Vec<BTreeSet<SharedPart>>,
+}
+
+/// A block in force.
+#[derive(Debug)]
+struct Block {
+    parts: Vec<SharedPart>,
+    runners: u32,
+    since: Duration,
+    refused_at: Duration,
+}
+
+/// A part that may be blocked, with what decides between several of them.
+#[derive(Debug)]
+struct Suspect {
+    part: SharedPart,
+    losses: usize,
+    begun_at: Option<Duration>,
+    requests: Vec<(usize, usize)>,
+}
+
+/// The evidence against parts of prompts, and the blocks that follow from it.
+#[derive(Debug, Default)]
+pub struct PartLedger {
+    losses: VecDeque<Loss>,
+    /// Since when entries report whether requests with these parts begin.
+    watched: BTreeMap<SharedPart, Duration>,
+    /// When an answer to a request with a part last began.
+    begun: BTreeMap<SharedPart, Duration>,
+    blocks: Vec<Block>,
+    takeover_until: Duration,
+    is_taking_over: bool,
+    has_changed: bool,
+}
+
+impl Block {
+    fn covers(&self, request: &BTreeSet<SharedPart>) -> bool {
+        self.parts.iter().all(|p| request.contains(p))
+    }
+}
+
+impl PartLedger {
+    /// Begins a leadership: blocks that entries hold are taken over for a while.
+    pub fn begin_leadership(&mut self, now: Duration) {
+        *self = Self {
+            takeover_until: now + TAKEOVER_PERIOD,
+            is_taking_over: true,
+            ..Self::default()
+        };
+    }
+
+    /// Applies an entry's report. Returns whether the entry holds other blocks than the ledger.
+    pub fn on_report(&mut self, report: PartReport, now: Duration) -> bool {
+        for loss in report.losses {
+            self.add_loss(loss, now);
+        }
+        for (part, ago) in report.begun {
+            let at = now.saturating_sub(ago);
+            let last = self.begun.entry(part).or_default();
+            *last = at.max(*last);
+        }
+        let differs = report.held.len() != self.blocks.len();
+        for (parts, refused) in report.held {
+            match self.blocks.iter_mut().find(|b| b.parts == parts) {
+                Some(block) if refused > 0 => block.refused_at = now,
+                None if self.is_taking_over => self.block(parts, 0, now),
+                _ => {}
+            }
+        }
+        self.decide(now);
+        differs
+    }
+
+    /// Removes what has expired, and decides on parts whose watch has ended.
+    pub fn tick(&mut self, now: Duration) {
+        if self.is_taking_over && now >= self.takeover_until {
+            self.is_taking_over = false;
+            self.has_changed = true;
+        }
+        let blocks = self.blocks.len();
+        self.blocks.retain(|b| now < b.refused_at + BLOCK_TTL);
+        self.has_changed |= self.blocks.len() != blocks;
+        if !self.losses.is_empty() {
+            self.decide(now);
+        }
+    }
+
+    /// Returns the verdicts if they changed since the last call.
+    pub fn take_update(&mut self, now: Duration) -> Option<PartVerdicts> {
+        std::mem::take(&mut self.has_changed).then(|| self.verdicts(now))
+    }
+
+    /// Returns the verdicts in force.
+    pub fn verdicts(&self, now: Duration) -> PartVerdicts {
+        let blocks = self.blocks.iter().map(|b| PartBlock {
+            parts: b.parts.clone(),
+            runners: b.runners,
+            age: now.saturating_sub(b.since),
+        });
+        PartVerdicts {
+            is_complete: !self.is_taking_over,
+            watched: self.watched.keys().cloned().collect(),
+            blocks: blocks.collect(),
+        }
+    }
+
+    /// Adds the end of a runner, or what another entry saw of one that is known.
+    fn add_loss(&mut self, loss: RunnerLoss, now: Duration) {
+        let at = now.saturating_sub(loss.lost_ago);
+        let sent_at = now.saturating_sub(loss.sent_ago);
+        let requests = loss.requests.into_iter().map(|r| r.into_iter().collect());
+        let known = self.losses.iter_mut().rev();
+        let same = known
+            .filter(|l| l.runner == loss.runner)
+            .find(|l| sent_at <= l.at + SAME_LOSS_MARGIN);
+        match same {
+            Some(same) => same.requests.extend(requests),
+            None => self.losses.push_back(Loss {
+                runner: loss.runner,
+                at,
+                requests: requests.collect(),
+            }),
+        }
+        for loss in &mut self.losses {
+            loss.requests.truncate(MAX_LOST_REQUESTS);
+        }
+        if self.losses.len() > MAX_LOSSES {
+            self.losses.pop_front();
+        }
+    }
+
+    /// Lifts blocks that are shown to be wrong, updates the watched parts, and blocks parts.
+    fn decide(&mut self, now: Duration) {
+        self.losses.retain(|l| now < l.at + LOSS_TTL);
+        let (begun, blocks) = (&self.begun, self.blocks.len());
+        self.blocks.retain(|b| {
+            let begins = |p: &SharedPart| begun.get(p).is_some_and(|at| *at > b.since);
+            !b.parts.iter().all(begins)
+        });
+        self.has_changed |= self.blocks.len() != blocks;
+        loop {
+            let suspects = self.suspects();
+            self.watch(&suspects, now);
+            let Some(worst) = self.worst(&suspects, now) else {
+                return;
+            };
+            // Parts of exactly the same requests can't be told apart.
+            let same = suspects.iter().filter(|s| s.requests == worst.requests);
+            let parts = same.map(|s| s.part.clone()).collect();
+            let runners = worst.losses as u32;
+            self.block(parts, runners, now);
+        }
+    }
+
+    fn block(&mut self, parts: Vec<SharedPart>, runners: u32, now: Duration) {
+        self.has_changed = true;
+        if self.blocks.len() >= MAX_BLOCKS {
+            let oldest = (0..self.blocks.len()).min_by_key(|i| self.blocks[*i].refused_at);
+            oldest.map(|i| self.blocks.remove(i));
+        }
+        self.blocks.push(Block {
+            parts,
+            runners,
+            since: now,
+            refused_at: now,
+        });
+    }
+
+    /// Returns the parts under which at least [`WATCH_AFTER_LOSSES`] runners ended. A loss that a
+    /// block explains counts against no other part.
+    fn suspects(&self) -> Vec<Suspect> {
+        let mut seen: BTreeMap<&SharedPart, Vec<(usize, usize)>> = BTreeMap::new();
+        for (n, loss) in self.losses.iter().enumerate() {
+            if self.is_explained(loss) {
+                continue;
+            }
+            for (m, request) in loss.requests.iter().enumerate() {
+                for part in request {
+                    seen.entry(part).or_default().push((n, m));
+                }
+            }
+        }
+        let suspects = seen.into_iter().map(|(part, requests)| Suspect {
+            part: part.clone(),
+            losses: self.count_losses(part, &requests),
+            begun_at: self.begun.get(part).copied(),
+            requests,
+        });
+        suspects
+            .filter(|s| s.losses >= WATCH_AFTER_LOSSES)
+            .collect()
+    }
+
+    /// Returns whether a block explains the end of a runner.
+    fn is_explained(&self, loss: &Loss) -> bool {
+        let explains = |b: &Block| loss.requests.iter().any(|r| b.covers(r));
+        self.blocks.iter().any(explains)
+    }
+
+    /// Counts the runners that ended under a part since a request with it last began. Runners that
+    /// ended together count once if the part doesn't explain all of them, or if requests with it
+    /// began before.
+    fn count_losses(&self, part: &SharedPart, requests: &[(usize, usize)]) -> usize {
+        let begun_at = self.begun.get(part).copied();
+        let under: BTreeSet<usize> = requests.iter().map(|(n, _)| *n).collect();
+        let others = self.losses.iter().enumerate();
+        let others = others.filter(|(n, l)| !under.contains(n) && !self.is_explained(l));
+        let others: Vec<Duration> = others.map(|(_, l)| l.at).collect();
+        let ends = under.iter().map(|n| self.losses[*n].at);
+        let mut ends: Vec<Duration> = ends
+            .filter(|at| begun_at.is_none_or(|begun_at| *at > begun_at))
+            .collect();
+        ends.sort_unstable();
+        let mut count = 0;
+        let mut round: Option<Duration> = None;
+        for at in ends {
+            let is_together = |other: &Duration| at.abs_diff(*other) < ROUND_LENGTH;
+            let counts_alone = begun_at.is_none() && !others.iter().any(is_together);
+            if counts_alone || round.is_none_or(|round| at >= round + ROUND_LENGTH) {
+                count += 1;
+                round = Some(at);
+            }
+        }
+        count
+    }
+
+    /// Watches the suspects, and no other part.
+    fn watch(&mut self, suspects: &[Suspect], now: Duration) {
+        let blocked = self.blocks.iter().flat_map(|b| &b.parts);
+        let wanted: BTreeSet<&SharedPart> = suspects
+            .iter()
+            .map(|s| &s.part)
+            .chain(blocked)
+            .take(MAX_WATCHED)
+            .collect();
+        let before = self.watched.len();
+        self.watched.retain(|part, _| wanted.contains(part));
+        self.has_changed |= self.watched.len() != before;
+        for part in wanted {
+            if !self.watched.contains_key(part) {
+                self.watched.insert(part.clone(), now);
+                self.has_changed = true;
+            }
+        }
+        // A part is forgotten once nothing counts against it, as its beginnings are reported anew.
+        let losses = &self.losses;
+        self.begun.retain(|part, _| {
+            let holds = |l: &Loss| l.requests.iter().any(|r| r.contains(part));
+            losses.iter().any(holds)
+        });
+    }
+
+    /// Returns the part to block next: the one under which most runners ended; of several, the one
+    /// whose requests have not begun for longest, and then the rarest.
+    fn worst<'a>(&self, suspects: &'a [Suspect], now: Duration) -> Option<&'a Suspect> {
+        let confirmed = suspects.iter().filter(|s| {
+            let since = self.watched.get(&s.part);
+            s.losses >= BLOCK_AFTER_LOSSES && since.is_some_and(|at| now >= *at + WATCH_PERIOD)
+        });
+        confirmed.min_by_key(|s| {
+            let losses = std::cmp::Reverse(s.losses);
+            (losses, s.begun_at, s.requests.len())
+        })
+    }
+}
--- a/crates/dotterelrudder_control/src/lib.rs
+++ b/crates/dotterelrudder_control/src/lib.rs
@@ -22,6 +22,7 @@
 pub use fleet::CacheDirectory;
 pub use fleet::FreePartsOrder;
 pub use fleet::LimitLedger;
+pub use fleet::PartLedger;
 pub use fleet::StoreEvent;
 pub use fleet::StoreReport;
 pub use fleet::WeightRollout;
--- a/crates/dotterelrudder_daemon/src/fleet/follower.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelrudder_follow::FleetFollower;
@@ -16,6 +17,8 @@
 use dotterelrudder_wire::LimitReport;
 use dotterelrudder_wire::LimitUpdate;
 use dotterelrudder_wire::PartKey;
+use dotterelrudder_wire::PartReport;
+use dotterelrudder_wire::PartVerdicts;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRecord;
 use dotterelrudder_wire::WeightOrder;
@@ -53,6 +56,8 @@
     LimitGrants(LimitGrants),
     /// Request limits of runners that changed.
     RunnerLimits(Vec<LimitUpdate>),
+    /// Verdicts on parts of prompts that may crash runners.
+    PartVerdicts(Arc<PartVerdicts>),
     /// An order to load weights for the runner beside this side.
     Order(WeightOrder),
 }
@@ -104,6 +109,15 @@
             .is_err();
     }
 
+    /// Sends a report about parts of prompts to the leader.
+    pub fn report_parts(&self, report: PartReport) {
+        // The actor ends only with the process.
+        let _stopped = self
+            .actor
+            .send_message(FollowerMessage::PartReport(report))
+            .is_err();
+    }
+
     /// Sends load reports to the leader.
     pub fn report(&self, loads: Vec<RunnerLoad>) {
         // The actor ends only with the process.
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -13,6 +13,7 @@
 use dotterelrudder_wire::LimitReport;
 use dotterelrudder_wire::Message;
 use dotterelrudder_wire::PartKey;
+use dotterelrudder_wire::PartReport;
 use dotterelrudder_wire::RunnerLoad;
 use ractor::Actor;
 use ractor::ActorProcessingErr;
@@ -40,6 +41,8 @@
     Report(Vec<RunnerLoad>),
     /// A report about request limits to send to the leader.
     LimitReport(LimitReport),
+    /// A report about parts of prompts to send to the leader.
+    PartReport(PartReport),
     /// Stored parts that were used, to be reported to the leader.
     Used(Vec<PartKey>),
 }
@@ -93,6 +96,9 @@
             FollowerMessage::LimitReport(report) => {
                 state.send_to_leader(Message::LimitReport(report));
             }
+            FollowerMessage::PartReport(report) => {
+                state.send_to_leader(Message::PartReport(report));
+            }
             FollowerMessage::Used(parts) => state.send_to_leader(Message::PartsUsed(parts)),
         }
         Ok(())
@@ -155,6 +161,9 @@
                 Message::RunnerLimits(limits) => {
                     (self.on_update)(FleetUpdate::RunnerLimits(limits));
                 }
+                Message::PartVerdicts(verdicts) => {
+                    (self.on_update)(FleetUpdate::PartVerdicts(verdicts));
+                }
                 Message::WeightOrder(order) => (self.on_update)(FleetUpdate::Order(order)),
                 _ => {}
             },
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -113,6 +113,9 @@
                 | FailureKind::RetryReserved => ErrorKind::BackendFailed,
             };
             log.may_have_run += usize::from(failure.kind != FailureKind::Declined);
+            if let Some(refusal) = self.refuse_blocked(request.call.prompt.as_ref()) {
+                return log.failed_answer_or(placement_refusal(refusal, log));
+            }
             let most = route.max_runners.max(1) as usize;
             let repeatable = log.may_have_run == 0 || route.kind.may_repeat();
             let allowed = repeatable
@@ -164,6 +167,9 @@
         let wait_start = self.now();
         let mut may_wait_for_permit = false;
         loop {
+            if let Some(refusal) = self.refuse_blocked(query.prompt) {
+                return Err(refusal);
+            }
             let now = self.now();
             let permit_wait = if queue_place.may_try(now, service, &need) {
                 match self.place(now, query) {
@@ -271,6 +277,12 @@
                 let reason = format!("no answer within {} ms", limit.as_millis());
                 Err(AttemptFailure::answer_lost(reason))
             }),
+            () = self.until_blocked(request) => {
+                Err(AttemptFailure {
+                    outcome: RunOutcome::Abandoned,
+                    ..AttemptFailure::answer_lost("the prompt was blocked")
+                })
+            }
             () = self.until_suspected(request, placement.runner, began), if can_retry => {
                 let reason = "no answer, and the runner may be unreachable";
                 Err(AttemptFailure::retry_reserved(RunOutcome::Unreachable, reason))
@@ -281,7 +293,7 @@
             Err(failure) => {
                 guard.end(failure.outcome);
                 if failure.kind == FailureKind::ConnectionLost {
-                    self.record_lost_connection(request, placement, &failure.reason);
+                    self.record_lost_connection(request, placement, began, &failure.reason);
                 }
                 if let Some(backoff) = failure.requested_backoff {
                     self.apply_requested_backoff(placement, backoff);
@@ -310,6 +322,7 @@
                 log.notes.push(attempt_note(placement, &text));
                 let started = StartedStream {
                     placement: placement.clone(),
+                    sent_at: began,
                     head,
                     first,
                     passed_event: false,
@@ -361,23 +374,6 @@
         }
     }
 
-    /// Logs that a runner closed the connection of a request that had not begun, with the shared
-    /// parts of its prompt.
-    pub(super) fn record_lost_connection(
-        &self,
-        request: &ActiveRequest,
-        placement: &Placement,
-        reason: &str,
-    ) {
-        self.metrics.count_lost_connection();
-        let parts = request.call.prompt.as_ref().map(|p| p.shared_parts());
-        let parts = parts.unwrap_or_default().iter().map(|p| p.id.as_str());
-        slog::info!(self.log, "connection to runner lost before the answer began";
-            "id" => request.call.id.as_str(), "runner" => placement.identity.as_str(),
-            "address" => %placement.address, "reason" => reason,
-            "parts" => parts.collect::<Vec<_>>().join(","));
-    }
-
     /// Sends no requests to a runner for the time that it requested (`Retry-After`).
     fn apply_requested_backoff(&self, placement: &Placement, backoff: Duration) {
         slog::info!(self.log, "runner requested backoff";
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -9,6 +9,7 @@
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::LIMIT_REPORT_INTERVAL;
+use dotterelrudder_gateway::PART_REPORT_INTERVAL;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::Role;
 use slog::info;
@@ -43,6 +44,8 @@
 /// The shortest interval between two reports about request limits: a small part of the time for
 /// which a permit is valid.
 const MIN_LIMIT_REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// The shortest interval between two reports about parts of prompts.
+const MIN_PART_REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval at which expired idle connections are closed and the state metrics are updated.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -76,6 +79,8 @@
         routine_requests: AtomicU64::new(0),
         placements: AtomicU64::new(0),
         limit_report_due: Notify::new(),
+        part_report_due: Notify::new(),
+        parts_blocked: Notify::new(),
     });
     let start = FollowerStart {
         name: file.name.clone(),
@@ -132,6 +137,7 @@
     )
     .await?;
     tokio::spawn(report_limits(server.clone(), follower.clone()));
+    tokio::spawn(report_parts(server.clone(), follower.clone()));
     let parts_server = server.clone();
     tokio::spawn(async move {
         loop {
@@ -190,6 +196,22 @@
     }
 }
 
+/// Reports runners that ended, and what speaks for or against parts of prompts, to the leader.
+async fn report_parts<D>(server: Arc<EntryServer<D>>, follower: FollowerHandle)
+where
+    D: Dialect,
+{
+    loop {
+        // Reports are due at the latest after the interval, whether or not they were requested.
+        let _requested = timeout(PART_REPORT_INTERVAL, server.part_report_due.notified()).await;
+        let report = server.gateway().take_part_report(server.clock.now());
+        if let Some(report) = report {
+            follower.report_parts(report);
+            tokio::time::sleep(MIN_PART_REPORT_INTERVAL).await;
+        }
+    }
+}
+
 /// Applies an update from the leading control instance.
 fn apply_fleet_update<D>(server: &EntryServer<D>, update: FleetUpdate)
 where
@@ -236,6 +258,25 @@
             }
             gateway.on_limit_updates(now, limits);
         }
+        FleetUpdate::PartVerdicts(verdicts) => {
+            let (new, ended) = gateway.on_part_verdicts(&verdicts);
+            for block in &new {
+                let ids: Vec<&str> = block.parts.iter().map(|p| p.id.as_str()).collect();
+                warn!(server.log, "prompt part blocked, it crashes runners"; "part" => ids.join("+"),
+                    "model" => block.parts.first().map_or("", |p| p.model.as_str()),
+                    "runners" => block.runners, "age_ms" => block.age.as_millis() as u64);
+            }
+            if ended > 0 {
+                info!(server.log, "blocks of prompt parts ended"; "blocks" => ended);
+            }
+            if gateway.is_part_report_due() {
+                server.part_report_due.notify_one();
+            }
+            drop(gateway);
+            if !new.is_empty() {
+                server.parts_blocked.notify_waiters();
+            }
+        }
         // Orders are only sent to sides.
         FleetUpdate::Order(_) => {}
     }
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
@@ -0,0 +1,106 @@
+//! Connections that runners close before an answer began, and requests that are refused since such
+//! requests crash runners.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use dotterelrudder_gateway::Dialect;
+use dotterelrudder_gateway::Placement;
+use dotterelrudder_gateway::Prompt;
+use dotterelrudder_types::Refusal;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::request::ActiveRequest;
+use super::server::EntryServer;
+
+/// How long the closed connections of one runner are collected before it is probed.
+const COLLECT_PERIOD: Duration = Duration::from_millis(20);
+/// The time limit of the connection that finds out whether a runner ended.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+impl<D> EntryServer<D>
+where
+    D: Dialect,
+{
+    /// Logs that a runner closed the connection of a request that had not begun, with the shared
+    /// parts of its prompt, and finds out whether the runner ended.
+    pub(super) fn record_lost_connection(
+        self: &Arc<Self>,
+        request: &ActiveRequest,
+        placement: &Placement,
+        sent_at: Duration,
+        reason: &str,
+    ) {
+        self.metrics.count_lost_connection();
+        let prompt = request.call.prompt.as_ref();
+        let parts = prompt.map(|p| p.shared_parts()).unwrap_or_default();
+        let parts = parts.iter().map(|p| p.id.as_str());
+        slog::info!(self.log, "connection to runner lost before the answer began";
+            "id" => request.call.id.as_str(), "runner" => placement.identity.as_str(),
+            "address" => %placement.address, "reason" => reason,
+            "parts" => parts.collect::<Vec<_>>().join(","));
+        let Some(prompt) = prompt else {
+            return;
+        };
+        let identity = &placement.identity;
+        let now = self.now();
+        let is_first = self
+            .gateway()
+            .on_connection_closed(now, identity, sent_at, prompt);
+        if is_first {
+            let (identity, address) = (identity.clone(), placement.address);
+            tokio::spawn(self.clone().probe_runner(identity, address));
+        }
+    }
+
+    /// Finds out whether a runner ended: only the host of a process that has ended refuses a
+    /// connection. A connection that was reset, a lost answer or a cut link leave the runner there,
+    /// and a machine without power doesn't answer.
+    async fn probe_runner(self: Arc<Self>, identity: CompactString, address: SocketAddr) {
+        tokio::time::sleep(COLLECT_PERIOD).await;
+        let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+        let refused = std::io::ErrorKind::ConnectionRefused;
+        let has_ended = matches!(&connected, Ok(Err(e)) if e.kind() == refused);
+        slog::info!(self.log, "runner probed after it closed connections";
+            "runner" => identity.as_str(), "address" => %address, "ended" => has_ended);
+        let mut gateway = self.gateway();
+        gateway.on_runner_probed(&identity, has_ended);
+        if gateway.is_part_report_due() {
+            self.part_report_due.notify_one();
+        }
+    }
+
+    /// Records that the answer to a request began.
+    pub(super) fn record_answer_begun(&self, request: &ActiveRequest) {
+        let Some(prompt) = &request.call.prompt else {
+            return;
+        };
+        let now = self.now();
+        let mut gateway = self.gateway();
+        gateway.on_answer_begun(now, prompt);
+        if gateway.is_part_report_due() {
+            self.part_report_due.notify_one();
+        }
+    }
+
+    /// Returns the refusal of a request whose prompt is blocked.
+    pub(super) fn refuse_blocked(&self, prompt: Option<&Prompt>) -> Option<Refusal> {
+        let refusal = self.gateway().block_refusal(prompt)?;
+        self.metrics.count_block_refusal();
+        Some(refusal)
+    }
+
+    /// Waits until the prompt of a request is blocked.
+    pub(super) async fn until_blocked(&self, request: &ActiveRequest) {
+        loop {
+            let blocked = self.parts_blocked.notified();
+            if self.gateway().is_blocked(request.call.prompt.as_ref()) {
+                return;
+            }
+            blocked.await;
+        }
+    }
+}
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod connection_pool;
 mod daemon;
 mod entry_file;
+mod lost_connections;
 mod refusals;
 mod request;
 mod response_body;
--- a/crates/dotterelrudder_daemon/src/gateway/request.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/request.rs
@@ -42,6 +42,8 @@
 /// A stream that started, with the attempt that it belongs to.
 pub(super) struct StartedStream {
     pub(super) placement: Arc<Placement>,
+    /// When the request was sent to this runner.
+    pub(super) sent_at: Duration,
     pub(super) head: http::response::Parts,
     /// The first chunk, until it has been relayed.
     pub(super) first: Option<Bytes>,
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -66,6 +66,10 @@
     pub(super) placements: AtomicU64,
     /// Notified when the leader should hear of request limits or of demand at once.
     pub(super) limit_report_due: Notify,
+    /// Notified when the leader should hear of parts of prompts at once.
+    pub(super) part_report_due: Notify,
+    /// Notified when parts of prompts were blocked.
+    pub(super) parts_blocked: Notify,
 }
 
 impl<D> EntryServer<D>
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -118,7 +118,8 @@
             started.guard.end(failure.outcome);
             drop(started.upstream);
             if failure.kind == FailureKind::ConnectionLost && !started.passed_event {
-                self.record_lost_connection(request, &started.placement, &failure.reason);
+                let (placement, sent_at) = (&started.placement, started.sent_at);
+                self.record_lost_connection(request, placement, sent_at, &failure.reason);
             }
             slog::info!(self.log, "stream from runner failed"; "id" => request.call.id.as_str(),
                 "broken" => format!("{} {}", started.placement.identity, started.placement.address),
@@ -178,7 +179,10 @@
                         return RelayEnd::CallerDisconnected;
                     }
                     progress.passed(&event, self.now());
-                    started.passed_event |= event.is_progress();
+                    if event.is_progress() && !started.passed_event {
+                        started.passed_event = true;
+                        self.record_answer_begun(request);
+                    }
                 }
                 if splitter.rest().len() > limits.event.get() {
                     return RelayEnd::broken("an event exceeds the size limit");
--- a/crates/dotterelrudder_daemon/src/link/connection.rs
+++ b/crates/dotterelrudder_daemon/src/link/connection.rs
@@ -14,6 +14,7 @@
 use dotterelrudder_wire::FrameDecoder;
 use dotterelrudder_wire::Hello;
 use dotterelrudder_wire::Message;
+use dotterelrudder_wire::MESSAGE_SET_HEADER;
 use dotterelrudder_wire::PROTOCOL_VERSION;
 use h2::PingPong;
 use h2::RecvStream;
@@ -49,6 +50,15 @@
     pub(super) rx: RecvStream,
     pub(super) decoder: FrameDecoder,
     pub(super) ping: Option<PingPong>,
+    /// The newest kinds of messages that the peer can decode.
+    pub(super) peer_message_set: u32,
+}
+
+/// Reads the peer's message set from the headers of its request or response.
+pub(super) fn read_message_set(headers: &http::HeaderMap) -> u32 {
+    let value = headers.get(MESSAGE_SET_HEADER);
+    let text = value.and_then(|v| v.to_str().ok());
+    text.and_then(|t| t.parse().ok()).unwrap_or(0)
 }
 
 /// Sends all bytes, waiting for flow-control capacity whenever the peer's window is exhausted.
@@ -133,9 +143,10 @@
         rx,
         decoder,
         ping,
+        peer_message_set,
     } = channel;
     let ended = tokio::select! {
-        e = write_messages(hub, tx, messages) => e,
+        e = write_messages(hub, tx, messages, peer_message_set) => e,
         e = read_messages(hub, &peer.name, connection_id, rx, decoder, &pending_replies) => e,
         e = check_liveness(ping, &pending_replies) => e,
     };
@@ -144,11 +155,13 @@
     hub.unregister(&peer.name, connection_id);
 }
 
-/// Sends queued messages in batches until the connection is replaced or a write fails.
+/// Sends queued messages in batches until the connection is replaced or a write fails. Kinds that the
+/// peer can't decode are left out.
 async fn write_messages(
     hub: &LinkHub,
     mut tx: SendStream<Bytes>,
     mut messages: UnboundedReceiver<Message>,
+    peer_message_set: u32,
 ) -> Result<(), String> {
     let mut batch = Vec::with_capacity(MAX_BATCH_MESSAGES);
     let mut buf = BytesMut::new();
@@ -158,6 +171,9 @@
         }
         let revision = hub.revision();
         for message in batch.drain(..) {
+            if message.message_set() > peer_message_set {
+                continue;
+            }
             let envelope = Envelope { revision, message };
             if let Err(e) = encode_frame(&envelope, &mut buf) {
                 warn!(hub.log(), "message dropped because it could not be encoded";
--- a/crates/dotterelrudder_daemon/src/link/dialer.rs
+++ b/crates/dotterelrudder_daemon/src/link/dialer.rs
@@ -5,11 +5,14 @@
 
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::FrameDecoder;
+use dotterelrudder_wire::MESSAGE_SET;
+use dotterelrudder_wire::MESSAGE_SET_HEADER;
 use slog::debug;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::connection;
+use super::connection::read_message_set;
 use super::connection::Channel;
 use super::connection::CONNECTION_WINDOW_BYTES;
 use super::connection::STREAM_WINDOW_BYTES;
@@ -94,15 +97,20 @@
         let _ended = driver.await;
     });
     let mut sender = sender.ready().await.map_err(|e| e.to_string())?;
-    let req = http::Request::post("http://dotterelrudder/link").body(());
+    let req = http::Request::post("http://dotterelrudder/link")
+        .header(MESSAGE_SET_HEADER, MESSAGE_SET)
+        .body(());
     let req = req.map_err(|e| e.to_string())?;
     let (response, tx) = sender.send_request(req, false).map_err(|e| e.to_string())?;
-    let rx = response.await.map_err(|e| e.to_string())?.into_body();
+    let response = response.await.map_err(|e| e.to_string())?;
+    let peer_message_set = read_message_set(response.headers());
+    let rx = response.into_body();
     let mut channel = Channel {
         tx,
         rx,
         decoder: FrameDecoder::default(),
         ping,
+        peer_message_set,
     };
     channel.send_hello(hub).await?;
     let peer = channel.receive_hello(hub).await?;
--- a/crates/dotterelrudder_daemon/src/link/listener.rs
+++ b/crates/dotterelrudder_daemon/src/link/listener.rs
@@ -5,12 +5,15 @@
 
 use dotterelrudder_wire::FrameDecoder;
 use dotterelrudder_wire::Hello;
+use dotterelrudder_wire::MESSAGE_SET;
+use dotterelrudder_wire::MESSAGE_SET_HEADER;
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::connection;
+use super::connection::read_message_set;
 use super::connection::Channel;
 use super::connection::CONNECTION_WINDOW_BYTES;
 use super::connection::STREAM_WINDOW_BYTES;
@@ -67,15 +70,21 @@
     let (req, mut respond) = stream
         .ok_or("the peer closed the connection before it opened a stream")?
         .map_err(|e| e.to_string())?;
+    let response = http::Response::builder()
+        .header(MESSAGE_SET_HEADER, MESSAGE_SET)
+        .body(())
+        .map_err(|e| e.to_string())?;
     let tx = respond
-        .send_response(http::Response::new(()), false)
+        .send_response(response, false)
         .map_err(|e| e.to_string())?;
+    let peer_message_set = read_message_set(req.headers());
     let rx = req.into_body();
     let mut channel = Channel {
         tx,
         rx,
         decoder: FrameDecoder::default(),
         ping,
+        peer_message_set,
     };
     // The driver has to be polled for the stream to make progress; it refuses further streams.
     let driver_task = tokio::spawn(async move { while driver.accept().await.is_some() {} });
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -39,6 +39,8 @@
     limited_runners: Gauge<u64>,
     limit_refusals: Counter<u64>,
     unused_permits: Gauge<u64>,
+    part_blocks: Gauge<u64>,
+    block_refusals: Counter<u64>,
     runners: Gauge<u64>,
     leads: Gauge<u64>,
     term: Gauge<u64>,
@@ -95,6 +97,8 @@
             limited_runners: gauge("dotterelrudder_limited_runners"),
             limit_refusals: counter("dotterelrudder_limit_refusals"),
             unused_permits: gauge("dotterelrudder_unused_permits"),
+            part_blocks: gauge("dotterelrudder_part_blocks"),
+            block_refusals: counter("dotterelrudder_block_refusals"),
             runners: gauge("dotterelrudder_runners"),
             leads: gauge("dotterelrudder_leads"),
             term: gauge("dotterelrudder_term"),
@@ -141,6 +145,16 @@
         self.lost_connections.add(1, &[]);
     }
 
+    /// Sets the number of blocked parts of prompts.
+    pub fn set_part_blocks(&self, blocks: usize) {
+        self.part_blocks.record(blocks as u64, &[]);
+    }
+
+    /// Counts a request that was refused since its prompt crashes runners.
+    pub fn count_block_refusal(&self) {
+        self.block_refusals.add(1, &[]);
+    }
+
     /// Counts a finished attempt at a backend server by its outcome.
     pub fn count_attempt(&self, outcome: &'static str) {
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: all decisions of an entry behind one type.
 
 mod admission_control;
+mod blocked_parts;
 mod request_limits;
 mod request_placement;
 mod runner_estimate;
@@ -15,6 +16,7 @@
 use crate::GatewaySettings;
 use crate::LimitReports;
 use crate::NamedWeights;
+use crate::PartWatch;
 use crate::Prompt;
 use crate::RetryBudget;
 use crate::RouteTable;
@@ -71,6 +73,7 @@
     engine_estimate: EngineEstimate,
     stored_parts: StoredParts,
     limit_reports: LimitReports,
+    part_watch: PartWatch,
     /// When the limits of all runners were last reported.
     limits_reported_at: Duration,
     rng: ChaCha8Rng,
@@ -96,6 +99,7 @@
             engine_estimate: EngineEstimate::default(),
             stored_parts: StoredParts::default(),
             limit_reports: LimitReports::new(seed << 32),
+            part_watch: PartWatch::default(),
             limits_reported_at: Duration::ZERO,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
--- a/crates/dotterelrudder_types/src/error_kind.rs
+++ b/crates/dotterelrudder_types/src/error_kind.rs
@@ -63,6 +63,8 @@
     Unauthorized,
     /// The requested object is unknown to the receiver.
     NotFound,
+    /// The prompt holds a part that crashes the runners which begin to answer it.
+    PromptBlocked,
 }
 
 /// The response for one error kind.
@@ -99,7 +101,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the table in docs/PROTOCOLS.md.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::BadRequest,
         Self::UnknownKey,
         Self::NotAllowed,
@@ -126,6 +128,7 @@
         Self::Fenced,
         Self::Unauthorized,
         Self::NotFound,
+        Self::PromptBlocked,
     ];
 
     /// Returns the row of the table for this kind.
@@ -159,6 +162,7 @@
             Self::Fenced => row("fenced", 409, NotRun, None, 75),
             Self::Unauthorized => row("unauthorized", 401, NotRun, None, 77),
             Self::NotFound => row("not_found", 404, NotRun, None, 66),
+            Self::PromptBlocked => row("prompt_blocked", 500, NotRun, None, 70),
         }
     }
 
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -28,6 +28,8 @@
 use crate::LimitUpdate;
 use crate::LoadReport;
 use crate::PartKey;
+use crate::PartReport;
+use crate::PartVerdicts;
 use crate::RaftMessage;
 use crate::RunnerLoad;
 use crate::RunnerLoadUpdate;
@@ -242,9 +244,22 @@
     LimitGrants(LimitGrants),
     /// Sends request limits that changed from the leader to entries.
     RunnerLimits(Vec<LimitUpdate>),
+    /// Reports parts of prompts that may crash runners to the leader.
+    PartReport(PartReport),
+    /// Sends the leader's verdicts on such parts to entries.
+    PartVerdicts(Arc<PartVerdicts>),
 }
 
 impl Message {
+    /// Returns the lowest [`crate::MESSAGE_SET`] of a peer that can decode the message. New kinds of
+    /// messages are added behind the others, so that the encoding of these stays as it is.
+    pub fn message_set(&self) -> u32 {
+        match self {
+            Self::PartReport(_) | Self::PartVerdicts(_) => 1,
+            _ => 0,
+        }
+    }
+
     /// Returns the change in the number of outstanding requests of a connection: 1 for a request
     /// that is sent, -1 for a reply that is received, 0 for all other messages. The number of
     /// outstanding requests decides how often the connection is probed for a peer that stopped
