Take answers that end with their connection for complete, and streams that end inside an event for broken off

Callers got 502 for answers without a length and without chunks, and streams of that kind never ended, though they were whole; a stream in chunks that ended inside an event looked complete.

Cause: such answers counted as broken off, since a runner that ends closes its connections in order too. The entry tells the two apart by a connection to the runner, which it needs anyway in place of the closed one: a runner that ended refuses it.

--- a/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
@@ -5,7 +5,7 @@
 use super::attempt::OutgoingRequest;
 use super::bodies::is_framed;
 use super::bodies::keep_alive;
-use super::bodies::UNFRAMED;
+use super::bodies::ENDED_WITH_RUNNER;
 use super::server::EntryServer;
 use super::upstream::UpstreamConnection;
 use bytes::Bytes;
@@ -73,11 +73,12 @@
         let (head, _, mut body, mut upstream) = answered?;
         upstream.keep_alive = keep_alive(&head.headers);
         if !(stream && head.status.is_success()) {
-            if !body.is_end_stream() && !is_framed(&head.headers) {
-                return Err(AttemptFailure::answer_lost(UNFRAMED));
-            }
+            let is_closed_by_end = !body.is_end_stream() && !is_framed(&head.headers);
             let bytes = self.answer_buffers.read(body, &self.answer_limits).await;
             let bytes = bytes.map_err(AttemptFailure::answer_lost)?;
+            if is_closed_by_end && !self.is_still_there(placement).await {
+                return Err(AttemptFailure::answer_lost(ENDED_WITH_RUNNER));
+            }
             return Ok(AnswerStart::Complete(head, bytes, upstream));
         }
         loop {
--- a/crates/dotterelrudder_daemon/src/gateway/bodies.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/bodies.rs
@@ -57,8 +57,8 @@
 }
 
 /// The reason for which a response without framing does not count as complete.
-pub(super) const UNFRAMED: &str =
-    "the answer has neither a content length nor chunked encoding, so it may be incomplete";
+pub(super) const ENDED_WITH_RUNNER: &str =
+    "the answer ended with its connection, and the runner ended with it";
 
 /// Returns whether a response has a content length or chunked encoding, so that a complete response
 /// can be distinguished from a truncated one. Any other response ends when its connection closes.
--- a/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
@@ -73,6 +73,24 @@
         }
     }
 
+    /// Returns whether a runner is still there whose response ended with its connection: when a
+    /// process ends, its connections are closed in order too. The connection that shows it replaces
+    /// the closed one.
+    pub(super) async fn is_still_there(&self, placement: &Placement) -> bool {
+        match self.pool.connect(placement.address).await {
+            Ok(upstream) => {
+                self.pool.put_back(upstream, self.now());
+                true
+            }
+            Err(reason) => {
+                slog::info!(self.log, "runner not reached after an answer ended with its connection";
+                    "runner" => placement.identity.as_str(), "address" => %placement.address,
+                    "reason" => reason);
+                false
+            }
+        }
+    }
+
     /// Records that the answer to a request began.
     pub(super) fn record_answer_begun(&self, request: &ActiveRequest) {
         let Some(prompt) = &request.call.prompt else {
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -20,7 +20,7 @@
 use super::attempt::FailureKind;
 use super::attempt_loop::RUNNER_CHECK_INTERVAL;
 use super::bodies::is_framed;
-use super::bodies::UNFRAMED;
+use super::bodies::ENDED_WITH_RUNNER;
 use super::request::ActiveRequest;
 use super::request::AttemptLog;
 use super::request::ServeResult;
@@ -206,17 +206,13 @@
                 Err(_) => {}
             }
         }
-        if !is_framed(&started.head.headers) {
-            return RelayEnd::broken(UNFRAMED);
+        if !splitter.rest().is_empty() {
+            return RelayEnd::broken("the stream ended inside an event");
         }
-        if splitter.rest().is_empty() {
-            return RelayEnd::Complete;
-        }
-        let rest = Bytes::copy_from_slice(splitter.rest());
-        match tx.send(Ok(rest)).await {
-            Ok(()) => RelayEnd::Complete,
-            Err(_) => RelayEnd::CallerDisconnected,
+        if !is_framed(&started.head.headers) && !self.is_still_there(&started.placement).await {
+            return RelayEnd::broken(ENDED_WITH_RUNNER);
         }
+        RelayEnd::Complete
     }
 
     /// Returns a failure if the stream stalled and may fail over to another runner. The retry is
