Tell entries the software versions of runners, and log them when a stream breaks off and goes on

The lines of an entry named the runners of a stream, and the platform's list their versions, so that no line showed at which versions a stream had been. The versions come in a message of their own before each list, which peers of the release before aren't sent; the encoding of the list stays.

No logic changes.

--- a/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
+++ b/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
@@ -17,6 +17,7 @@
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerLoadUpdate;
 use dotterelrudder_wire::RunnerRecord;
+use dotterelrudder_wire::RunnerSoftware;
 
 use super::fleet_client::FleetClient;
 use super::CacheDirectory;
@@ -138,6 +139,15 @@
             return;
         }
         client.runner_list_sent = self.runner_list_number;
+        let with_software = self.runner_records.iter().filter_map(|r| {
+            let software = r.software.clone()?;
+            Some((r.identity.clone(), software))
+        });
+        let versions = with_software.collect();
+        out.push(Output::Send {
+            to: to.clone(),
+            message: Message::RunnerSoftware(RunnerSoftware { versions }),
+        });
         out.push(Output::Send {
             to: to.clone(),
             message: Message::Runners(self.runner_records.clone()),
--- a/crates/dotterelrudder_daemon/src/fleet/follower.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -157,6 +157,7 @@
         held_version: 0,
         directory_number: 0,
         load_table: RunnerLoadTable::default(),
+        software: Default::default(),
         last_leader: None,
         on_update: Box::new(on_update),
         log: start.log.clone(),
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -1,9 +1,11 @@
 //! The actor that queries the leading control instance, passes its updates on, and sends it
 //! reports.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use compact_str::CompactString;
 use dotterelrudder_follow::FleetFollower;
 use dotterelrudder_follow::RunnerLoadTable;
 use dotterelrudder_types::Clock;
@@ -57,6 +59,8 @@
     pub(super) held_version: u64,
     pub(super) directory_number: u64,
     pub(super) load_table: RunnerLoadTable,
+    /// The software versions of runners by identity, for the next list of backend servers.
+    pub(super) software: BTreeMap<CompactString, CompactString>,
     pub(super) last_leader: Option<InstanceName>,
     pub(super) on_update: Box<dyn Fn(FleetUpdate) + Send + Sync>,
     pub(super) log: Logger,
@@ -152,7 +156,15 @@
                     self.dial();
                     self.send_due_query();
                 }
-                Message::Runners(records) => (self.on_update)(FleetUpdate::Runners(records)),
+                Message::RunnerSoftware(software) => {
+                    self.software = software.versions.into_iter().collect();
+                }
+                Message::Runners(mut records) => {
+                    for record in &mut records {
+                        record.software = self.software.get(&record.identity).cloned();
+                    }
+                    (self.on_update)(FleetUpdate::Runners(records));
+                }
                 Message::Directory(update) => self.on_directory(Arc::unwrap_or_clone(update)),
                 Message::RunnerLoadUpdate(updates) => {
                     (self.on_update)(FleetUpdate::Loads(self.load_table.complete(updates)));
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -123,6 +123,7 @@
             }
             slog::info!(self.log, "stream from runner failed"; "id" => request.call.id.as_str(),
                 "broken" => format!("{} {}", started.placement.identity, started.placement.address),
+                "software" => started.placement.software.as_deref().unwrap_or(""),
                 "reason" => failure.reason.as_str(),
                 "after" => last_event.as_deref().unwrap_or(""));
             let allowed = may_resume
@@ -139,7 +140,9 @@
                 ServeResult::Stream(next, mut next_log) => {
                     notes.append(&mut next_log.notes);
                     slog::info!(self.log, "stream resumed on another runner";
-                        "id" => request.call.id.as_str(), "attempts" => notes.join("; "));
+                        "id" => request.call.id.as_str(),
+                        "software" => next.placement.software.as_deref().unwrap_or(""),
+                        "attempts" => notes.join("; "));
                     started = *next;
                     log = next_log;
                 }
--- a/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
@@ -85,6 +85,7 @@
             runner: key,
             address: record.address,
             identity: record.identity,
+            software: record.software,
             weights,
             cache_salt: salt,
             cache,
--- a/crates/dotterelrudder_gateway/src/placement.rs
+++ b/crates/dotterelrudder_gateway/src/placement.rs
@@ -19,6 +19,8 @@
     pub address: SocketAddr,
     /// The identity of the runner, which is one start of a backend server.
     pub identity: CompactString,
+    /// The version of the runner's software, if known.
+    pub software: Option<CompactString>,
     /// The version that the runner serves of the request's model.
     pub weights: Option<u64>,
     /// The KV-cache salt, which separates accounts and weight versions.
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -142,6 +142,7 @@
         slots: if service == "desk" { 6 } else { 64 },
         leaving: false,
         weights: weights(1),
+        software: None,
         born_ms: 1,
     }
 }
--- a/crates/dotterelrudder_wire/src/fleet/runner_record.rs
+++ b/crates/dotterelrudder_wire/src/fleet/runner_record.rs
@@ -27,6 +27,10 @@
     pub leaving: bool,
     /// The weight version that a model engine serves of each of its models.
     pub weights: Vec<ModelWeights>,
+    /// The version of the server's software. It isn't part of the encoding, which peers of the release
+    /// before decode, and is sent by [`super::RunnerSoftware`].
+    #[serde(skip)]
+    pub software: Option<CompactString>,
     /// The start time of the server, in milliseconds since the epoch; 0 when it is not reported.
     pub born_ms: u64,
 }
--- a/crates/dotterelrudder_wire/src/lib.rs
+++ b/crates/dotterelrudder_wire/src/lib.rs
@@ -44,6 +44,7 @@
 pub use fleet::RunnerLoadUpdate;
 pub use fleet::RunnerLoss;
 pub use fleet::RunnerRecord;
+pub use fleet::RunnerSoftware;
 pub use fleet::SharedPart;
 pub use fleet::StoreStatus;
 pub use fleet::StoredPart;
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -34,6 +34,7 @@
 use crate::RunnerLoad;
 use crate::RunnerLoadUpdate;
 use crate::RunnerRecord;
+use crate::RunnerSoftware;
 use crate::Start;
 use crate::Usage;
 use crate::WeightOrder;
@@ -248,6 +249,8 @@
     PartReport(PartReport),
     /// Sends the leader's verdicts on such parts to entries.
     PartVerdicts(Arc<PartVerdicts>),
+    /// Sends the software versions of backend servers to entries.
+    RunnerSoftware(RunnerSoftware),
 }
 
 impl Message {
@@ -255,7 +258,7 @@
     /// messages are added behind the others, so that the encoding of these stays as it is.
     pub fn message_set(&self) -> u32 {
         match self {
-            Self::PartReport(_) | Self::PartVerdicts(_) => 1,
+            Self::PartReport(_) | Self::PartVerdicts(_) | Self::RunnerSoftware(_) => 1,
             _ => 0,
         }
     }
