Continue a stream only at the software version that began it, within an answer and over its caller's tries

Callers got streams whose first part was written by one software version and the rest by another, with nothing in the answer to show it.

Cause: a runner is chosen by service, weights and load; its software version wasn't read, and a request that takes a stream up didn't name what it continues to the entry (Resumes was not read, and no other process knew the first try). Ruled out: a list that names versions too late; the test waits for it.

Entries report the origin of each stream to two control instances before its first event is passed on, ask them when a caller takes a stream up, and place it only at runners of that service and version; what can't go on is refused at once as not_resumable. docs/design/software-versions.md has the ways weighed and the cases.

--- a/crates/dotterelrudder/tests/limit_fleet/mod.rs
+++ b/crates/dotterelrudder/tests/limit_fleet/mod.rs
@@ -352,6 +352,7 @@
             }
             let query = PlacementQuery {
                 urgency: w.urgency,
+                software: None,
                 request: w.number,
                 ..support::query(&service, None, &[])
             };
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -34,6 +34,7 @@
 use crate::RaftTiming;
 use crate::Recovered;
 use crate::ReplicatedState;
+use crate::StreamOrigins;
 
 /// Interval at which each subscriber receives a confirmation that its revision is the newest.
 const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
@@ -65,6 +66,7 @@
     raft: Raft,
     state: ReplicatedState,
     subscribers: Subscribers,
+    stream_origins: StreamOrigins,
     proposals: Proposals,
     /// Instances of the replicas that sent Raft messages, by disk identity.
     replica_instances: BTreeMap<u64, InstanceName>,
@@ -130,6 +132,7 @@
             raft,
             state: ReplicatedState::default(),
             subscribers: Subscribers::default(),
+            stream_origins: StreamOrigins::default(),
             proposals: Proposals::default(),
             replica_instances: BTreeMap::new(),
             wall_clock_ms: 0,
@@ -367,6 +370,12 @@
             Message::PartsUsed(keys) => self.fleet_publisher.directory.record_use(now, &keys),
             Message::LimitReport(report) => self.on_limit_report(from, report, now, out),
             Message::PartReport(report) => self.on_part_report(&from, report, now, out),
+            Message::StreamOrigins(streams) => self.stream_origins.record(now, streams),
+            Message::OriginQuery { number, stream } => {
+                let origin = self.stream_origins.find(stream).cloned();
+                let message = Message::OriginReply { number, origin };
+                out.push(Output::Send { to: from, message });
+            }
             Message::RunnerLoads(loads) => self.fleet_publisher.record_loads(loads),
             Message::Load(load) => self.subscribers.get_or_insert(&from).load = Some(load),
             Message::OrderDone { version, .. } => {
--- a/crates/dotterelrudder_control/src/lib.rs
+++ b/crates/dotterelrudder_control/src/lib.rs
@@ -15,6 +15,7 @@
 mod raft;
 mod state;
 mod status;
+mod stream_origins;
 mod subscribers;
 
 pub use control_core::ControlCore;
@@ -40,3 +41,4 @@
 pub use state::ReplicatedState;
 pub use status::ControlStatus;
 pub use status::InstanceStatus;
+pub use stream_origins::StreamOrigins;
--- a/crates/dotterelrudder_daemon/src/fleet/follower.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -21,6 +21,8 @@
 use dotterelrudder_wire::PartVerdicts;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRecord;
+use dotterelrudder_wire::StreamKey;
+use dotterelrudder_wire::StreamOrigin;
 use dotterelrudder_wire::WeightOrder;
 use ractor::Actor;
 use ractor::ActorRef;
@@ -58,6 +60,8 @@
     RunnerLimits(Vec<LimitUpdate>),
     /// Verdicts on parts of prompts that may crash runners.
     PartVerdicts(Arc<PartVerdicts>),
+    /// A control instance's reply to a query for the origin of a stream, with the query's number.
+    StreamOrigin(u64, Option<StreamOrigin>),
     /// An order to load weights for the runner beside this side.
     Order(WeightOrder),
 }
@@ -118,6 +122,24 @@
             .is_err();
     }
 
+    /// Sends the origins of streams to control instances, each to several.
+    pub fn report_origins(&self, streams: Vec<(StreamKey, StreamOrigin)>) {
+        // The actor ends only with the process.
+        let _stopped = self
+            .actor
+            .send_message(FollowerMessage::Origins(streams))
+            .is_err();
+    }
+
+    /// Asks all control instances for the origin of a stream.
+    pub fn query_origin(&self, number: u64, stream: StreamKey) {
+        // The actor ends only with the process.
+        let _stopped = self
+            .actor
+            .send_message(FollowerMessage::OriginQuery { number, stream })
+            .is_err();
+    }
+
     /// Sends load reports to the leader.
     pub fn report(&self, loads: Vec<RunnerLoad>) {
         // The actor ends only with the process.
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -17,6 +17,8 @@
 use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::PartReport;
 use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::StreamKey;
+use dotterelrudder_wire::StreamOrigin;
 use ractor::Actor;
 use ractor::ActorProcessingErr;
 use ractor::ActorRef;
@@ -30,6 +32,9 @@
 use crate::link::LinkHub;
 use crate::system_clock::SystemClock;
 
+/// The number of control instances that keep the origin of a stream.
+const ORIGIN_COPIES: usize = 2;
+
 /// Messages to [`FollowerActor`].
 #[derive(Debug)]
 pub(super) enum FollowerMessage {
@@ -45,6 +50,15 @@
     LimitReport(LimitReport),
     /// A report about parts of prompts to send to the leader.
     PartReport(PartReport),
+    /// Origins of streams to send to control instances.
+    Origins(Vec<(StreamKey, StreamOrigin)>),
+    /// A query for the origin of a stream to send to all control instances.
+    OriginQuery {
+        /// The number that replies repeat.
+        number: u64,
+        /// The stream.
+        stream: StreamKey,
+    },
     /// Stored parts that were used, to be reported to the leader.
     Used(Vec<PartKey>),
 }
@@ -103,6 +117,13 @@
             FollowerMessage::PartReport(report) => {
                 state.send_to_leader(Message::PartReport(report));
             }
+            FollowerMessage::Origins(streams) => state.send_origins(streams),
+            FollowerMessage::OriginQuery { number, stream } => {
+                for control in state.connected_controls() {
+                    let query = Message::OriginQuery { number, stream };
+                    state.hub.send(&control, query);
+                }
+            }
             FollowerMessage::Used(parts) => state.send_to_leader(Message::PartsUsed(parts)),
         }
         Ok(())
@@ -131,6 +152,32 @@
         }
     }
 
+    fn connected_controls(&self) -> Vec<InstanceName> {
+        let controls = self.follower.controls().iter();
+        controls
+            .filter(|c| self.hub.is_connected(c))
+            .cloned()
+            .collect()
+    }
+
+    /// Sends the origin of each stream to [`ORIGIN_COPIES`] control instances, chosen by its key so
+    /// that all share the load.
+    fn send_origins(&self, streams: Vec<(StreamKey, StreamOrigin)>) {
+        let controls = self.connected_controls();
+        let mut by_control: BTreeMap<&InstanceName, Vec<_>> = BTreeMap::new();
+        for (stream, origin) in streams {
+            let first = stream as usize % controls.len().max(1);
+            let copies = controls.iter().cycle().skip(first);
+            for control in copies.take(ORIGIN_COPIES.min(controls.len())) {
+                let kept = by_control.entry(control).or_default();
+                kept.push((stream, origin.clone()));
+            }
+        }
+        for (control, kept) in by_control {
+            self.hub.send(control, Message::StreamOrigins(kept));
+        }
+    }
+
     /// Keeps connections to the seeds and to the control instances that the leader named.
     fn dial(&self) {
         let named = self.follower.controls().iter();
@@ -176,6 +223,9 @@
                 Message::PartVerdicts(verdicts) => {
                     (self.on_update)(FleetUpdate::PartVerdicts(verdicts));
                 }
+                Message::OriginReply { number, origin } => {
+                    (self.on_update)(FleetUpdate::StreamOrigin(number, origin));
+                }
                 Message::WeightOrder(order) => (self.on_update)(FleetUpdate::Order(order)),
                 _ => {}
             },
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -78,6 +78,7 @@
             if left < MIN_TIME_LEFT {
                 return ServeResult::Refused(timeout_refusal(log));
             }
+            let software = log.software.clone().or_else(|| request.software.clone());
             let query = PlacementQuery {
                 service: &request.admission.service,
                 prompt: request.call.prompt.as_ref(),
@@ -85,6 +86,7 @@
                 tried: &log.tried,
                 repeatable: route.kind.may_repeat(),
                 objective: route.objective,
+                software: software.as_deref(),
                 urgency: self.gateway().urgency(&request.admission),
                 request: self.placements.fetch_add(1, Ordering::Relaxed),
             };
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -20,6 +20,7 @@
 
 use super::answer_buffers::AnswerBuffers;
 use super::connection_pool::ConnectionPool;
+use super::origin_queries::OriginQueries;
 use super::server::EntryServer;
 use super::GatewayFile;
 use crate::fleet::start_follower;
@@ -44,6 +45,9 @@
 /// The shortest interval between two reports about request limits: a small part of the time for
 /// which a permit is valid.
 const MIN_LIMIT_REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// The interval at which the origins of streams are reported while all runners have one software
+/// version.
+const ORIGIN_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// The shortest interval between two reports about parts of prompts.
 const MIN_PART_REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval at which expired idle connections are closed and the state metrics are updated.
@@ -81,6 +85,7 @@
         limit_report_due: Notify::new(),
         part_report_due: Notify::new(),
         parts_blocked: Notify::new(),
+        origin_queries: OriginQueries::default(),
     });
     let start = FollowerStart {
         name: file.name.clone(),
@@ -138,6 +143,13 @@
     .await?;
     tokio::spawn(report_limits(server.clone(), follower.clone()));
     tokio::spawn(report_parts(server.clone(), follower.clone()));
+    // It is set only here.
+    let _set = server
+        .origin_queries
+        .follower
+        .set(follower.clone())
+        .is_err();
+    tokio::spawn(report_origins(server.clone()));
     let parts_server = server.clone();
     tokio::spawn(async move {
         loop {
@@ -212,6 +224,18 @@
     }
 }
 
+/// Reports the origins of streams to control instances at regular intervals. While a service has
+/// runners of several software versions, its streams are reported when they begin.
+async fn report_origins<D>(server: Arc<EntryServer<D>>)
+where
+    D: Dialect,
+{
+    loop {
+        tokio::time::sleep(ORIGIN_REPORT_INTERVAL).await;
+        server.report_origins();
+    }
+}
+
 /// Applies an update from the leading control instance.
 fn apply_fleet_update<D>(server: &EntryServer<D>, update: FleetUpdate)
 where
@@ -236,6 +260,7 @@
             info!(server.log, "backend servers listed"; "servers" => records.len(),
                 "leaving" => leaving);
             gateway.on_runners(records);
+            gateway.update_versions(now);
         }
         FleetUpdate::Directory(directory_update) => gateway.on_directory(*directory_update),
         FleetUpdate::Loads(loads) => {
@@ -258,6 +283,11 @@
             }
             gateway.on_limit_updates(now, limits);
         }
+        FleetUpdate::StreamOrigin(number, origin) => {
+            if let Some(origin) = origin {
+                server.origin_queries.on_reply(number, origin);
+            }
+        }
         FleetUpdate::PartVerdicts(verdicts) => {
             let (new, ended) = gateway.on_part_verdicts(&verdicts);
             for block in &new {
--- a/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
@@ -91,13 +91,21 @@
         }
     }
 
-    /// Records that the answer to a request began.
-    pub(super) fn record_answer_begun(&self, request: &ActiveRequest) {
+    /// Records that the answer to a request begins at a runner, before its first event is passed on.
+    pub(super) fn record_answer_begun(&self, request: &ActiveRequest, placement: &Placement) {
+        let now = self.now();
+        let mut gateway = self.gateway();
+        // A stream that is taken up again began with another request.
+        let is_urgent = request.call.resume_after.is_none()
+            && gateway.on_stream_begun(&request.admission, &request.call, placement);
+        if is_urgent {
+            drop(gateway);
+            self.report_origins();
+            gateway = self.gateway();
+        }
         let Some(prompt) = &request.call.prompt else {
             return;
         };
-        let now = self.now();
-        let mut gateway = self.gateway();
         gateway.on_answer_begun(now, prompt);
         if gateway.is_part_report_due() {
             self.part_report_due.notify_one();
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod daemon;
 mod entry_file;
 mod lost_connections;
+mod origin_queries;
 mod refusals;
 mod request;
 mod response_body;
--- a/crates/dotterelrudder_daemon/src/gateway/request.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/request.rs
@@ -2,6 +2,7 @@
 
 use super::upstream::UpstreamConnection;
 use bytes::Bytes;
+use compact_str::CompactString;
 use dotterelrudder_gateway::Admission;
 use dotterelrudder_gateway::CallerRequest;
 use dotterelrudder_gateway::CapacityRequest;
@@ -27,6 +28,8 @@
     pub(super) began: Duration,
     /// The time by which the response has to start.
     pub(super) deadline: Duration,
+    /// The software version at which the stream began that the caller takes up again.
+    pub(super) software: Option<CompactString>,
 }
 
 impl ActiveRequest {
@@ -134,6 +137,8 @@
     pub(super) may_have_run: usize,
     /// The description of each attempt, for the request's log line.
     pub(super) notes: Vec<String>,
+    /// The software version whose events were relayed, so that the stream goes on only there.
+    pub(super) software: Option<CompactString>,
     /// The server error of a runner, relayed to the caller unless another attempt succeeds.
     pub(super) failed_answer: Option<(http::response::Parts, Bytes)>,
 }
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -5,6 +5,7 @@
 use super::audit::AuditGuard;
 use super::audit::RequestAudit;
 use super::connection_pool::ConnectionPool;
+use super::origin_queries::OriginQueries;
 use super::response_body::full_body;
 use super::response_body::ResponseBody;
 use crate::http_server::refusal_json;
@@ -68,6 +69,8 @@
     pub(super) limit_report_due: Notify,
     /// Notified when the leader should hear of parts of prompts at once.
     pub(super) part_report_due: Notify,
+    /// Queries for the origins of streams that wait for replies, by their numbers.
+    pub(super) origin_queries: OriginQueries,
     /// Notified when parts of prompts were blocked.
     pub(super) parts_blocked: Notify,
 }
@@ -97,7 +100,10 @@
         };
         let audit = &mut guard.audit;
         let mut response = match self.read_request(head, body, began, audit).await {
-            Ok(request) => self.respond(Arc::new(request), audit).await,
+            Ok(mut request) => match self.find_origin(&mut request).await {
+                Ok(()) => self.respond(Arc::new(request), audit).await,
+                Err(refusal) => self.refuse(&refusal, audit),
+            },
             Err(refusal) => self.refuse(&refusal, audit),
         };
         audit.status = response.status().as_u16();
@@ -152,6 +158,7 @@
             admission,
             began,
             deadline,
+            software: None,
         })
     }
 
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -133,6 +133,9 @@
                 return Err(ResponseAborted("the stream from the runner failed"));
             }
             log.may_have_run += 1;
+            if started.passed_event {
+                log.software.clone_from(&started.placement.software);
+            }
             let after = last_event.clone();
             let result = self.run_attempts(request, &mut log, after.as_deref()).await;
             let mut notes = std::mem::take(&mut log.notes);
@@ -175,6 +178,10 @@
                 received += part.len();
                 splitter.push(&part);
                 while let Some(event) = splitter.take() {
+                    if event.is_progress() && !started.passed_event {
+                        started.passed_event = true;
+                        self.record_answer_begun(request, &started.placement);
+                    }
                     if event.id.is_some() {
                         last_event.clone_from(&event.id);
                     }
@@ -182,10 +189,6 @@
                         return RelayEnd::CallerDisconnected;
                     }
                     progress.passed(&event, self.now());
-                    if event.is_progress() && !started.passed_event {
-                        started.passed_event = true;
-                        self.record_answer_begun(request);
-                    }
                 }
                 if splitter.rest().len() > limits.event.get() {
                     return RelayEnd::broken("an event exceeds the size limit");
--- a/crates/dotterelrudder_daemon/src/link/hub.rs
+++ b/crates/dotterelrudder_daemon/src/link/hub.rs
@@ -194,7 +194,7 @@
     }
 
     /// Returns whether a connection to the peer is open.
-    pub(super) fn is_connected(&self, peer: &InstanceName) -> bool {
+    pub fn is_connected(&self, peer: &InstanceName) -> bool {
         lock(&self.shared.links).contains_key(peer)
     }
 
--- a/crates/dotterelrudder_gateway/src/caller_request.rs
+++ b/crates/dotterelrudder_gateway/src/caller_request.rs
@@ -25,4 +25,6 @@
     /// The id of the last event that the caller received of an earlier response to the same
     /// request.
     pub resume_after: Option<CompactString>,
+    /// The id of the request that brought the stream's first event, if the caller takes it up again.
+    pub resumes: Option<CompactString>,
 }
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod request_placement;
 mod runner_estimate;
 mod runner_selection;
+mod stream_versions;
 
 pub use request_limits::LIMIT_REPORT_INTERVAL;
 
@@ -25,6 +26,7 @@
 use crate::RunnerKey;
 use crate::RunnerTable;
 use crate::StoredParts;
+use crate::StreamOriginReports;
 use crate::SuspicionChange;
 use compact_str::CompactString;
 use dotterelrudder_config::deployment::AccountEntry;
@@ -42,6 +44,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use stream_versions::ServiceVersions;
 
 /// The delay until a refused caller may retry when no better estimate exists: about the time that a
 /// backend server takes to restart.
@@ -74,6 +77,8 @@
     stored_parts: StoredParts,
     limit_reports: LimitReports,
     part_watch: PartWatch,
+    stream_origins: StreamOriginReports,
+    versions: HashMap<ServiceName, ServiceVersions>,
     /// When the limits of all runners were last reported.
     limits_reported_at: Duration,
     rng: ChaCha8Rng,
@@ -100,6 +105,8 @@
             stored_parts: StoredParts::default(),
             limit_reports: LimitReports::new(seed << 32),
             part_watch: PartWatch::default(),
+            stream_origins: StreamOriginReports::default(),
+            versions: HashMap::new(),
             limits_reported_at: Duration::ZERO,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
--- a/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
@@ -165,7 +165,15 @@
         let mut open = Vec::new();
         let mut earliest_open: Option<Duration> = None;
         let mut loading = false;
+        let mut has_version = false;
         for (key, runner) in self.runners.of_service(query.service) {
+            if query
+                .software
+                .is_some_and(|v| runner.record.software.as_deref() != Some(v))
+            {
+                continue;
+            }
+            has_version = true;
             if query.tried.contains(&key) {
                 continue;
             }
@@ -188,6 +196,10 @@
         if !open.is_empty() {
             return Ok(open);
         }
+        if query.software.is_some() && !has_version {
+            let refusal = self.resume_refusal(query.service, query.software);
+            return Err(NotPlaced::Refused(refusal));
+        }
         // Loading takes one to two seconds; the runner accepts requests again afterwards.
         if loading {
             return Err(NotPlaced::Busy);
--- /dev/null
+++ b/crates/dotterelrudder_gateway/src/gateway/stream_versions.rs
@@ -0,0 +1,112 @@
+//! The software versions at which streams began, and at which they may go on.
+//!
+//! Load pattern: runners of several software versions serve side by side, and what two versions write
+//! doesn't fit together. A stream that breaks off, or that its caller takes up again at any entry,
+//! goes on at the version that began it or not at all. See docs/design/software-versions.md.
+
+use super::Gateway;
+use crate::stream_key;
+use crate::Admission;
+use crate::CallerRequest;
+use crate::Placement;
+use compact_str::format_compact;
+use compact_str::CompactString;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::Refusal;
+use dotterelrudder_types::ServiceName;
+use dotterelrudder_wire::StreamKey;
+use dotterelrudder_wire::StreamOrigin;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// How long a service must have had one software version only, so that a stream whose origin is
+/// unknown can't have begun at another one: longer than the time limits of routes.
+const SINGLE_VERSION_FOR: Duration = Duration::from_secs(30);
+
+/// The software versions that a service has, and since when these.
+#[derive(Debug, Default)]
+pub(super) struct ServiceVersions {
+    versions: BTreeSet<CompactString>,
+    since: Duration,
+}
+
+impl Gateway {
+    /// Updates the software versions of the services after a change of the list.
+    pub fn update_versions(&mut self, now: Duration) {
+        for (name, known) in &mut self.versions {
+            let versions = self.runners.software_of(name);
+            if versions != known.versions {
+                known.since = now;
+                known.versions = versions;
+            }
+        }
+        for name in self.runners.services() {
+            if !self.versions.contains_key(&name) {
+                let versions = self.runners.software_of(&name);
+                let since = now;
+                self.versions
+                    .insert(name, ServiceVersions { versions, since });
+            }
+        }
+    }
+
+    /// Records that a stream began at a runner. Returns whether the control instances should hear of
+    /// it at once, since the service has runners of several versions.
+    pub fn on_stream_begun(
+        &mut self,
+        admission: &Admission,
+        call: &CallerRequest,
+        placement: &Placement,
+    ) -> bool {
+        let Some(software) = placement.software.clone() else {
+            return false;
+        };
+        let account = admission.account.as_ref().map(|a| &a.name);
+        let origin = StreamOrigin {
+            service: admission.service.clone(),
+            software,
+        };
+        self.stream_origins
+            .add(stream_key(account, &call.id), origin);
+        let known = self.versions.get(&admission.service);
+        known.is_some_and(|known| known.versions.len() > 1)
+    }
+
+    /// Returns the origins of the streams that began since the last call.
+    pub fn take_stream_origins(&mut self) -> Vec<(StreamKey, StreamOrigin)> {
+        self.stream_origins.take()
+    }
+
+    /// Returns the key of the stream that a caller takes up again, if it names one.
+    pub fn resumed_stream(admission: &Admission, call: &CallerRequest) -> Option<StreamKey> {
+        let account = admission.account.as_ref().map(|a| &a.name);
+        call.resumes.as_ref().map(|id| stream_key(account, id))
+    }
+
+    /// Returns the version at which a stream of unknown origin must have begun, if the service has
+    /// had no other one for long enough.
+    pub fn only_version(&self, now: Duration, service: &ServiceName) -> Option<CompactString> {
+        let known = self.versions.get(service)?;
+        let is_settled = known.versions.len() == 1 && now >= known.since + SINGLE_VERSION_FOR;
+        known.versions.first().filter(|_| is_settled).cloned()
+    }
+
+    /// Returns whether the software versions of a service are known.
+    pub fn knows_versions(&self, service: &ServiceName) -> bool {
+        let known = self.versions.get(service);
+        known.is_some_and(|known| !known.versions.is_empty())
+    }
+
+    /// Builds the refusal of a stream that can't go on.
+    pub fn resume_refusal(&self, service: &ServiceName, software: Option<&str>) -> Refusal {
+        let detail = match software {
+            Some(version) => format_compact!(
+                "no backend server of \"{service}\" has version {version}, which began the stream"
+            ),
+            None => {
+                format_compact!("the version of \"{service}\" that began the stream is unknown")
+            }
+        };
+        Refusal::new(ErrorKind::NotResumable, detail)
+    }
+}
--- a/crates/dotterelrudder_gateway/src/placement_query.rs
+++ b/crates/dotterelrudder_gateway/src/placement_query.rs
@@ -23,6 +23,8 @@
     pub objective: Duration,
     /// The urgency of the request at a runner, 0 first.
     pub urgency: u8,
+    /// The software version that the runner has to have, for a stream that goes on.
+    pub software: Option<&'a str>,
     /// A number that tells the request from others of this entry.
     pub request: u64,
 }
--- a/crates/dotterelrudder_gateway/src/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runner_table.rs
@@ -1,5 +1,6 @@
 //! Table of all runners that an entry knows.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -131,6 +132,20 @@
         all.filter(move |(_, r)| r.listed && r.record.service == *service)
     }
 
+    /// Returns the services that have listed runners.
+    pub fn services(&self) -> BTreeSet<ServiceName> {
+        let listed = self.runners.values().filter(|r| r.listed);
+        listed.map(|r| r.record.service.clone()).collect()
+    }
+
+    /// Returns the software versions of the listed runners of a service.
+    pub fn software_of(&self, service: &ServiceName) -> BTreeSet<CompactString> {
+        let runners = self.of_service(service);
+        runners
+            .filter_map(|(_, r)| r.record.software.clone())
+            .collect()
+    }
+
     /// Applies the leader's announcement of a runner's request limit, or of its end. It is kept for
     /// runners that are not listed yet.
     pub fn announce_limit(&mut self, now: Duration, identity: &CompactString, rate: Option<f64>) {
--- /dev/null
+++ b/crates/dotterelrudder_gateway/tests/software_versions.rs
@@ -0,0 +1,76 @@
+//! Streams go on only at runners of the software version that began them.
+
+mod support;
+
+use dotterelrudder_gateway::Gateway;
+use dotterelrudder_gateway::NotPlaced;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_wire::RunnerRecord;
+use support::*;
+
+fn versioned(n: u16, software: &str) -> RunnerRecord {
+    RunnerRecord {
+        software: Some(software.into()),
+        ..record(n, "engines", "z")
+    }
+}
+
+fn gateway_with(records: Vec<RunnerRecord>) -> Gateway {
+    let mut gateway = Gateway::new(settings(), 7);
+    gateway.on_fleet_state(ms(0), fleet_state(1), Some(ms(0)));
+    gateway.on_runners(records);
+    gateway.update_versions(ms(0));
+    gateway
+}
+
+#[test]
+fn a_stream_goes_on_at_its_version_or_not_at_all() {
+    let mut gateway = gateway_with(vec![
+        versioned(1, "v1"),
+        versioned(2, "v2"),
+        versioned(3, "v1"),
+    ]);
+    let (engines, prompt) = (engines(), prompt("s", 100, 100));
+    for _ in 0..50 {
+        let mut of_version = query(&engines, Some(&prompt), &[]);
+        of_version.software = Some("v2");
+        let placed = gateway.place(ms(10), &of_version).expect("v2 has a runner");
+        assert_eq!(placed.identity, "i-2");
+    }
+    let mut gone = query(&engines, Some(&prompt), &[]);
+    gone.software = Some("v0");
+    let Err(NotPlaced::Refused(refusal)) = gateway.place(ms(10), &gone) else {
+        panic!("no runner has this version");
+    };
+    assert_eq!(refusal.kind, ErrorKind::NotResumable);
+    assert_eq!(refusal.retry_after, None);
+}
+
+#[test]
+fn a_version_that_is_there_but_was_tried_already_asks_callers_to_come_back() {
+    let mut gateway = gateway_with(vec![versioned(1, "v1"), versioned(2, "v2")]);
+    let (engines, prompt) = (engines(), prompt("s", 100, 100));
+    let mut of_version = query(&engines, Some(&prompt), &[]);
+    of_version.software = Some("v2");
+    let tried = [gateway.place(ms(10), &of_version).expect("v2").runner];
+    of_version.tried = &tried;
+    let Err(NotPlaced::Refused(refusal)) = gateway.place(ms(10), &of_version) else {
+        panic!("the only runner of this version was tried");
+    };
+    assert_eq!(refusal.kind, ErrorKind::NoBackendServer);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn an_unknown_origin_is_taken_for_the_only_version_only_after_a_while() {
+    let mut gateway = gateway_with(vec![versioned(1, "v1"), versioned(2, "v2")]);
+    assert_eq!(gateway.only_version(ms(60_000), &engines()), None);
+    gateway.on_runners(vec![versioned(2, "v2")]);
+    gateway.update_versions(ms(60_000));
+    assert_eq!(gateway.only_version(ms(61_000), &engines()), None);
+    gateway.update_versions(ms(80_000));
+    assert_eq!(
+        gateway.only_version(ms(90_000), &engines()),
+        Some("v2".into())
+    );
+}
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -197,6 +197,7 @@
         max_wait: None,
         prompt: None,
         resume_after: None,
+        resumes: None,
     }
 }
 
@@ -229,6 +230,7 @@
         repeatable: true,
         objective: ms(1_000),
         urgency: 0,
+        software: None,
         request: 0,
     }
 }
--- a/crates/dotterelrudder_types/src/error_kind.rs
+++ b/crates/dotterelrudder_types/src/error_kind.rs
@@ -65,6 +65,8 @@
     NotFound,
     /// The prompt holds a part that crashes the runners which begin to answer it.
     PromptBlocked,
+    /// The stream cannot go on: the version of the backend servers that began it is unknown or gone.
+    NotResumable,
 }
 
 /// The response for one error kind.
@@ -101,7 +103,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the table in docs/PROTOCOLS.md.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::BadRequest,
         Self::UnknownKey,
         Self::NotAllowed,
@@ -129,6 +131,7 @@
         Self::Unauthorized,
         Self::NotFound,
         Self::PromptBlocked,
+        Self::NotResumable,
     ];
 
     /// Returns the row of the table for this kind.
@@ -163,6 +166,7 @@
             Self::Unauthorized => row("unauthorized", 401, NotRun, None, 77),
             Self::NotFound => row("not_found", 404, NotRun, None, 66),
             Self::PromptBlocked => row("prompt_blocked", 500, NotRun, None, 70),
+            Self::NotResumable => row("not_resumable", 500, NotRun, None, 69),
         }
     }
 
--- a/crates/dotterelrudder_wire/src/fleet/mod.rs
+++ b/crates/dotterelrudder_wire/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 mod shared_part;
 mod store_status;
 mod stored_part;
+mod stream_origin;
 mod weight_order;
 
 pub use cache_salt::cache_salt;
@@ -58,4 +59,6 @@
 pub use shared_part::SharedPart;
 pub use store_status::StoreStatus;
 pub use stored_part::StoredPart;
+pub use stream_origin::StreamKey;
+pub use stream_origin::StreamOrigin;
 pub use weight_order::WeightOrder;
--- a/crates/dotterelrudder_wire/src/lib.rs
+++ b/crates/dotterelrudder_wire/src/lib.rs
@@ -48,6 +48,8 @@
 pub use fleet::SharedPart;
 pub use fleet::StoreStatus;
 pub use fleet::StoredPart;
+pub use fleet::StreamKey;
+pub use fleet::StreamOrigin;
 pub use fleet::WeightOrder;
 pub use fleet::DIRECTORY_LEASE;
 pub use fleet::FETCH_LIMIT;
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -36,6 +36,8 @@
 use crate::RunnerRecord;
 use crate::RunnerSoftware;
 use crate::Start;
+use crate::StreamKey;
+use crate::StreamOrigin;
 use crate::Usage;
 use crate::WeightOrder;
 
@@ -251,6 +253,22 @@
     PartVerdicts(Arc<PartVerdicts>),
     /// Sends the software versions of backend servers to entries.
     RunnerSoftware(RunnerSoftware),
+    /// Reports the origins of streams that began at an entry to a control instance.
+    StreamOrigins(Vec<(StreamKey, StreamOrigin)>),
+    /// Asks a control instance for the origin of a stream.
+    OriginQuery {
+        /// A number that the reply repeats.
+        number: u64,
+        /// The stream.
+        stream: StreamKey,
+    },
+    /// Replies to [`Message::OriginQuery`].
+    OriginReply {
+        /// The number of the query.
+        number: u64,
+        /// The origin; `None` if the sender doesn't know it.
+        origin: Option<StreamOrigin>,
+    },
 }
 
 impl Message {
@@ -258,7 +276,12 @@
     /// messages are added behind the others, so that the encoding of these stays as it is.
     pub fn message_set(&self) -> u32 {
         match self {
-            Self::PartReport(_) | Self::PartVerdicts(_) | Self::RunnerSoftware(_) => 1,
+            Self::PartReport(_)
+            | Self::PartVerdicts(_)
+            | Self::RunnerSoftware(_)
+            | Self::StreamOrigins(_)
+            | Self::OriginQuery { .. }
+            | Self::OriginReply { .. } => 1,
             _ => 0,
         }
     }
