--- a/crates/dotterelrudder_gateway/src/part_watch.rs
+++ b/crates/dotterelrudder_gateway/src/part_watch.rs
@@ -22,7 +22,7 @@
 /// The interval at which held blocks are reported without a change, so that a new leader learns
 /// them.
 pub const PART_REPORT_INTERVAL: Duration = Duration::from_secs(1);
-/// How long it is remembered that a request with a part began.
+/// How long it counts that a request with a part began.
 const BEGUN_TTL: Duration = Duration::from_secs(30);
 /// The largest number of parts for which that is remembered; above it, older ones are removed.
 const MAX_BEGUN: usize = 16_384;
@@ -193,8 +193,8 @@
         let losses = losses.collect();
         let begun = std::mem::take(&mut self.begun_due).into_iter();
         let begun = begun.filter_map(|part| {
-            let at = *self.begun.get(&part)?;
-            Some((part, now.saturating_sub(at)))
+            let ago = now.saturating_sub(*self.begun.get(&part)?);
+            (ago < BEGUN_TTL).then_some((part, ago))
         });
         let begun = begun.collect();
         let held = self.blocks.iter_mut().map(|h| {
--- /dev/null
+++ b/crates/dotterelrudder_wire/tests/last_release.rs
@@ -0,0 +1,131 @@
+//! Frames that processes of the last release send and decode: its peers stay in contact while they are
+//! replaced one by one.
+
+use dotterelrudder_types::Revision;
+use dotterelrudder_wire::encode_frame;
+use dotterelrudder_wire::Envelope;
+use dotterelrudder_wire::FleetQuery;
+use dotterelrudder_wire::FrameDecoder;
+use dotterelrudder_wire::LimitGrants;
+use dotterelrudder_wire::LimitReport;
+use dotterelrudder_wire::LimitUpdate;
+use dotterelrudder_wire::Message;
+use dotterelrudder_wire::ModelWeights;
+use dotterelrudder_wire::PartReport;
+use dotterelrudder_wire::PartVerdicts;
+use dotterelrudder_wire::RunnerDemand;
+use dotterelrudder_wire::RunnerRecord;
+use dotterelrudder_wire::RunnerSoftware;
+use dotterelrudder_wire::MESSAGE_SET;
+use dotterelrudder_wire::PROTOCOL_VERSION;
+
+/// The frames of [`messages`] as the last release encodes them, in hexadecimal.
+const FRAMES: &[&str] = &[
+    "2800000006200103692d3107656e67696e6573000a000001fb901f017a400001016d03fd0068e5cf8b010000",
+    "06000000061d07050900",
+    "11000000061f010d31302e302e302e313a37353830",
+    "1d0000000626040103692d31000000000000004001000000000000f83f02010003",
+    "0400000006270400",
+    "1000000006280103692d3101000000000000f83f",
+    "03000000062300",
+];
+
+/// Messages that both releases know.
+fn messages() -> Vec<Message> {
+    vec![
+        Message::Runners(vec![RunnerRecord {
+            identity: "i-1".into(),
+            service: "engines".into(),
+            address: "10.0.0.1:8080".parse().expect("an address"),
+            data_centre: "z".into(),
+            slots: 64,
+            leaving: false,
+            weights: vec![ModelWeights {
+                model: "m".into(),
+                version: 3,
+            }],
+            software: None,
+            born_ms: 1_700_000_000_000,
+        }]),
+        Message::FleetQuery(FleetQuery {
+            asked: 7,
+            held: 5,
+            directory: 9,
+            beside: None,
+        }),
+        Message::NotLeader {
+            leader: Some("10.0.0.1:7580".into()),
+        },
+        Message::LimitReport(LimitReport {
+            number: 4,
+            runners: vec![RunnerDemand {
+                runner: "i-1".into(),
+                held: 2.0,
+                named: Some(1.5),
+                answers_without: 2,
+                wanted: vec![(0, 3)],
+            }],
+        }),
+        Message::LimitGrants(LimitGrants {
+            number: 4,
+            grants: Vec::new(),
+        }),
+        Message::RunnerLimits(vec![LimitUpdate {
+            runner: "i-1".into(),
+            rate: Some(1.5),
+        }]),
+        Message::PartsUsed(Vec::new()),
+    ]
+}
+
+fn encoded(message: Message) -> Vec<u8> {
+    let mut buf = bytes::BytesMut::new();
+    let envelope = Envelope {
+        revision: Revision(6),
+        message,
+    };
+    encode_frame(&envelope, &mut buf).expect("a small frame");
+    buf.to_vec()
+}
+
+fn hexadecimal(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+#[test]
+fn messages_of_the_last_release_keep_their_frames() {
+    assert_eq!(
+        PROTOCOL_VERSION, 4,
+        "peers with another number refuse each other"
+    );
+    for (message, frame) in messages().into_iter().zip(FRAMES) {
+        assert_eq!(message.message_set(), 0);
+        let bytes = encoded(message.clone());
+        assert_eq!(hexadecimal(&bytes), *frame);
+        let mut decoder = FrameDecoder::default();
+        decoder.push(&bytes);
+        let read = decoder.take_message::<Envelope>().expect("well formed");
+        assert_eq!(read.map(|e| e.message), Some(message));
+    }
+}
+
+#[test]
+fn messages_that_the_last_release_does_not_know_are_marked_as_such() {
+    let new = [
+        Message::PartReport(PartReport::default()),
+        Message::PartVerdicts(PartVerdicts::default().into()),
+        Message::RunnerSoftware(RunnerSoftware::default()),
+        Message::StreamOrigins(Vec::new()),
+        Message::OriginQuery {
+            number: 1,
+            stream: 2,
+        },
+        Message::OriginReply {
+            number: 1,
+            origin: None,
+        },
+    ];
+    for message in new {
+        assert_eq!(message.message_set(), MESSAGE_SET, "{message:?}");
+    }
+}
