Announce blocks of parts to the other control instances

Traced by the logs that were kept: the control instance killed last led, all entries were killed at the same moment, and the block was in nobody's memory; it was there again after four more ends, 1.1 s later.

The test passed before by chance, as the last instance killed did not lead.

--- a/crates/dotterelrudder_control/src/control_core/fleet.rs
+++ b/crates/dotterelrudder_control/src/control_core/fleet.rs
@@ -2,6 +2,7 @@
 //! servers and weight orders.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelrudder_types::InstanceName;
@@ -186,6 +187,15 @@
             self.propose(Origin::Internal, command, now, out);
         }
         self.fleet_publisher.tick(now, out);
+        if let Some(verdicts) = self.fleet_publisher.parts.take_announcement(now) {
+            let verdicts = Arc::new(verdicts);
+            let own = self.settings.name.clone();
+            let peers = self.control_instances().into_iter();
+            out.extend(peers.filter(|p| *p != own).map(|to| Output::Send {
+                to,
+                message: Message::PartVerdicts(verdicts.clone()),
+            }));
+        }
     }
 
     /// Sends a committed weight order to the runner's side; its fencing number is its log index.
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -370,6 +370,9 @@
             Message::PartsUsed(keys) => self.fleet_publisher.directory.record_use(now, &keys),
             Message::LimitReport(report) => self.on_limit_report(from, report, now, out),
             Message::PartReport(report) => self.on_part_report(&from, report, now, out),
+            Message::PartVerdicts(verdicts) if !self.raft.is_leader() => {
+                self.fleet_publisher.parts.on_announced(&verdicts, now);
+            }
             Message::StreamOrigins(streams) => self.stream_origins.record(now, streams),
             Message::OriginQuery { number, stream } => {
                 let origin = self.stream_origins.find(stream).cloned();
--- a/crates/dotterelrudder_control/src/fleet/part_ledger.rs
+++ b/crates/dotterelrudder_control/src/fleet/part_ledger.rs
@@ -3,7 +3,7 @@
 //! Entries report runners that ended, with the parts of the requests that had not begun there. A part
 //! under which several runners ended, without a request with it that began in between, is blocked at
 //! all entries. The ledger is soft state; a new leader takes the blocks over from the entries'
-//! reports. See docs/design/crashing-parts.md.
+//! reports and from what the leader before announced. See docs/design/crashing-parts.md.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -36,6 +36,8 @@
 /// How long a new leader takes over blocks that entries hold; three times the interval at which
 /// entries repeat their reports.
 const TAKEOVER_PERIOD: Duration = Duration::from_secs(3);
+/// The interval at which the leader announces its blocks to the other control instances.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 /// The largest numbers of ended runners, watched parts and blocks that are kept.
 const MAX_LOSSES: usize = 128;
 const MAX_WATCHED: usize = 256;
@@ -76,6 +78,11 @@
     /// When an answer to a request with a part last began.
     begun: BTreeMap<SharedPart, Duration>,
     blocks: Vec<Block>,
+    /// The blocks that the leader announced to this instance, and when, while another one leads.
+    announced: Vec<(PartBlock, Duration)>,
+    announced_to_peers_at: Duration,
+    /// Whether the last announcement had no block.
+    announced_none: bool,
     takeover_until: Duration,
     is_taking_over: bool,
     has_changed: bool,
@@ -88,9 +95,17 @@
 }
 
 impl PartLedger {
-    /// Begins a leadership: blocks that entries hold are taken over for a while.
+    /// Begins a leadership with the blocks that the leader before announced; those that entries hold
+    /// are taken over for a while.
     pub fn begin_leadership(&mut self, now: Duration) {
+        let announced = self.announced.drain(..).map(|(b, at)| Block {
+            parts: b.parts,
+            runners: b.runners,
+            since: at.saturating_sub(b.age),
+            refused_at: now,
+        });
         *self = Self {
+            blocks: announced.collect(),
             takeover_until: now + TAKEOVER_PERIOD,
             is_taking_over: true,
             ..Self::default()
@@ -133,6 +148,24 @@
         }
     }
 
+    /// Keeps the blocks that the leading control instance announced.
+    pub fn on_announced(&mut self, verdicts: &PartVerdicts, now: Duration) {
+        let blocks = verdicts.blocks.iter().cloned();
+        self.announced = blocks.map(|block| (block, now)).collect();
+    }
+
+    /// Returns the verdicts for the other control instances, at regular intervals: the leader and all
+    /// entries may be lost at once.
+    pub fn take_announcement(&mut self, now: Duration) -> Option<PartVerdicts> {
+        let is_due = now >= self.announced_to_peers_at + ANNOUNCE_INTERVAL;
+        if !is_due {
+            return None;
+        }
+        self.announced_to_peers_at = now;
+        let was_empty = std::mem::replace(&mut self.announced_none, self.blocks.is_empty());
+        (!self.blocks.is_empty() || !was_empty).then(|| self.verdicts(now))
+    }
+
     /// Returns the verdicts if they changed since the last call.
     pub fn take_update(&mut self, now: Duration) -> Option<PartVerdicts> {
         std::mem::take(&mut self.has_changed).then(|| self.verdicts(now))
--- a/crates/dotterelrudder_control/tests/part_ledger.rs
+++ b/crates/dotterelrudder_control/tests/part_ledger.rs
@@ -180,6 +180,30 @@
     assert_eq!(blocked(&ledger, ms(606_000)), "");
 }
 
+#[test]
+fn a_new_leader_keeps_the_blocks_that_the_one_before_announced() {
+    let mut leader = PartLedger::default();
+    for n in 0..4 {
+        leader.on_report(lost(&format!("r{n}"), &[&["bad"]]), ms(1_000 + 100 * n));
+    }
+    leader.tick(ms(1_600));
+    let announced = leader
+        .take_announcement(ms(1_700))
+        .expect("there is a block");
+    let mut next = PartLedger::default();
+    next.on_announced(&announced, ms(1_710));
+    assert_eq!(blocked(&next, ms(2_000)), "", "another instance leads");
+    next.begin_leadership(ms(3_000));
+    assert_eq!(blocked(&next, ms(3_000)), "bad");
+    // The end of the last block is announced too.
+    leader.on_report(begun("bad"), ms(4_000));
+    let ended = leader
+        .take_announcement(ms(4_500))
+        .expect("the blocks changed");
+    assert!(ended.blocks.is_empty());
+    assert_eq!(leader.take_announcement(ms(6_000)), None);
+}
+
 /// Schedules that are played.
 const SEEDS: u64 = 100;
 
