--- a/crates/dotterelrudder_control/src/fleet/part_ledger.rs
+++ b/crates/dotterelrudder_control/src/fleet/part_ledger.rs
@@ -81,8 +81,8 @@
     /// The blocks that the leader announced to this instance, and when, while another one leads.
     announced: Vec<(PartBlock, Duration)>,
     announced_to_peers_at: Duration,
-    /// Whether the last announcement had no block.
-    announced_none: bool,
+    /// Whether the last announcement had blocks, so that their end is announced too.
+    has_announced_blocks: bool,
     takeover_until: Duration,
     is_taking_over: bool,
     has_changed: bool,
@@ -162,8 +162,9 @@
             return None;
         }
         self.announced_to_peers_at = now;
-        let was_empty = std::mem::replace(&mut self.announced_none, self.blocks.is_empty());
-        (!self.blocks.is_empty() || !was_empty).then(|| self.verdicts(now))
+        let has_blocks = !self.blocks.is_empty();
+        let had_blocks = std::mem::replace(&mut self.has_announced_blocks, has_blocks);
+        (has_blocks || had_blocks).then(|| self.verdicts(now))
     }
 
     /// Returns the verdicts if they changed since the last call.
