Part ledger: find the ends that no block explains once, and cut only the loss that grew

Whether a block explains an end was worked out anew for each part at each tick, and each new loss cut the lists of all. Behaviour is as before: part_ledger.rs passes (10).

--- a/crates/dotterelrudder_control/src/fleet/part_ledger.rs
+++ b/crates/dotterelrudder_control/src/fleet/part_ledger.rs
@@ -190,21 +190,28 @@
     fn add_loss(&mut self, loss: RunnerLoss, now: Duration) {
         let at = now.saturating_sub(loss.lost_ago);
         let sent_at = now.saturating_sub(loss.sent_ago);
-        let requests = loss.requests.into_iter().map(|r| r.into_iter().collect());
+        let mut requests: Vec<BTreeSet<SharedPart>> = loss
+            .requests
+            .into_iter()
+            .map(|r| r.into_iter().collect())
+            .collect();
         let known = self.losses.iter_mut().rev();
         let same = known
             .filter(|l| l.runner == loss.runner)
             .find(|l| sent_at <= l.at + SAME_LOSS_MARGIN);
         match same {
-            Some(same) => same.requests.extend(requests),
-            None => self.losses.push_back(Loss {
-                runner: loss.runner,
-                at,
-                requests: requests.collect(),
-            }),
-        }
-        for loss in &mut self.losses {
-            loss.requests.truncate(MAX_LOST_REQUESTS);
+            Some(same) => {
+                same.requests.append(&mut requests);
+                same.requests.truncate(MAX_LOST_REQUESTS);
+            }
+            None => {
+                requests.truncate(MAX_LOST_REQUESTS);
+                self.losses.push_back(Loss {
+                    runner: loss.runner,
+                    at,
+                    requests,
+                });
+            }
         }
         if self.losses.len() > MAX_LOSSES {
             self.losses.pop_front();
@@ -251,11 +258,10 @@
     /// Returns the parts under which at least [`WATCH_AFTER_LOSSES`] runners ended. A loss that a
     /// block explains counts against no other part.
     fn suspects(&self) -> Vec<Suspect> {
+        let unexplained = self.losses.iter().filter(|l| !self.is_explained(l));
+        let unexplained: Vec<&Loss> = unexplained.collect();
         let mut seen: BTreeMap<&SharedPart, Vec<(usize, usize)>> = BTreeMap::new();
-        for (n, loss) in self.losses.iter().enumerate() {
-            if self.is_explained(loss) {
-                continue;
-            }
+        for (n, loss) in unexplained.iter().enumerate() {
             for (m, request) in loss.requests.iter().enumerate() {
                 for part in request {
                     seen.entry(part).or_default().push((n, m));
@@ -264,7 +270,7 @@
         }
         let suspects = seen.into_iter().map(|(part, requests)| Suspect {
             part: part.clone(),
-            losses: self.count_losses(part, &requests),
+            losses: self.count_losses(part, &unexplained, &requests),
             begun_at: self.begun.get(part).copied(),
             requests,
         });
@@ -282,13 +288,18 @@
     /// Counts the runners that ended under a part since a request with it last began. Runners that
     /// ended together count once if the part doesn't explain all of them, or if requests with it
     /// began before.
-    fn count_losses(&self, part: &SharedPart, requests: &[(usize, usize)]) -> usize {
+    fn count_losses(
+        &self,
+        part: &SharedPart,
+        unexplained: &[&Loss],
+        requests: &[(usize, usize)],
+    ) -> usize {
         let begun_at = self.begun.get(part).copied();
         let under: BTreeSet<usize> = requests.iter().map(|(n, _)| *n).collect();
-        let others = self.losses.iter().enumerate();
-        let others = others.filter(|(n, l)| !under.contains(n) && !self.is_explained(l));
+        let others = unexplained.iter().enumerate();
+        let others = others.filter(|(n, _)| !under.contains(n));
         let others: Vec<Duration> = others.map(|(_, l)| l.at).collect();
-        let ends = under.iter().map(|n| self.losses[*n].at);
+        let ends = under.iter().map(|n| unexplained[*n].at);
         let mut ends: Vec<Duration> = ends
             .filter(|at| begun_at.is_none_or(|begun_at| *at > begun_at))
             .collect();
