Count streams that are aborted, and log their age and the configuration in force

How many answers an entry cut off, and why, stood only in single log lines; a cut beside a change of the configuration could not be told from one at another time. The new counter has the reason as its attribute, the log line the version in force and the age of the request, beside the version at admission in the request's own line.

--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -78,8 +78,11 @@
                 Err(_) => Err(ResponseAborted("the time limit of the route was exceeded")),
             };
             if let Err(broken) = relayed {
+                let version = server.gateway().configuration().version;
+                server.metrics.count_aborted_stream(broken.0);
                 slog::warn!(server.log, "stream to caller aborted"; "id" => request.call.id.as_str(),
-                    "reason" => broken.0);
+                    "reason" => broken.0, "version" => version,
+                    "age_ms" => server.now().saturating_sub(request.began).as_millis() as u64);
                 // The caller may have disconnected already.
                 let _gone = tx.send(Err(broken)).await.is_err();
             }
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -34,6 +34,7 @@
     answers: Counter<u64>,
     attempts: Counter<u64>,
     lost_connections: Counter<u64>,
+    aborted_streams: Counter<u64>,
     repeats: Counter<u64>,
     limited_sends: Counter<u64>,
     limited_runners: Gauge<u64>,
@@ -91,6 +92,7 @@
             refusals: counter("dotterelrudder_refusals"),
             attempts: counter("dotterelrudder_attempts"),
             lost_connections: counter("dotterelrudder_lost_connections"),
+            aborted_streams: counter("dotterelrudder_aborted_streams"),
             answers: counter("dotterelrudder_answers"),
             repeats: counter("dotterelrudder_repeats"),
             limited_sends: counter("dotterelrudder_limited_sends"),
@@ -145,6 +147,12 @@
         self.lost_connections.add(1, &[]);
     }
 
+    /// Counts a stream to a caller that was aborted, by the reason.
+    pub fn count_aborted_stream(&self, reason: &'static str) {
+        self.aborted_streams
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Sets the number of blocked parts of prompts.
     pub fn set_part_blocks(&self, blocks: usize) {
         self.part_blocks.record(blocks as u64, &[]);
