Give an answer up for silence only when another runner can take it over

Cause: an entry took silence for the end of a runner. It gave the stream up once its pause exceeded one objective beside a runner that does not answer its side (five otherwise), and looked for another runner afterwards. Where none was open, had room or had the software version that began the stream, the answer was cut; since streams go on at their version only, that is common. Attempts without an answer were cancelled in the same order and ended in a refusal. The class of fault: a failure is concluded from silence, and what works is thrown away before a replacement is known.

Evidence: each cut has "the runner may be unreachable, no event for 909 ms" (to 1,113 ms) and in the same millisecond "stream not resumed on another runner" without an attempt. Ruled out: the changes of the configuration (requests keep what they were admitted to; the cuts come without changes too) and closes of kept connections (each cut request has its own line).

Now an entry first checks that another runner that is not suspected has room and that the retry budget allows it; a stream keeps its connection to the silent runner until the other one begins or 250 ms have passed, and stays there if it goes on first or the other one refuses. Two runners work on a stream for less than the 400 ms that are allowed.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -14,7 +14,6 @@
 use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::PlacementQuery;
 use dotterelrudder_gateway::RunOutcome;
-use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::ServiceName;
@@ -36,19 +35,9 @@
 use super::server::EntryServer;
 
 /// The maximum number of runners tried for one request, including those that could not be reached.
-const MAX_ATTEMPTS: usize = 4;
-/// The timeout of an attempt that can be retried, as a multiple of the route's objective for the
-/// first chunk.
-const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 2.0;
-/// The same timeout if the runner may be unreachable.
-const SUSPECTED_TIMEOUT_OBJECTIVES: f64 = 0.5;
-/// The interval at which an attempt checks whether its runner may be unreachable. Load reports
-/// arrive at twice this interval.
-pub(super) const RUNNER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// The lower limit of the timeout of an attempt that can be retried.
-const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const MAX_ATTEMPTS: usize = 4;
 /// The shortest time before the deadline in which an attempt is still started.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
+pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 /// The time after which a queued request can no longer meet its objective, as a share of the
 /// objective from 0 to 1.
 const DUE_OBJECTIVES: f64 = 0.7;
@@ -78,18 +67,7 @@
             if left < MIN_TIME_LEFT {
                 return ServeResult::Refused(timeout_refusal(log));
             }
-            let software = log.software.clone().or_else(|| request.software.clone());
-            let query = PlacementQuery {
-                service: &request.admission.service,
-                prompt: request.call.prompt.as_ref(),
-                account: request.admission.account.as_deref(),
-                tried: &log.tried,
-                repeatable: route.kind.may_repeat(),
-                objective: route.objective,
-                software: software.as_deref(),
-                urgency: self.gateway().urgency(&request.admission),
-                request: self.placements.fetch_add(1, Ordering::Relaxed),
-            };
+            let query = self.placement_query(request, log);
             let placement = match self.wait_for_capacity(request, &query).await {
                 Ok(placement) => Arc::new(placement),
                 Err(refusal) => {
@@ -132,6 +110,27 @@
         ServeResult::Refused(failure_refusal(ErrorKind::Overloaded, reason, log))
     }
 
+    /// Builds the query for the next runner of a request.
+    pub(super) fn placement_query<'a>(
+        &self,
+        request: &'a ActiveRequest,
+        log: &'a AttemptLog,
+    ) -> PlacementQuery<'a> {
+        let admission = &request.admission;
+        let software = log.software.as_deref().or(request.software.as_deref());
+        PlacementQuery {
+            service: &admission.service,
+            prompt: request.call.prompt.as_ref(),
+            account: admission.account.as_deref(),
+            tried: &log.tried,
+            repeatable: admission.route.kind.may_repeat(),
+            objective: admission.route.objective,
+            software,
+            urgency: self.gateway().urgency(admission),
+            request: self.placements.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
     /// Takes a retry from the service's retry budget. Returns whether there was one left.
     pub(super) fn may_repeat(&self, service: &ServiceName) -> bool {
         let allowed = self.gateway().may_repeat(self.now(), service);
@@ -156,11 +155,7 @@
         query: &PlacementQuery<'_>,
     ) -> Result<Placement, Refusal> {
         let service = query.service;
-        let need = CapacityRequest {
-            urgency: query.urgency,
-            tokens: query.prompt.map_or(0, |p| p.peak_tokens()),
-            due: request.began + query.objective.mul_f64(DUE_OBJECTIVES),
-        };
+        let need = capacity_request(request, query);
         let wait_limit = request.began + query.objective.mul_f64(MAX_WAIT_OBJECTIVES);
         let mut queue_place = QueuePlace {
             wait_queue: &self.wait_queue,
@@ -216,7 +211,11 @@
     }
 
     /// Chooses a runner for the request. Has demand for permits reported soon if there is any.
-    fn place(&self, now: Duration, query: &PlacementQuery<'_>) -> Result<Placement, NotPlaced> {
+    pub(super) fn place(
+        &self,
+        now: Duration,
+        query: &PlacementQuery<'_>,
+    ) -> Result<Placement, NotPlaced> {
         let mut gateway = self.gateway();
         let placed = gateway.place(now, query);
         if gateway.is_limit_report_due() {
@@ -249,15 +248,9 @@
             may_repeat,
         };
         let can_retry = request.may_run_again(log);
-        let limit = if can_retry {
-            let attempt_timeout = route.objective.mul_f64(ATTEMPT_TIMEOUT_OBJECTIVES);
-            attempt_timeout.max(MIN_ATTEMPT_TIMEOUT).min(left)
-        } else {
-            left
-        };
         // The attempt times out before the request's deadline, so that the failure is recorded
         // against the runner.
-        let limit = limit.saturating_sub(MIN_TIME_LEFT);
+        let limit = left.saturating_sub(MIN_TIME_LEFT);
         let began = self.now();
         let prompt = request.call.prompt.as_ref();
         if placement.limit.rate.is_some() {
@@ -285,9 +278,8 @@
                     ..AttemptFailure::answer_lost("the prompt was blocked")
                 })
             }
-            () = self.until_suspected(request, placement.runner, began), if can_retry => {
-                let reason = "no answer, and the runner may be unreachable";
-                Err(AttemptFailure::retry_reserved(RunOutcome::Unreachable, reason))
+            failure = self.until_replaceable(request, placement.runner, log, began), if can_retry => {
+                Err(failure)
             }
         };
         let took = self.now().saturating_sub(began);
@@ -337,25 +329,6 @@
         }
     }
 
-    /// Waits until the attempt should be cancelled: its runner may be unreachable, and the retry
-    /// budget allows another attempt. Takes the retry from the budget.
-    async fn until_suspected(&self, request: &ActiveRequest, runner: RunnerKey, began: Duration) {
-        let attempt_timeout = request
-            .admission
-            .route
-            .objective
-            .mul_f64(SUSPECTED_TIMEOUT_OBJECTIVES);
-        loop {
-            tokio::time::sleep(RUNNER_CHECK_INTERVAL).await;
-            let now = self.now();
-            let may_be_unreachable =
-                now > began + attempt_timeout && self.gateway().may_be_unreachable(now, runner);
-            if may_be_unreachable && self.may_repeat(&request.admission.service) {
-                return;
-            }
-        }
-    }
-
     /// Records the limit that a runner's response names, and logs changes.
     pub(super) fn record_answer_limit(&self, placement: &Placement, limit: AnswerLimit) {
         if limit == AnswerLimit::Malformed {
@@ -438,6 +411,18 @@
     }
 }
 
+/// Returns what a request needs of a runner, which decides its place in the wait queue.
+pub(super) fn capacity_request(
+    request: &ActiveRequest,
+    query: &PlacementQuery<'_>,
+) -> CapacityRequest {
+    CapacityRequest {
+        urgency: query.urgency,
+        tokens: query.prompt.map_or(0, |p| p.peak_tokens()),
+        due: request.began + query.objective.mul_f64(DUE_OBJECTIVES),
+    }
+}
+
 /// Describes an attempt for the log: the runner, the inputs of its estimate, and the result.
 fn attempt_note(placement: &Placement, text: &str) -> String {
     let e = &placement.estimate;
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod server;
 mod state_metrics;
 mod streaming;
+mod takeover;
 mod upstream;
 
 pub use answer_limits::AnswerLimits;
--- a/crates/dotterelrudder_daemon/src/gateway/request.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/request.rs
@@ -57,6 +57,18 @@
     pub(super) guard: AttemptGuard,
 }
 
+impl StartedStream {
+    /// Returns the software version at which the stream has to go on, if it began at one.
+    pub(super) fn software(&self, log: &AttemptLog) -> Option<CompactString> {
+        let own = self
+            .placement
+            .software
+            .as_ref()
+            .filter(|_| self.passed_event);
+        own.or(log.software.as_ref()).cloned()
+    }
+}
+
 /// Records the end of an attempt once. If dropped without an outcome, the attempt counts as
 /// abandoned.
 pub(super) struct AttemptGuard {
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -18,7 +18,6 @@
 
 use super::attempt::AttemptFailure;
 use super::attempt::FailureKind;
-use super::attempt_loop::RUNNER_CHECK_INTERVAL;
 use super::bodies::is_framed;
 use super::bodies::ENDED_WITH_RUNNER;
 use super::request::ActiveRequest;
@@ -26,13 +25,14 @@
 use super::request::ServeResult;
 use super::request::StartedStream;
 use super::server::EntryServer;
+use super::takeover::Takeover;
+use super::takeover::RUNNER_CHECK_INTERVAL;
 
 /// The number of events buffered for a slow caller. When the buffer is full, the runner's stream is
 /// not read further.
 const STREAM_BUFFER_CHUNKS: usize = 32;
 
 /// How the relay of one runner's stream ended.
-#[derive(Debug)]
 enum RelayEnd {
     /// The stream is complete.
     Complete,
@@ -43,6 +43,8 @@
     /// The response exceeds the size limit. It is not resumed, since the events that were already
     /// relayed are not the start of a valid response.
     TooLong(AttemptFailure),
+    /// The stream was silent for too long, or broke, while another runner was taking it over.
+    TakenOver(AttemptFailure, Takeover),
 }
 
 impl RelayEnd {
@@ -52,6 +54,14 @@
     {
         Self::Broken(AttemptFailure::answer_lost(reason))
     }
+
+    /// Returns the end of a stream that broke, with the takeover that was under way.
+    fn broken_during(failure: AttemptFailure, takeover: Option<Takeover>) -> Self {
+        match takeover {
+            Some(takeover) => Self::TakenOver(failure, takeover),
+            None => Self::Broken(failure),
+        }
+    }
 }
 
 impl<D> EntryServer<D>
@@ -105,8 +115,8 @@
     ) -> Result<(), ResponseAborted> {
         let mut last_event = request.call.resume_after.clone();
         loop {
-            let (failure, may_resume) = match self
-                .relay_events(request, &mut started, &log, &mut last_event, tx)
+            let (failure, may_resume, takeover) = match self
+                .relay_events(request, &mut started, &mut log, &mut last_event, tx)
                 .await
             {
                 RelayEnd::Complete => {
@@ -115,9 +125,11 @@
                     return Ok(());
                 }
                 RelayEnd::CallerDisconnected => return Ok(()),
-                RelayEnd::Broken(failure) => (failure, true),
-                RelayEnd::TooLong(failure) => (failure, false),
+                RelayEnd::Broken(failure) => (failure, true, None),
+                RelayEnd::TooLong(failure) => (failure, false, None),
+                RelayEnd::TakenOver(failure, takeover) => (failure, true, Some(takeover)),
             };
+            log.software = started.software(&log);
             started.guard.end(failure.outcome);
             drop(started.upstream);
             if failure.kind == FailureKind::ConnectionLost && !started.passed_event {
@@ -129,18 +141,25 @@
                 "software" => started.placement.software.as_deref().unwrap_or(""),
                 "reason" => failure.reason.as_str(),
                 "after" => last_event.as_deref().unwrap_or(""));
-            let allowed = may_resume
-                && request.may_run_again(&log)
-                && self.may_repeat_after(&failure, &request.admission.service);
-            if !allowed {
-                return Err(ResponseAborted("the stream from the runner failed"));
-            }
-            log.may_have_run += 1;
-            if started.passed_event {
-                log.software.clone_from(&started.placement.software);
-            }
             let after = last_event.clone();
-            let result = self.run_attempts(request, &mut log, after.as_deref()).await;
+            let result = match takeover {
+                Some(mut takeover) => {
+                    let end = takeover.end().await;
+                    log = end.log;
+                    self.finish_takeover(request, end.result, &mut log, after.as_deref())
+                        .await
+                }
+                None => {
+                    let allowed = may_resume
+                        && request.may_run_again(&log)
+                        && self.may_repeat_after(&failure, &request.admission.service);
+                    if !allowed {
+                        return Err(ResponseAborted("the stream from the runner failed"));
+                    }
+                    log.may_have_run += 1;
+                    self.run_attempts(request, &mut log, after.as_deref()).await
+                }
+            };
             let mut notes = std::mem::take(&mut log.notes);
             match result {
                 ServeResult::Stream(next, mut next_log) => {
@@ -163,10 +182,10 @@
 
     /// Relays the events of one runner's stream until it ends, breaks or stalls.
     async fn relay_events(
-        &self,
-        request: &ActiveRequest,
+        self: &Arc<Self>,
+        request: &Arc<ActiveRequest>,
         started: &mut StartedStream,
-        log: &AttemptLog,
+        log: &mut AttemptLog,
         last_event: &mut Option<CompactString>,
         tx: &mpsc::Sender<Result<Bytes, ResponseAborted>>,
     ) -> RelayEnd {
@@ -176,6 +195,7 @@
         let mut splitter = EventSplitter::default();
         let mut received = 0;
         let mut next = started.first.take();
+        let mut takeover: Option<Takeover> = None;
         loop {
             if let Some(part) = next.take() {
                 received += part.len();
@@ -185,6 +205,9 @@
                         started.passed_event = true;
                         self.record_answer_begun(request, &started.placement);
                     }
+                    if let Some(takeover) = takeover.take_if(|_| event.is_progress()) {
+                        takeover.record(None, log);
+                    }
                     if event.id.is_some() {
                         last_event.clone_from(&event.id);
                     }
@@ -202,57 +225,52 @@
                     ));
                 }
             }
-            if let Some(failure) = self.check_stall(request, started, log, &progress) {
-                return RelayEnd::Broken(failure);
+            if takeover.is_none() {
+                takeover =
+                    self.begin_takeover(request, started, log, last_event.as_ref(), &progress);
+            }
+            if let Some(takeover) = takeover.take_if(|t| t.is_due(self.now())) {
+                let failure = self.silence_failure(started, &progress);
+                return RelayEnd::TakenOver(failure, takeover);
             }
-            match timeout(RUNNER_CHECK_INTERVAL, started.body.frame()).await {
-                Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
-                Ok(Some(Err(e))) => {
-                    return RelayEnd::Broken(AttemptFailure::connection_lost(e.to_string()));
+            let taken_over = async {
+                match &mut takeover {
+                    Some(takeover) => takeover.end().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                frame = timeout(RUNNER_CHECK_INTERVAL, started.body.frame()) => match frame {
+                    Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
+                    Ok(Some(Err(e))) => {
+                        let failure = AttemptFailure::connection_lost(e.to_string());
+                        return RelayEnd::broken_during(failure, takeover);
+                    }
+                    Ok(None) => break,
+                    // No chunk arrived; the next iteration checks whether the stream is silent.
+                    Err(_) => {}
+                },
+                end = taken_over => {
+                    let Some(ended) = takeover.take() else {
+                        continue;
+                    };
+                    if let Ok(ServeResult::Stream(..)) = &end.result {
+                        let failure = self.silence_failure(started, &progress);
+                        return RelayEnd::TakenOver(failure, ended.ended(end));
+                    }
+                    self.log_failed_takeover(request, &end.result);
+                    ended.record(end.result.err().map(|failure| failure.kind), log);
                 }
-                Ok(None) => break,
-                // No chunk arrived; the next iteration checks whether the stream stalled.
-                Err(_) => {}
             }
         }
         if !splitter.rest().is_empty() {
-            return RelayEnd::broken("the stream ended inside an event");
+            let failure = AttemptFailure::answer_lost("the stream ended inside an event");
+            return RelayEnd::broken_during(failure, takeover);
         }
         if !is_framed(&started.head.headers) && !self.is_still_there(&started.placement).await {
-            return RelayEnd::broken(ENDED_WITH_RUNNER);
+            let failure = AttemptFailure::answer_lost(ENDED_WITH_RUNNER);
+            return RelayEnd::broken_during(failure, takeover);
         }
         RelayEnd::Complete
     }
-
-    /// Returns a failure if the stream stalled and may fail over to another runner. The retry is
-    /// taken from the budget first, so that a stream is not interrupted without a retry.
-    fn check_stall(
-        &self,
-        request: &ActiveRequest,
-        started: &StartedStream,
-        log: &AttemptLog,
-        progress: &StreamProgress,
-    ) -> Option<AttemptFailure> {
-        let now = self.now();
-        let may_fail_over = request.may_run_again(log) && progress.is_stalled(now, true);
-        if !may_fail_over {
-            return None;
-        }
-        let may_be_unreachable = self
-            .gateway()
-            .may_be_unreachable(now, started.placement.runner);
-        if !progress.is_stalled(now, may_be_unreachable)
-            || !self.may_repeat(&request.admission.service)
-        {
-            return None;
-        }
-        let pause = progress.pause(now).as_millis();
-        let (outcome, why) = if may_be_unreachable {
-            (RunOutcome::Unreachable, "the runner may be unreachable")
-        } else {
-            (RunOutcome::Failed, "the stream stalled")
-        };
-        let reason = format!("{why}, no event for {pause} ms");
-        Some(AttemptFailure::retry_reserved(outcome, reason))
-    }
 }
--- a/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
@@ -95,6 +95,17 @@
         })
     }
 
+    /// Returns whether a runner that isn't suspected has room for the request now. Nothing is
+    /// placed.
+    pub fn has_room_for(&mut self, now: Duration, query: &PlacementQuery<'_>) -> bool {
+        let Ok(mut open) = self.open_runners(now, query) else {
+            return false;
+        };
+        open.retain(|c| self.is_allowed(now, query, c.key) && !self.is_suspected(c.key));
+        let context = self.selection_context(now, query);
+        self.choose(now, query, &context, open).is_ok()
+    }
+
     /// Chooses one of the runners; suspected ones only if no other has room.
     fn choose_trusted_first(
         &self,
