Read the rest of a refused request, so that the refusal is not reset with its connection

Cause: a request is refused from its head; the body was dropped unread, the HTTP library closed the connection, and bytes that arrive on a closed connection reset it. A body above the size limit was dropped in the same way. Ruled out by the test: nothing else closes the connection, since the same callers get their refusals when what is left is read.

The rest is now read and thrown away for up to four seconds while the refusal is sent, and the connection stays usable. A body that states a size above the limit is refused before it is read.

--- a/crates/dotterelrudder_daemon/src/gateway/bodies.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/bodies.rs
@@ -7,50 +7,87 @@
 use http::header::TRANSFER_ENCODING;
 use http::HeaderMap;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Reads the body of a caller's request. `max_bytes` limits its size, `max_pause` the time between two
-/// chunks.
-///
-/// # Errors
-///
-/// Returns a refusal when the body exceeds `max_bytes`, pauses for longer than `max_pause` or is
-/// incomplete or malformed.
-pub(super) async fn read_body(
+/// How long the rest of a request is read that was refused before its end.
+const DISCARD_TIME: Duration = Duration::from_secs(4);
+
+/// The body of a caller's request, within limits on its size and on the time between two chunks.
+pub(super) struct CallerBody {
     body: Incoming,
     max_bytes: usize,
     max_pause: Duration,
-) -> Result<Bytes, Refusal> {
-    let mut body = Limited::new(body, max_bytes);
-    let mut bytes = bytes::BytesMut::new();
-    loop {
-        let next = timeout(max_pause, body.frame()).await;
-        let next = next.map_err(|_| {
-            Refusal::new(
-                ErrorKind::SlowSender,
-                "the request body paused for too long",
-            )
-        })?;
-        match next {
-            None => return Ok(bytes.freeze()),
-            Some(Ok(frame)) => {
-                if let Ok(chunk) = frame.into_data() {
-                    bytes.extend_from_slice(&chunk);
-                }
-            }
-            Some(Err(e)) if e.is::<LengthLimitError>() => {
-                let detail = format!("the request body exceeds {max_bytes} bytes");
-                return Err(Refusal::new(ErrorKind::TooLarge, detail));
+}
+
+impl CallerBody {
+    /// Limits a body. `max_bytes` limits its size, `max_pause` the time between two chunks.
+    pub(super) fn new(body: Incoming, max_bytes: usize, max_pause: Duration) -> Self {
+        Self {
+            body,
+            max_bytes,
+            max_pause,
+        }
+    }
+
+    /// Reads the complete body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the body exceeds its size limit, pauses for too long or is incomplete
+    /// or malformed. A body that states a larger size is refused before it is read.
+    pub(super) async fn read(&mut self) -> Result<Bytes, Refusal> {
+        let mut bytes = bytes::BytesMut::new();
+        let mut size = self.body.size_hint().lower();
+        while size <= self.max_bytes as u64 {
+            match self.next_chunk().await? {
+                Some(chunk) => bytes.extend_from_slice(&chunk),
+                None => return Ok(bytes.freeze()),
             }
-            Some(Err(_)) => {
-                return Err(Refusal::new(
-                    ErrorKind::BadRequest,
-                    "the request body is incomplete or malformed",
-                ));
+            size = bytes.len() as u64;
+        }
+        let detail = format!("the request body exceeds {} bytes", self.max_bytes);
+        Err(Refusal::new(ErrorKind::TooLarge, detail))
+    }
+
+    /// Reads what is left of the body of a request that was refused. Closing the connection of a
+    /// caller that still sends would reset it, and the refusal with it.
+    pub(super) fn discard(mut self) {
+        if self.body.is_end_stream() {
+            return;
+        }
+        tokio::spawn(async move {
+            let rest = async { while let Ok(Some(_)) = self.next_chunk().await {} };
+            // The connection is closed when the time is over.
+            let _unread = timeout(DISCARD_TIME, rest).await.is_err();
+        });
+    }
+
+    /// Returns the next chunk; none at the end.
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, Refusal> {
+        loop {
+            let next = timeout(self.max_pause, self.body.frame()).await;
+            let next = next.map_err(|_| {
+                Refusal::new(
+                    ErrorKind::SlowSender,
+                    "the request body paused for too long",
+                )
+            })?;
+            match next.transpose() {
+                Ok(None) => return Ok(None),
+                Ok(Some(frame)) => {
+                    if let Ok(chunk) = frame.into_data() {
+                        return Ok(Some(chunk));
+                    }
+                }
+                Err(_) => {
+                    return Err(Refusal::new(
+                        ErrorKind::BadRequest,
+                        "the request body is incomplete or malformed",
+                    ));
+                }
             }
         }
     }
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -13,6 +13,8 @@
 use crate::system_clock::SystemClock;
 use bytes::Bytes;
 use dotterelrudder_gateway::strip_connection_headers;
+use dotterelrudder_gateway::Admission;
+use dotterelrudder_gateway::CallerRequest;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::WaitQueue;
@@ -34,7 +36,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use super::bodies::read_body;
+use super::bodies::CallerBody;
 use super::refusals::timeout_refusal;
 use super::request::ActiveRequest;
 use super::request::AttemptLog;
@@ -130,7 +132,8 @@
         audit.write(&self.log, age);
     }
 
-    /// Admits a request and reads its body.
+    /// Admits a request and reads its body. What is left of the body of a refused request is read
+    /// while the refusal is sent.
     async fn read_request(
         &self,
         head: http::request::Parts,
@@ -138,17 +141,19 @@
         began: Duration,
         audit: &mut RequestAudit,
     ) -> Result<ActiveRequest, Refusal> {
-        let call = self.dialect.read_caller_request(&head)?;
-        audit.id = call.id.clone();
-        let (admission, limits) = {
-            let mut gateway = self.gateway();
-            audit.version = gateway.configuration().version;
-            let admission = gateway.admit(began, &call)?;
-            (admission, gateway.configuration().limits.clone())
+        let limits = self.gateway().configuration().limits.clone();
+        let mut body = CallerBody::new(body, limits.body_bytes, limits.header_time);
+        let admitted = match self.admit(&head, began, audit) {
+            Ok(admitted) => body.read().await.map(|bytes| (admitted, bytes)),
+            Err(refusal) => Err(refusal),
+        };
+        let ((call, admission), body) = match admitted {
+            Ok(admitted) => admitted,
+            Err(refusal) => {
+                body.discard();
+                return Err(refusal);
+            }
         };
-        audit.route = admission.route.name.clone();
-        audit.service = admission.service.0.clone();
-        let body = read_body(body, limits.body_bytes, limits.header_time).await?;
         let max_wait = call.max_wait.unwrap_or(DEFAULT_MAX_WAIT);
         let deadline = began + max_wait.min(admission.route.time_limit);
         Ok(ActiveRequest {
@@ -162,6 +167,23 @@
         })
     }
 
+    /// Reads the head of a request, and decides whether it may be served.
+    fn admit(
+        &self,
+        head: &http::request::Parts,
+        began: Duration,
+        audit: &mut RequestAudit,
+    ) -> Result<(CallerRequest, Admission), Refusal> {
+        let call = self.dialect.read_caller_request(head)?;
+        audit.id = call.id.clone();
+        let mut gateway = self.gateway();
+        audit.version = gateway.configuration().version;
+        let admission = gateway.admit(began, &call)?;
+        audit.route = admission.route.name.clone();
+        audit.service = admission.service.0.clone();
+        Ok((call, admission))
+    }
+
     /// Sends the request to runners until the deadline, and builds the response.
     async fn respond(
         self: &Arc<Self>,
