--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -37,7 +37,7 @@
 /// The maximum number of runners tried for one request, including those that could not be reached.
 pub(super) const MAX_ATTEMPTS: usize = 4;
 /// The shortest time before the deadline in which an attempt is still started.
-pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
+const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 /// The time after which a queued request can no longer meet its objective, as a share of the
 /// objective from 0 to 1.
 const DUE_OBJECTIVES: f64 = 0.7;
--- a/crates/dotterelrudder_daemon/src/gateway/takeover.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/takeover.rs
@@ -22,7 +22,6 @@
 use super::attempt::FailureKind;
 use super::attempt_loop::capacity_request;
 use super::attempt_loop::MAX_ATTEMPTS;
-use super::attempt_loop::MIN_TIME_LEFT;
 use super::refusals::failure_refusal;
 use super::request::ActiveRequest;
 use super::request::AttemptLog;
@@ -159,7 +158,7 @@
         let may_be_unreachable = || self.gateway().may_be_unreachable(now, silent);
         let may_begin = request.may_run_again(log)
             && log.tried.len() < MAX_ATTEMPTS
-            && left >= MIN_TIME_LEFT
+            && left > TAKEOVER_OVERLAP
             && progress.is_stalled(now, true)
             && progress.is_stalled(now, may_be_unreachable());
         if !may_begin {
