Count the wait of a stream that breaks off from the break, not from its beginning

Callers got streams cut off whose runner had broken off, though another runner had room a moment later. The wait for a runner was limited to 2.5 objectives from the beginning of the request, so that a stream that had run for longer got a single look, and was given up when all runners of its version were full or loading just then. Evidence: "stream not resumed on another runner" 0.1 ms after "stream from runner failed", without an attempt, while streams that broke off earlier waited and went on. Ruled out: the retry budget, which was taken before.

The wait now counts from the break; callers leave a stream two seconds or four objectives after its last event, so that 2.5 objectives are still in time for them.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -68,7 +68,7 @@
                 return ServeResult::Refused(timeout_refusal(log));
             }
             let query = self.placement_query(request, log);
-            let placement = match self.wait_for_capacity(request, &query).await {
+            let placement = match self.wait_for_capacity(request, &query, log).await {
                 Ok(placement) => Arc::new(placement),
                 Err(refusal) => {
                     let refusal = placement_refusal(refusal, log);
@@ -153,10 +153,11 @@
         &self,
         request: &ActiveRequest,
         query: &PlacementQuery<'_>,
+        log: &AttemptLog,
     ) -> Result<Placement, Refusal> {
         let service = query.service;
-        let need = capacity_request(request, query);
-        let wait_limit = request.began + query.objective.mul_f64(MAX_WAIT_OBJECTIVES);
+        let need = capacity_request(request, query, log);
+        let wait_limit = log.waits_since(request) + query.objective.mul_f64(MAX_WAIT_OBJECTIVES);
         let mut queue_place = QueuePlace {
             wait_queue: &self.wait_queue,
             ticket: None,
@@ -415,11 +416,12 @@
 pub(super) fn capacity_request(
     request: &ActiveRequest,
     query: &PlacementQuery<'_>,
+    log: &AttemptLog,
 ) -> CapacityRequest {
     CapacityRequest {
         urgency: query.urgency,
         tokens: query.prompt.map_or(0, |p| p.peak_tokens()),
-        due: request.began + query.objective.mul_f64(DUE_OBJECTIVES),
+        due: log.waits_since(request) + query.objective.mul_f64(DUE_OBJECTIVES),
     }
 }
 
--- a/crates/dotterelrudder_daemon/src/gateway/request.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/request.rs
@@ -149,6 +149,8 @@
     pub(super) may_have_run: usize,
     /// The description of each attempt, for the request's log line.
     pub(super) notes: Vec<String>,
+    /// When the stream broke off; the wait for another runner counts from then.
+    pub(super) broke_off_at: Option<Duration>,
     /// The software version whose events were relayed, so that the stream goes on only there.
     pub(super) software: Option<CompactString>,
     /// The server error of a runner, relayed to the caller unless another attempt succeeds.
@@ -156,6 +158,11 @@
 }
 
 impl AttemptLog {
+    /// Returns the time from which the wait for a runner counts.
+    pub(super) fn waits_since(&self, request: &ActiveRequest) -> Duration {
+        self.broke_off_at.unwrap_or(request.began)
+    }
+
     /// Returns the server error of a runner, if there is one, and otherwise the refusal.
     pub(super) fn failed_answer_or(&mut self, refusal: Refusal) -> ServeResult {
         match self.failed_answer.take() {
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -157,6 +157,7 @@
                         return Err(ResponseAborted("the stream from the runner failed"));
                     }
                     log.may_have_run += 1;
+                    log.broke_off_at = Some(self.now());
                     self.run_attempts(request, &mut log, after.as_deref()).await
                 }
             };
--- a/crates/dotterelrudder_daemon/src/gateway/takeover.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/takeover.rs
@@ -127,7 +127,7 @@
     fn reserve_retry(&self, request: &ActiveRequest, log: &AttemptLog) -> bool {
         let now = self.now();
         let query = self.placement_query(request, log);
-        let need = capacity_request(request, &query);
+        let need = capacity_request(request, &query, log);
         let has_room = self.may_skip_queue(now, query.service, &need)
             && self.gateway().has_room_for(now, &query);
         has_room && self.may_repeat(query.service)
@@ -214,6 +214,7 @@
         let service = &request.admission.service;
         if log.may_have_run < most && self.may_repeat_after(&failure, service) {
             log.notes.push(failure.reason);
+            log.broke_off_at = Some(self.now());
             return self.run_attempts(request, log, after).await;
         }
         let refusal = failure_refusal(ErrorKind::BackendFailed, failure.reason, log);
