Allow runners 2.5 s to acknowledge or read what is sent

Callers of a sound server that did not read for a second and then went on got 502 in place of its answer when their request was larger than the buffers of the connection, and streams were cut when the link was silent for a second. Cause: TCP_USER_TIMEOUT of 1 s; the kernel counts probes of a full receive window against it as well.

Silence of a second or so is no end. 2.5 s is above it, and requests that may be repeated don't depend on it: another runner takes them over after two objectives.

--- a/crates/dotterelrudder_daemon/src/gateway/upstream.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream.rs
@@ -19,8 +19,8 @@
 /// The number of connection attempts after timeouts, in case packets are lost.
 const CONNECT_ATTEMPTS: usize = 2;
 /// How long sent bytes may stay unacknowledged before the connection is closed (`TCP_USER_TIMEOUT`).
-/// It is the time of three retransmissions within a region.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A sound server may be silent for a second and go on.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The idle time before the first TCP keep-alive probe, and the interval between probes.
 const KEEPALIVE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
