Read a keep-alive time that is no number as none

Cause: the number was clamped, which keeps one that is no number, and the conversion to a time panicked in the handler; its task ended with the connection. The log could not tell: the request's line said that the caller had disconnected.

--- a/crates/dotterelrudder_daemon/src/gateway/bodies.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/bodies.rs
@@ -105,6 +105,9 @@
     is_chunked || headers.contains_key(CONTENT_LENGTH)
 }
 
+/// The longest time that a server may state for an idle connection, in seconds.
+const MAX_KEEP_ALIVE_S: f64 = 3_600.0;
+
 /// Returns the time for which a server keeps an idle connection open, from its `Keep-Alive` header.
 pub(super) fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
@@ -112,5 +115,6 @@
         .split(',')
         .find_map(|p| p.trim().strip_prefix("timeout="));
     let seconds: f64 = seconds?.trim().parse().ok()?;
-    Some(Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0)))
+    // A number that is none stays so when it is clamped.
+    Duration::try_from_secs_f64(seconds.clamp(0.0, MAX_KEEP_ALIVE_S)).ok()
 }
