Answer a request whose handler panics, and log it as that

A panic in the handler of a request closed the caller's connection without an answer, whatever its cause, and the request's line blamed the caller ("disconnected before the response started"). The handler now runs under catch_panic: the caller gets 502, which promises nothing, the line names the panic, and a line of its own counts as an error. State that outlives a request is behind locks that tolerate a panic of their holder, so that other requests go on.

--- a/crates/dotterelrudder_daemon/src/gateway/audit.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/audit.rs
@@ -14,6 +14,9 @@
 /// The logged reason if the caller disconnected before the response started.
 const CALLER_DISCONNECTED: &str = "the caller disconnected before the response started";
 
+/// The reason of a request that ended by a fault of the entry.
+pub(super) const HANDLER_PANICKED: &str = "the handler of the request panicked";
+
 /// The fields of a request's log line.
 #[derive(Debug, Default)]
 pub(super) struct RequestAudit {
@@ -75,7 +78,13 @@
 {
     fn drop(&mut self) {
         if self.audit.status == 0 {
-            self.audit.reason = CALLER_DISCONNECTED.into();
+            let is_panicking = std::thread::panicking();
+            let reason = if is_panicking {
+                HANDLER_PANICKED
+            } else {
+                CALLER_DISCONNECTED
+            };
+            self.audit.reason = reason.into();
         }
         self.audit.took = self.server.now().saturating_sub(self.began);
         self.server.finish_audit(&self.audit);
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -4,10 +4,12 @@
 use super::answer_limits::AnswerLimits;
 use super::audit::AuditGuard;
 use super::audit::RequestAudit;
+use super::audit::HANDLER_PANICKED;
 use super::connection_pool::ConnectionPool;
 use super::origin_queries::OriginQueries;
 use super::response_body::full_body;
 use super::response_body::ResponseBody;
+use crate::catch_panic::catch_panic;
 use crate::http_server::refusal_json;
 use crate::metrics::Metrics;
 use crate::system_clock::SystemClock;
@@ -19,12 +21,14 @@
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::WaitQueue;
 use dotterelrudder_types::Clock;
+use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
 use http::header::CONNECTION;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
+use slog::error;
 use slog::Logger;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -89,9 +93,19 @@
         self.gateway.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Serves one request. Its log line is written when the response starts, or when the caller
-    /// disconnects before.
+    /// Serves one request. A fault of the entry itself is answered too, as one that may have run.
     pub(super) async fn serve(self: Arc<Self>, req: Request<Incoming>) -> Response<ResponseBody> {
+        if let Some(response) = catch_panic(self.clone().handle(req)).await {
+            return response;
+        }
+        error!(self.log, "request handler panicked");
+        let refusal = Refusal::new(ErrorKind::OutcomeUnknown, HANDLER_PANICKED);
+        self.refuse(&refusal, &mut RequestAudit::default())
+    }
+
+    /// Handles one request. Its log line is written when the response starts, or when the caller
+    /// disconnects before.
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<ResponseBody> {
         let began = self.now();
         self.metrics.count_request();
         let (head, body) = req.into_parts();
--- a/crates/dotterelrudder_daemon/src/lib.rs
+++ b/crates/dotterelrudder_daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! outputs; see docs/ARCHITECTURE.md. Decisions are made in the cores, which do no input or output.
 
 pub mod arguments;
+pub mod catch_panic;
 pub mod control;
 pub mod entry;
 pub mod fleet;
