End the overlap of a takeover in time, whatever the silent runner sends

Also found: a takeover that could not reach its runner cost a second retry, and an answer above its size limit dropped a pending takeover without counting the runner that may have run.

--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -48,13 +48,6 @@
 }
 
 impl RelayEnd {
-    fn broken<S>(reason: S) -> Self
-    where
-        S: Into<String>,
-    {
-        Self::Broken(AttemptFailure::answer_lost(reason))
-    }
-
     /// Returns the end of a stream that broke, with the takeover that was under way.
     fn broken_during(failure: AttemptFailure, takeover: Option<Takeover>) -> Self {
         match takeover {
@@ -212,13 +205,23 @@
                     if event.id.is_some() {
                         last_event.clone_from(&event.id);
                     }
-                    if tx.send(Ok(event.bytes.clone())).await.is_err() {
+                    let sent = tx.send(Ok(event.bytes.clone()));
+                    let is_connected = match &takeover {
+                        None => sent.await.is_ok(),
+                        // A comment that the caller doesn't take must not hold the takeover up.
+                        Some(t) => match timeout(t.time_left(self.now()), sent).await {
+                            Ok(sent) => sent.is_ok(),
+                            Err(_) => continue,
+                        },
+                    };
+                    if !is_connected {
                         return RelayEnd::CallerDisconnected;
                     }
                     progress.passed(&event, self.now());
                 }
                 if splitter.rest().len() > limits.event.get() {
-                    return RelayEnd::broken("an event exceeds the size limit");
+                    let failure = AttemptFailure::answer_lost("an event exceeds the size limit");
+                    return RelayEnd::broken_during(failure, takeover);
                 }
                 if received > limits.answer.get() {
                     return RelayEnd::TooLong(AttemptFailure::answer_lost(
@@ -234,6 +237,8 @@
                 let failure = self.silence_failure(started, &progress);
                 return RelayEnd::TakenOver(failure, takeover);
             }
+            let patience = takeover.as_ref().map(|t| t.time_left(self.now()));
+            let patience = patience.unwrap_or(RUNNER_CHECK_INTERVAL);
             let taken_over = async {
                 match &mut takeover {
                     Some(takeover) => takeover.end().await,
@@ -241,7 +246,7 @@
                 }
             };
             tokio::select! {
-                frame = timeout(RUNNER_CHECK_INTERVAL, started.body.frame()) => match frame {
+                frame = timeout(patience, started.body.frame()) => match frame {
                     Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
                     Ok(Some(Err(e))) => {
                         let failure = AttemptFailure::connection_lost(e.to_string());
--- a/crates/dotterelrudder_daemon/src/gateway/takeover.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/takeover.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Returns the time until the silent runner is given up.
+    pub(super) fn time_left(&self, now: Duration) -> Duration {
+        self.give_up_at.saturating_sub(now)
+    }
+
     /// Returns whether the silent runner is given up now.
     pub(super) fn is_due(&self, now: Duration) -> bool {
         now >= self.give_up_at
@@ -128,9 +133,9 @@
         let now = self.now();
         let query = self.placement_query(request, log);
         let need = capacity_request(request, &query, log);
-        let has_room = self.may_skip_queue(now, query.service, &need)
-            && self.gateway().has_room_for(now, &query);
-        has_room && self.may_repeat(query.service)
+        self.may_skip_queue(now, query.service, &need)
+            && self.gateway().has_room_for(now, &query)
+            && self.may_repeat(query.service)
     }
 
     /// Returns whether no request that waits goes before one that joins the wait queue now.
@@ -210,9 +215,11 @@
         };
         let has_not_run = matches!(failure.kind, FailureKind::NotSent | FailureKind::Declined);
         log.may_have_run += usize::from(!has_not_run);
+        let is_sent = failure.kind != FailureKind::NotSent;
         let most = request.admission.route.max_runners.max(1) as usize;
         let service = &request.admission.service;
-        if log.may_have_run < most && self.may_repeat_after(&failure, service) {
+        let may_go_on = !is_sent || self.may_repeat_after(&failure, service);
+        if log.may_have_run < most && may_go_on {
             log.notes.push(failure.reason);
             log.broke_off_at = Some(self.now());
             return self.run_attempts(request, log, after).await;
