Close the connection of a refused caller that waits for its turn to send

A caller that announces its body (Expect: 100-continue) and is refused may send its next request in place of the body. Reading the rest of the refused request took that next request for the body, and the connection closed after three seconds without an answer to it.

Such a request's body is not read, and its refusal says that the connection closes.

a_refused_request_hides_no_other_one_behind_it: before "404" without "Connection: close", after with it; a refused request with its body leaves the connection usable for the next one, as it did.

--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -24,6 +24,7 @@
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
 use http::header::CONNECTION;
+use http::header::EXPECT;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -109,22 +110,28 @@
         let began = self.now();
         self.metrics.count_request();
         let (head, body) = req.into_parts();
+        // A caller that waits for its turn may send its body or another request after a refusal.
+        let awaits_turn = head.headers.contains_key(EXPECT);
         let mut guard = AuditGuard {
             server: &self,
             audit: RequestAudit::default(),
             began,
         };
         let audit = &mut guard.audit;
+        let mut closes = false;
         let mut response = match self.read_request(head, body, began, audit).await {
             Ok(mut request) => match self.find_origin(&mut request).await {
                 Ok(()) => self.respond(Arc::new(request), audit).await,
                 Err(refusal) => self.refuse(&refusal, audit),
             },
-            Err(refusal) => self.refuse(&refusal, audit),
+            Err(refusal) => {
+                closes |= awaits_turn;
+                self.refuse(&refusal, audit)
+            }
         };
         audit.status = response.status().as_u16();
         drop(guard);
-        if *self.shutting_down.borrow() {
+        if closes || *self.shutting_down.borrow() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -164,7 +171,9 @@
         let ((call, admission), body) = match admitted {
             Ok(admitted) => admitted,
             Err(refusal) => {
-                body.discard();
+                if !head.headers.contains_key(EXPECT) {
+                    body.discard();
+                }
                 return Err(refusal);
             }
         };
