Relay nothing but a stream's own events

What callers saw: behind the first events of a stream, the head and the text of an error, a piece of JSON, or events that they had already. Cause: the entry relayed whatever stood before an empty line as an event. A runner's framing doesn't show what it wrote: an error that is written into a body with a length, in chunks or without framing is a part of that body, and a runner that resumes a stream may write an error's text with status 200, or begin the stream again. Why it works: each line must be a field of events (or the one that the platform adds), an event has one id, ids increase from the last event that the caller has, and no data comes without an id once there was one. An event that fails the check isn't relayed, and its runner's part is over: the stream goes on at another runner or ends visibly broken. Not told apart: text that goes on inside a data line of the runner's own body. A Last-Event-Id on a route whose streams can't be resumed isn't taken for the caller's last event.

--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use dotterelrudder_gateway::Dialect;
+use dotterelrudder_gateway::EventSequence;
 use dotterelrudder_gateway::EventSplitter;
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::StreamProgress;
@@ -106,7 +107,8 @@
         mut log: AttemptLog,
         tx: &mpsc::Sender<Result<Bytes, ResponseAborted>>,
     ) -> Result<(), ResponseAborted> {
-        let mut last_event = request.call.resume_after.clone();
+        let resume_after = request.call.resume_after.clone();
+        let mut last_event = resume_after.filter(|_| request.admission.route.kind.may_repeat());
         loop {
             let (failure, may_resume, takeover) = match self
                 .relay_events(request, &mut started, &mut log, &mut last_event, tx)
@@ -187,6 +189,7 @@
         let pause_objective = request.admission.route.pause_objective;
         let mut progress = StreamProgress::new(pause_objective, self.now());
         let mut splitter = EventSplitter::default();
+        let mut sequence = EventSequence::after(last_event.as_deref(), self.dialect.event_fields());
         let mut received = 0;
         let mut next = started.first.take();
         let mut takeover: Option<Takeover> = None;
@@ -195,6 +198,9 @@
                 received += part.len();
                 splitter.push(&part);
                 while let Some(event) = splitter.take() {
+                    if let Err(fault) = sequence.accept(&event) {
+                        return RelayEnd::broken(fault.as_str());
+                    }
                     if event.is_progress() && !started.passed_event {
                         started.passed_event = true;
                         self.record_answer_begun(request, &started.placement);
--- a/crates/dotterelrudder_gateway/src/dialect.rs
+++ b/crates/dotterelrudder_gateway/src/dialect.rs
@@ -31,6 +31,9 @@
     /// Reads the head of a backend server's response.
     fn read_answer(&self, head: &http::response::Parts) -> BackendAnswerHead;
 
+    /// Returns the fields that the platform's runners add to events of streams.
+    fn event_fields(&self) -> &'static [&'static str];
+
     /// Sets the header with the delay after which a caller may retry.
     fn write_retry_after(&self, after: Duration, headers: &mut HeaderMap);
 }
--- a/crates/dotterelrudder_gateway/tests/events.rs
+++ b/crates/dotterelrudder_gateway/tests/events.rs
@@ -1,5 +1,8 @@
-//! The event splitter returns whole events wherever the byte stream is cut.
+//! The event splitter returns whole events wherever the byte stream is cut, and the event sequence
+//! takes none that belongs to another answer.
 
+use dotterelrudder_gateway::EventFault;
+use dotterelrudder_gateway::EventSequence;
 use dotterelrudder_gateway::EventSplitter;
 use proptest::prelude::*;
 
@@ -28,3 +31,58 @@
         prop_assert_eq!(&bytes[..], STREAM);
     }
 }
+
+/// Takes a stream behind the event that the caller has; returns the bytes that are relayed, and why
+/// no more are.
+fn relayed(after: Option<&str>, stream: &[u8]) -> (Vec<u8>, Option<EventFault>) {
+    let mut splitter = EventSplitter::default();
+    let mut sequence = EventSequence::after(after, &["weights"]);
+    splitter.push(stream);
+    let mut bytes = Vec::new();
+    while let Some(event) = splitter.take() {
+        match sequence.accept(&event) {
+            Ok(()) => bytes.extend_from_slice(&event.bytes),
+            Err(fault) => return (bytes, Some(fault)),
+        }
+    }
+    (bytes, None)
+}
+
+#[test]
+fn streams_are_relayed_as_they_are() {
+    let sound: &[&[u8]] = &[
+        b"id: 1\ndata: a\n\n: note\n\nid: 4\ndata: b\ndata: c\n\n",
+        b"event: tokens\nid:1\ndata\n\nretry: 200\n\nweights: 3\nid: 2\ndata: a\n\n",
+        b"data: a\n\ndata: b\n\n",
+        b"id: a7\r\ndata: a\r\n\r\nid: a6\r\ndata: b\r\n\r\n",
+    ];
+    for stream in sound {
+        assert_eq!(relayed(None, stream), (stream.to_vec(), None));
+    }
+}
+
+#[test]
+fn what_belongs_to_another_answer_is_not_relayed() {
+    let begun = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n".to_vec();
+    let foreign: &[(&[u8], EventFault)] = &[
+        (
+            b"HTTP/1.1 500 Error\r\ncontent-length: 4\r\n\r\nerr\n\n",
+            EventFault::UnknownField,
+        ),
+        (b"{\"error\": 1}\n\n", EventFault::UnknownField),
+        (b"internal error\n\n", EventFault::UnknownField),
+        (
+            b"id: 3\ndata: id: 1\nid: 1\ndata: a\n\n",
+            EventFault::SeveralIds,
+        ),
+        (b"data: {\"error\": 1}\n\n", EventFault::NoId),
+        (b"id: 1\ndata: a\n\n", EventFault::NotIncreasing),
+        (b"id: 2\ndata: b\n\n", EventFault::NotIncreasing),
+        (b"id: x\ndata: b\n\n", EventFault::NotIncreasing),
+    ];
+    for (more, fault) in foreign {
+        let stream = [&begun[..], more].concat();
+        assert_eq!(relayed(None, &stream), (begun.clone(), Some(*fault)));
+        assert_eq!(relayed(Some("2"), more), (Vec::new(), Some(*fault)));
+    }
+}
