Don't take the end of a resumed stream without events for the stream's end

What callers saw: a stream that broke off after three of six events ended as if it were complete. Cause: the next runner answered the request that resumes the stream with a comment and an orderly end; the end of its body counted as the stream's. Evidence: odd_streams.rs, the kind ResumedComment: before, 2 of 2 streams looked complete with half of their events; now 0 of 2. Ruled out by the same run: status 204 and an empty body failed as "ended before its first chunk" before, too. Why it works: a runner that relayed no event while the caller has some counts as failed; the stream goes on elsewhere or ends broken. A caller that has the last event already gets a broken end too, as it did for an empty body.

--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -114,6 +114,11 @@
                 .relay_events(request, &mut started, &mut log, &mut last_event, tx)
                 .await
             {
+                // A runner that has nothing to add doesn't show that the stream was complete.
+                RelayEnd::Complete if last_event.is_some() && !started.passed_event => {
+                    let reason = "the resumed stream ended without an event";
+                    (AttemptFailure::answer_lost(reason), true)
+                }
                 RelayEnd::Complete => {
                     started.guard.end(RunOutcome::Answered);
                     self.return_connection(started.upstream);
