End a stream to a caller as complete only on its task's word

What callers would see: a stream that ends as if it were complete though the task that relays it panicked, or was cancelled at the process's end. Not seen in a run of the programs: found in the code. Cause: a body ended as complete when its channel closed, whatever closed it. Evidence: task_body.rs, with the earlier meaning (a task without a result ends the body): the panic looks complete, the test fails at `Panic`. Now a panic and a cancelled task abort the body like an error of the relay; complete is only what returned `Ok`. Why it works: the task's result, not the channel, says how the body ends. The type has a module of its own, so that its test needs no server.

--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -1,8 +1,8 @@
 //! Relays streams to callers, and fails over to another runner where the route allows it.
 
-use super::response_body::ChannelBody;
-use super::response_body::ResponseAborted;
 use super::response_body::ResponseBody;
+use crate::task_body::ResponseAborted;
+use crate::task_body::TaskBody;
 use bytes::Bytes;
 use compact_str::CompactString;
 use dotterelrudder_gateway::Dialect;
@@ -81,17 +81,16 @@
                 Ok(relayed) => relayed,
                 Err(_) => Err(ResponseAborted("the time limit of the route was exceeded")),
             };
-            if let Err(broken) = relayed {
+            if let Err(broken) = &relayed {
                 let version = server.gateway().configuration().version;
                 server.metrics.count_aborted_stream(broken.0);
                 slog::warn!(server.log, "stream to caller aborted"; "id" => request.call.id.as_str(),
                     "reason" => broken.0, "version" => version,
                     "age_ms" => server.now().saturating_sub(request.began).as_millis() as u64);
-                // The caller may have disconnected already.
-                let _gone = tx.send(Err(broken)).await.is_err();
             }
+            relayed
         });
-        self.relay_response(head, ChannelBody::new(rx, task).boxed())
+        self.relay_response(head, TaskBody::new(rx, task).boxed())
     }
 
     /// Relays a stream in complete events. When the stream breaks or stalls, it resumes at another
@@ -105,7 +104,7 @@
         request: &Arc<ActiveRequest>,
         mut started: StartedStream,
         mut log: AttemptLog,
-        tx: &mpsc::Sender<Result<Bytes, ResponseAborted>>,
+        tx: &mpsc::Sender<Bytes>,
     ) -> Result<(), ResponseAborted> {
         let resume_after = request.call.resume_after.clone();
         let mut last_event = resume_after.filter(|_| request.admission.route.kind.may_repeat());
@@ -188,7 +187,7 @@
         started: &mut StartedStream,
         log: &mut AttemptLog,
         last_event: &mut Option<CompactString>,
-        tx: &mpsc::Sender<Result<Bytes, ResponseAborted>>,
+        tx: &mpsc::Sender<Bytes>,
     ) -> RelayEnd {
         let limits = &self.answer_limits;
         let pause_objective = request.admission.route.pause_objective;
@@ -216,7 +215,7 @@
                     if event.id.is_some() {
                         last_event.clone_from(&event.id);
                     }
-                    let sent = tx.send(Ok(event.bytes.clone()));
+                    let sent = tx.send(event.bytes.clone());
                     let is_connected = match &takeover {
                         None => sent.await.is_ok(),
                         // A comment that the caller doesn't take must not hold the takeover up.
--- a/crates/dotterelrudder_daemon/src/gateway/upstream.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream.rs
@@ -24,7 +24,7 @@
 /// The idle time before the first TCP keep-alive probe, and the interval between probes.
 const KEEPALIVE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Aborts a task when dropped, and with it the connection or the body that the task drives.
+/// Aborts a task when dropped, and with it the connection that the task drives.
 #[derive(Debug)]
 pub(super) struct AbortOnDrop(pub(super) tokio::task::JoinHandle<()>);
 
--- a/crates/dotterelrudder_daemon/src/lib.rs
+++ b/crates/dotterelrudder_daemon/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod side;
 pub mod start;
 pub mod system_clock;
+pub mod task_body;
