Tell control instances again where streams began when they connect

What callers saw: streams that they took up again were refused as not resumable though runners of their version served. Cause: the origin of a stream was sent once, to two control instances that were connected just then, and kept only in their memory. Origins were lost when these were restarted in turn, and those of streams that began while an entry had no connection were sent to nobody. The entry that had begun a stream didn't know it either. Why it works: an entry keeps its last 4,096 origins for 60 s, answers take-ups of its own streams from these, and sends a control instance those of its part when a connection to it opens. Keepers are now chosen among all control instances, and the next connected ones stand in, so that a part doesn't move when another instance leaves.

--- a/crates/dotterelrudder_daemon/src/fleet/follower.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -60,6 +60,8 @@
     RunnerLimits(Vec<LimitUpdate>),
     /// Verdicts on parts of prompts that may crash runners.
     PartVerdicts(Arc<PartVerdicts>),
+    /// A connection to a control instance opened, which may have been restarted.
+    ControlConnected(InstanceName),
     /// A control instance's reply to a query for the origin of a stream, with the query's number.
     StreamOrigin(u64, Option<StreamOrigin>),
     /// An order to load weights for the runner beside this side.
@@ -131,6 +133,15 @@
             .is_err();
     }
 
+    /// Sends the origins of streams to one control instance, those that it has to keep.
+    pub fn repeat_origins(&self, control: InstanceName, streams: Vec<(StreamKey, StreamOrigin)>) {
+        // The actor ends only with the process.
+        let _stopped = self
+            .actor
+            .send_message(FollowerMessage::RepeatOrigins(control, streams))
+            .is_err();
+    }
+
     /// Asks all control instances for the origin of a stream.
     pub fn query_origin(&self, number: u64, stream: StreamKey) {
         // The actor ends only with the process.
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -52,6 +52,8 @@
     PartReport(PartReport),
     /// Origins of streams to send to control instances.
     Origins(Vec<(StreamKey, StreamOrigin)>),
+    /// Origins of streams to send to one control instance again.
+    RepeatOrigins(InstanceName, Vec<(StreamKey, StreamOrigin)>),
     /// A query for the origin of a stream to send to all control instances.
     OriginQuery {
         /// The number that replies repeat.
@@ -118,6 +120,9 @@
                 state.send_to_leader(Message::PartReport(report));
             }
             FollowerMessage::Origins(streams) => state.send_origins(streams),
+            FollowerMessage::RepeatOrigins(control, streams) => {
+                state.repeat_origins(&control, streams);
+            }
             FollowerMessage::OriginQuery { number, stream } => {
                 for control in state.connected_controls() {
                     let query = Message::OriginQuery { number, stream };
@@ -160,15 +165,22 @@
             .collect()
     }
 
-    /// Sends the origin of each stream to [`ORIGIN_COPIES`] control instances, chosen by its key so
-    /// that all share the load.
+    /// Returns the control instances that keep the origin of a stream: [`ORIGIN_COPIES`] of the
+    /// connected ones, chosen by its key so that all share the load.
+    fn origin_keepers(&self, stream: StreamKey) -> impl Iterator<Item = &InstanceName> {
+        let controls = self.follower.controls();
+        let first = stream as usize % controls.len().max(1);
+        let from_first = controls.iter().cycle().skip(first).take(controls.len());
+        from_first
+            .filter(|c| self.hub.is_connected(c))
+            .take(ORIGIN_COPIES)
+    }
+
+    /// Sends the origin of each stream to its keepers.
     fn send_origins(&self, streams: Vec<(StreamKey, StreamOrigin)>) {
-        let controls = self.connected_controls();
         let mut by_control: BTreeMap<&InstanceName, Vec<_>> = BTreeMap::new();
         for (stream, origin) in streams {
-            let first = stream as usize % controls.len().max(1);
-            let copies = controls.iter().cycle().skip(first);
-            for control in copies.take(ORIGIN_COPIES.min(controls.len())) {
+            for control in self.origin_keepers(stream) {
                 let kept = by_control.entry(control).or_default();
                 kept.push((stream, origin.clone()));
             }
@@ -178,6 +190,16 @@
         }
     }
 
+    /// Sends a control instance the origins of the streams that it has to keep.
+    fn repeat_origins(&self, control: &InstanceName, mut streams: Vec<(StreamKey, StreamOrigin)>) {
+        streams.retain(|(stream, _)| self.origin_keepers(*stream).any(|c| c == control));
+        if !streams.is_empty() {
+            info!(self.log, "origins of streams sent again"; "instance" => control.as_str(),
+                "streams" => streams.len());
+            self.hub.send(control, Message::StreamOrigins(streams));
+        }
+    }
+
     /// Keeps connections to the seeds and to the control instances that the leader named.
     fn dial(&self) {
         let named = self.follower.controls().iter();
@@ -194,6 +216,7 @@
             LinkEvent::Opened { peer, .. } => {
                 self.follower.opened(now, &peer);
                 self.send_due_query();
+                (self.on_update)(FleetUpdate::ControlConnected(peer));
             }
             LinkEvent::Closed { peer } => self.follower.closed(now, &peer),
             LinkEvent::Message { peer, message, .. } => match message {
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -283,6 +283,12 @@
             }
             gateway.on_limit_updates(now, limits);
         }
+        FleetUpdate::ControlConnected(control) => {
+            let kept = gateway.kept_stream_origins(now);
+            if let Some(follower) = server.origin_queries.follower.get() {
+                follower.repeat_origins(control, kept);
+            }
+        }
         FleetUpdate::StreamOrigin(number, origin) => {
             if let Some(origin) = origin {
                 server.origin_queries.on_reply(number, origin);
--- a/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
@@ -97,7 +97,7 @@
         let mut gateway = self.gateway();
         // A stream that is taken up again began with another request.
         let is_urgent = request.call.resume_after.is_none()
-            && gateway.on_stream_begun(&request.admission, &request.call, placement);
+            && gateway.on_stream_begun(now, &request.admission, &request.call, placement);
         if is_urgent {
             drop(gateway);
             self.report_origins();
--- a/crates/dotterelrudder_daemon/src/gateway/origin_queries.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/origin_queries.rs
@@ -85,9 +85,11 @@
         if !resumes || !self.gateway().knows_versions(&admission.service) {
             return Ok(());
         }
-        let origin = match Gateway::resumed_stream(admission, call) {
-            Some(stream) => self.origin_queries.ask(stream).await,
-            None => None,
+        let stream = Gateway::resumed_stream(admission, call);
+        let own = stream.and_then(|stream| self.gateway().stream_origin(stream));
+        let origin = match (own, stream) {
+            (None, Some(stream)) => self.origin_queries.ask(stream).await,
+            (own, _) => own,
         };
         let now = self.now();
         let mut targets = admission.route.targets.iter();
--- a/crates/dotterelrudder_gateway/src/gateway/stream_versions.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/stream_versions.rs
@@ -54,6 +54,7 @@
     /// it at once, since the service has runners of several versions.
     pub fn on_stream_begun(
         &mut self,
+        now: Duration,
         admission: &Admission,
         call: &CallerRequest,
         placement: &Placement,
@@ -67,7 +68,7 @@
             software,
         };
         self.stream_origins
-            .add(stream_key(account, &call.id), origin);
+            .add(now, stream_key(account, &call.id), origin);
         let known = self.versions.get(&admission.service);
         known.is_some_and(|known| known.versions.len() > 1)
     }
@@ -77,6 +78,17 @@
         self.stream_origins.take()
     }
 
+    /// Returns the origins of the streams that began here a short time ago, for a control instance
+    /// that was restarted or not connected.
+    pub fn kept_stream_origins(&mut self, now: Duration) -> Vec<(StreamKey, StreamOrigin)> {
+        self.stream_origins.kept(now)
+    }
+
+    /// Returns the origin of a stream that began here a short time ago.
+    pub fn stream_origin(&self, stream: StreamKey) -> Option<StreamOrigin> {
+        self.stream_origins.find(stream).cloned()
+    }
+
     /// Returns the key of the stream that a caller takes up again, if it names one.
     pub fn resumed_stream(admission: &Admission, call: &CallerRequest) -> Option<StreamKey> {
         let account = admission.account.as_ref().map(|a| &a.name);
--- a/crates/dotterelrudder_gateway/tests/software_versions.rs
+++ b/crates/dotterelrudder_gateway/tests/software_versions.rs
@@ -4,8 +4,10 @@
 
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::NotPlaced;
+use dotterelrudder_gateway::StreamOriginReports;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_wire::RunnerRecord;
+use dotterelrudder_wire::StreamOrigin;
 use support::*;
 
 fn versioned(n: u16, software: &str) -> RunnerRecord {
@@ -74,3 +76,27 @@
         Some("v2".into())
     );
 }
+
+fn origin(service: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: service.into(),
+        software: "v1".into(),
+    }
+}
+
+#[test]
+fn origins_are_kept_for_a_while_after_they_were_reported() {
+    let mut reports = StreamOriginReports::default();
+    reports.add(ms(0), 1, origin("engines"));
+    reports.add(ms(30_000), 2, origin("engines"));
+    assert_eq!(reports.take().len(), 2);
+    assert_eq!(reports.take(), Vec::new());
+    assert_eq!(reports.find(1), Some(&origin("engines")));
+    assert_eq!(reports.kept(ms(59_000)).len(), 2);
+    assert_eq!(reports.kept(ms(61_000)), vec![(2, origin("engines"))]);
+    assert_eq!(reports.find(1), None);
+    for key in 0..10_000 {
+        reports.add(ms(62_000), key, origin("engines"));
+    }
+    assert_eq!(reports.kept(ms(62_000)).len(), 4_096);
+}
