Ask control instances for a stream's origin until the answer is clear

What callers saw: streams that they took up again were refused for good as not resumable, when control instances replied late or an entry wasn't connected to them yet. Cause: an entry asked once and took silence of 250 ms for "nobody knows it", without a look at who had replied. It waited as long when all had said no. Why it works: replies are counted by instance. The answer is clear with an origin, or once fewer instances are left than keep one; until then the entry asks again every 250 ms, as long as a request waits for capacity. Silence is answered as not ready, which may be tried again, and "not resumable" is left for what is known.

--- a/crates/dotterelrudder_daemon/src/fleet/follower.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -31,6 +31,7 @@
 use super::follower_actor::FollowerActor;
 use super::follower_actor::FollowerMessage;
 use super::follower_actor::FollowerState;
+use super::OriginReply;
 use super::Seeds;
 use crate::start::build_hub;
 use crate::start::new_hello;
@@ -62,8 +63,8 @@
     PartVerdicts(Arc<PartVerdicts>),
     /// A connection to a control instance opened, which may have been restarted.
     ControlConnected(InstanceName),
-    /// A control instance's reply to a query for the origin of a stream, with the query's number.
-    StreamOrigin(u64, Option<StreamOrigin>),
+    /// A control instance's reply to a query for the origin of a stream.
+    StreamOrigin(OriginReply),
     /// An order to load weights for the runner beside this side.
     Order(WeightOrder),
 }
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -28,12 +28,13 @@
 
 use super::seeds::link_targets;
 use super::FleetUpdate;
+use super::OriginReply;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::system_clock::SystemClock;
 
 /// The number of control instances that keep the origin of a stream.
-const ORIGIN_COPIES: usize = 2;
+pub(crate) const ORIGIN_COPIES: usize = 2;
 
 /// Messages to [`FollowerActor`].
 #[derive(Debug)]
@@ -247,7 +248,13 @@
                     (self.on_update)(FleetUpdate::PartVerdicts(verdicts));
                 }
                 Message::OriginReply { number, origin } => {
-                    (self.on_update)(FleetUpdate::StreamOrigin(number, origin));
+                    let controls = self.follower.controls().len();
+                    (self.on_update)(FleetUpdate::StreamOrigin(OriginReply {
+                        number,
+                        control: peer,
+                        controls,
+                        origin,
+                    }));
                 }
                 Message::WeightOrder(order) => (self.on_update)(FleetUpdate::Order(order)),
                 _ => {}
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -43,7 +43,7 @@
 const DUE_OBJECTIVES: f64 = 0.7;
 /// The time after which a queued request is refused as overloaded, as a multiple of the objective.
 /// Callers disconnect after four objectives.
-const MAX_WAIT_OBJECTIVES: f64 = 2.5;
+pub(super) const MAX_WAIT_OBJECTIVES: f64 = 2.5;
 /// The interval at which a queued request checks for capacity. Load reports arrive every few tenths
 /// of a second, and requests of this entry end in between.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(15);
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -289,11 +289,7 @@
                 follower.repeat_origins(control, kept);
             }
         }
-        FleetUpdate::StreamOrigin(number, origin) => {
-            if let Some(origin) = origin {
-                server.origin_queries.on_reply(number, origin);
-            }
-        }
+        FleetUpdate::StreamOrigin(reply) => server.origin_queries.on_reply(reply),
         FleetUpdate::PartVerdicts(verdicts) => {
             let (new, ended) = gateway.on_part_verdicts(&verdicts);
             for block in &new {
--- a/crates/dotterelrudder_daemon/src/gateway/origin_queries.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/origin_queries.rs
@@ -1,5 +1,6 @@
 //! The software version at which a stream began that a caller takes up again.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -10,51 +11,111 @@
 
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Gateway;
+use dotterelrudder_types::ErrorKind;
+use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_wire::StreamKey;
 use dotterelrudder_wire::StreamOrigin;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use super::attempt_loop::MAX_WAIT_OBJECTIVES;
 use super::request::ActiveRequest;
 use super::server::EntryServer;
 use crate::fleet::FollowerHandle;
+use crate::fleet::OriginReply;
+use crate::fleet::ORIGIN_COPIES;
 
-/// How long control instances have to reply. It covers a lost packet within a region; an instance
-/// that doesn't know the stream replies too, but another one may know it.
+/// How long control instances have to reply before they are asked again. It covers a lost packet
+/// within a region.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a report may take from an entry to a control instance.
+const REPORT_LAG: Duration = Duration::from_millis(100);
+
+/// What control instances know of a stream's origin.
+enum OriginAnswer {
+    Known(StreamOrigin),
+    /// Enough of them don't know it that nobody does.
+    Unknown,
+    /// Too few of them replied in time.
+    NoReply,
+}
+
+/// A query that waits for replies.
+struct WaitingQuery {
+    tx: oneshot::Sender<Option<StreamOrigin>>,
+    /// The control instances that don't know the stream.
+    without: BTreeSet<InstanceName>,
+}
 
 /// Queries for the origins of streams that wait for the first reply which names one.
 #[derive(Default)]
 pub(super) struct OriginQueries {
-    waiting: Mutex<HashMap<u64, oneshot::Sender<StreamOrigin>>>,
+    waiting: Mutex<HashMap<u64, WaitingQuery>>,
     last_number: AtomicU64,
     /// Set once the entry follows control.
     pub(super) follower: OnceLock<FollowerHandle>,
 }
 
 impl OriginQueries {
-    fn lock(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<StreamOrigin>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, WaitingQuery>> {
         self.waiting.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Asks all control instances for the origin of a stream.
-    async fn ask(&self, stream: StreamKey) -> Option<StreamOrigin> {
-        let follower = self.follower.get()?;
+    /// Asks all control instances for the origin of a stream. A stream that began a moment ago may be
+    /// reported just now, so that what nobody knows is asked once more.
+    async fn ask(&self, stream: StreamKey, limit: Duration) -> OriginAnswer {
+        let first = self.ask_until_clear(stream, limit).await;
+        if !matches!(first, OriginAnswer::Unknown) {
+            return first;
+        }
+        tokio::time::sleep(REPORT_LAG).await;
+        self.ask_until_clear(stream, REPLY_TIMEOUT).await
+    }
+
+    /// Asks all control instances again and again until the answer is clear or `limit` has passed:
+    /// replies get lost, and an entry that has just started is not yet connected to all of them.
+    async fn ask_until_clear(&self, stream: StreamKey, limit: Duration) -> OriginAnswer {
+        let Some(follower) = self.follower.get() else {
+            return OriginAnswer::NoReply;
+        };
         let number = self.last_number.fetch_add(1, Ordering::Relaxed);
-        let (tx, rx) = oneshot::channel();
-        self.lock().insert(number, tx);
-        follower.query_origin(number, stream);
-        let replied = timeout(REPLY_TIMEOUT, rx).await;
+        let (tx, mut rx) = oneshot::channel();
+        let without = BTreeSet::new();
+        self.lock().insert(number, WaitingQuery { tx, without });
+        let ask_again = async {
+            loop {
+                follower.query_origin(number, stream);
+                if let Ok(replied) = timeout(REPLY_TIMEOUT, &mut rx).await {
+                    return replied;
+                }
+            }
+        };
+        let replied = timeout(limit, ask_again).await;
         self.lock().remove(&number);
-        replied.ok()?.ok()
+        match replied {
+            Ok(Ok(Some(origin))) => OriginAnswer::Known(origin),
+            Ok(Ok(None)) => OriginAnswer::Unknown,
+            Ok(Err(_)) | Err(_) => OriginAnswer::NoReply,
+        }
     }
 
-    /// Passes a reply that names an origin on to the query.
-    pub(super) fn on_reply(&self, number: u64, origin: StreamOrigin) {
-        if let Some(tx) = self.lock().remove(&number) {
+    /// Passes a control instance's reply on to its query. Nobody knows the stream if fewer instances
+    /// are left than keep an origin.
+    pub(super) fn on_reply(&self, reply: OriginReply) {
+        let mut waiting = self.lock();
+        let Some(query) = waiting.get_mut(&reply.number) else {
+            return;
+        };
+        if reply.origin.is_none() {
+            query.without.insert(reply.control);
+            if query.without.len() + ORIGIN_COPIES <= reply.controls {
+                return;
+            }
+        }
+        if let Some(query) = waiting.remove(&reply.number) {
             // The caller may have disconnected.
-            let _gone = tx.send(origin).is_err();
+            let _gone = query.tx.send(reply.origin).is_err();
         }
     }
 }
@@ -80,27 +141,41 @@
     ///
     /// Returns a refusal if the version is unknown: what two versions write doesn't fit together.
     pub(super) async fn find_origin(&self, request: &mut ActiveRequest) -> Result<(), Refusal> {
-        let (admission, call) = (&mut request.admission, &request.call);
+        let (admission, call) = (&request.admission, &request.call);
         let resumes = call.resume_after.is_some() && admission.route.kind.is_stream();
         if !resumes || !self.gateway().knows_versions(&admission.service) {
             return Ok(());
         }
         let stream = Gateway::resumed_stream(admission, call);
         let own = stream.and_then(|stream| self.gateway().stream_origin(stream));
-        let origin = match (own, stream) {
-            (None, Some(stream)) => self.origin_queries.ask(stream).await,
-            (own, _) => own,
+        let only = self.gateway().only_version(self.now(), &admission.service);
+        let answer = match (own, stream) {
+            (Some(origin), _) => OriginAnswer::Known(origin),
+            (None, Some(stream)) => {
+                let limit = self.origin_wait(request, only.is_some());
+                self.origin_queries.ask(stream, limit).await
+            }
+            (None, None) => OriginAnswer::Unknown,
+        };
+        let (known, no_reply) = match &answer {
+            OriginAnswer::Known(_) => (true, false),
+            OriginAnswer::Unknown => (false, false),
+            OriginAnswer::NoReply => (false, true),
         };
-        let now = self.now();
         let mut targets = admission.route.targets.iter();
-        let origin = origin.filter(|o| targets.any(|t| t.service == o.service));
-        let known = origin.is_some();
+        let origin = match answer {
+            OriginAnswer::Known(origin) => {
+                Some(origin).filter(|o| targets.any(|t| t.service == o.service))
+            }
+            OriginAnswer::Unknown | OriginAnswer::NoReply => None,
+        };
+        let admission = &mut request.admission;
         request.software = match origin {
             Some(origin) => {
                 admission.service = origin.service;
                 Some(origin.software)
             }
-            None => self.gateway().only_version(now, &admission.service),
+            None => only,
         };
         slog::info!(self.log, "stream taken up again"; "id" => call.id.as_str(),
             "resumes" => call.resumes.as_deref().unwrap_or(""),
@@ -108,7 +183,23 @@
             "software" => request.software.as_deref().unwrap_or(""));
         match &request.software {
             Some(_) => Ok(()),
+            // Another try may find out more.
+            None if no_reply => Err(Refusal::new(
+                ErrorKind::NotReady,
+                "no control instance replied which version began the stream",
+            )),
             None => Err(self.gateway().resume_refusal(&admission.service, None)),
         }
     }
+
+    /// Returns how long a request may wait for the origin of its stream: as long as it would wait
+    /// for capacity, but one reply's time if the service's only version will do.
+    fn origin_wait(&self, request: &ActiveRequest, has_only_version: bool) -> Duration {
+        if has_only_version {
+            return REPLY_TIMEOUT;
+        }
+        let objective = request.admission.route.objective;
+        let until = request.began + objective.mul_f64(MAX_WAIT_OBJECTIVES);
+        until.min(request.deadline).saturating_sub(self.now())
+    }
 }
