Report the origins of streams within milliseconds in small deployments

What callers saw: streams of a service with one software version were refused as not resumable after their entries had been killed, though two runners and more of the version served. Cause: while a service has one version, entries reported origins every 250 ms. What had begun since was lost with the entry, and an entry that has just started takes nothing for the only version. Why it works: a stream is reported when it begins, those of one interval together. The interval is the number of entries by 600 reports a second for all of them, at most 250 ms as before: the largest deployments send what they sent, a deployment of three entries reports within 5 ms. Derived, not measured: 400 messages a second at each of three control instances at most.

--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -45,9 +45,6 @@
 /// The shortest interval between two reports about request limits: a small part of the time for
 /// which a permit is valid.
 const MIN_LIMIT_REPORT_INTERVAL: Duration = Duration::from_millis(50);
-/// The interval at which the origins of streams are reported while all runners have one software
-/// version.
-const ORIGIN_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// The shortest interval between two reports about parts of prompts.
 const MIN_PART_REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval at which expired idle connections are closed and the state metrics are updated.
@@ -85,6 +82,7 @@
         limit_report_due: Notify::new(),
         part_report_due: Notify::new(),
         parts_blocked: Notify::new(),
+        origin_report_due: Notify::new(),
         origin_queries: OriginQueries::default(),
     });
     let start = FollowerStart {
@@ -224,15 +222,17 @@
     }
 }
 
-/// Reports the origins of streams to control instances at regular intervals. While a service has
-/// runners of several software versions, its streams are reported when they begin.
+/// Reports the origins of streams to control instances as they begin, those of one interval together.
+/// While a service has runners of several software versions, each of its streams is reported by itself.
 async fn report_origins<D>(server: Arc<EntryServer<D>>)
 where
     D: Dialect,
 {
     loop {
-        tokio::time::sleep(ORIGIN_REPORT_INTERVAL).await;
+        server.origin_report_due.notified().await;
         server.report_origins();
+        let interval = server.gateway().origin_report_interval();
+        tokio::time::sleep(interval).await;
     }
 }
 
--- a/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
@@ -96,12 +96,14 @@
         let now = self.now();
         let mut gateway = self.gateway();
         // A stream that is taken up again began with another request.
-        let is_urgent = request.call.resume_after.is_none()
-            && gateway.on_stream_begun(now, &request.admission, &request.call, placement);
-        if is_urgent {
-            drop(gateway);
-            self.report_origins();
-            gateway = self.gateway();
+        if request.call.resume_after.is_none() {
+            if gateway.on_stream_begun(now, &request.admission, &request.call, placement) {
+                drop(gateway);
+                self.report_origins();
+                gateway = self.gateway();
+            } else {
+                self.origin_report_due.notify_one();
+            }
         }
         let Some(prompt) = &request.call.prompt else {
             return;
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -76,6 +76,8 @@
     pub(super) limit_report_due: Notify,
     /// Notified when the leader should hear of parts of prompts at once.
     pub(super) part_report_due: Notify,
+    /// Notified when control instances should hear of streams that began.
+    pub(super) origin_report_due: Notify,
     /// Queries for the origins of streams that wait for replies, by their numbers.
     pub(super) origin_queries: OriginQueries,
     /// Notified when parts of prompts were blocked.
--- a/crates/dotterelrudder_gateway/src/gateway/stream_versions.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/stream_versions.rs
@@ -23,6 +23,12 @@
 /// unknown can't have begun at another one: longer than the time limits of routes.
 const SINGLE_VERSION_FOR: Duration = Duration::from_secs(30);
 
+/// How often all entries together report origins of streams, while their services have one software
+/// version each; it bounds the messages that control instances get.
+const ORIGIN_REPORTS_PER_SECOND: f64 = 600.0;
+/// The longest interval between two such reports of an entry.
+const MAX_ORIGIN_REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The software versions that a service has, and since when these.
 #[derive(Debug, Default)]
 pub(super) struct ServiceVersions {
@@ -73,6 +79,13 @@
         known.is_some_and(|known| known.versions.len() > 1)
     }
 
+    /// Returns the shortest interval between two reports of origins: what is not reported yet is lost
+    /// with the entry.
+    pub fn origin_report_interval(&self) -> Duration {
+        let seconds = f64::from(self.entries.get()) / ORIGIN_REPORTS_PER_SECOND;
+        Duration::from_secs_f64(seconds).min(MAX_ORIGIN_REPORT_INTERVAL)
+    }
+
     /// Returns the origins of the streams that began since the last call.
     pub fn take_stream_origins(&mut self) -> Vec<(StreamKey, StreamOrigin)> {
         self.stream_origins.take()
