Try failing runners for a stream whose version has no others

What callers saw: after the connections to the runners of one software version had been reset, the streams of that version were refused for seconds, while new streams began at the other version. Cause: the broken streams are failures of their runners, three of them eject a runner for a second and more, and a stream can go on only at its version. With all of its runners passed over, take-ups were refused though both runners were sound. The test of the gateway is new with the code: a runner with three failures is tried for a stream of its version, not for others, and not while it asks for a pause. Why it works: passing a runner over is a preference among several; when it leaves none, the last ones are tried, as an answer is the only sign of recovery. A pause that a runner asked for, a loading one and a leaving one are respected as before, and each try takes from the retry budget as usual.

--- a/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
@@ -174,6 +174,9 @@
         query: &PlacementQuery<'_>,
     ) -> Result<Vec<OpenRunner>, NotPlaced> {
         let mut open = Vec::new();
+        // A stream can go on at the runners of one version only: those that failed are tried too
+        // when no other one is left.
+        let mut failing = Vec::new();
         let mut earliest_open: Option<Duration> = None;
         let mut loading = false;
         let mut has_version = false;
@@ -188,7 +191,15 @@
             if query.tried.contains(&key) {
                 continue;
             }
-            if !runner.is_open(now) || !self.serves_weights(now, runner, query.prompt) {
+            let candidate = OpenRunner {
+                sampling_rank: runner.sampling_rank,
+                key,
+            };
+            let serves_weights = self.serves_weights(now, runner, query.prompt);
+            if query.software.is_some() && serves_weights && runner.is_open_but_for_failures(now) {
+                failing.push(candidate);
+            }
+            if !runner.is_open(now) || !serves_weights {
                 let until = runner.health.cooldown_until();
                 if runner.listed && !runner.record.leaving && until > now {
                     earliest_open = Some(earliest_open.map_or(until, |o| o.min(until)));
@@ -199,10 +210,10 @@
                 loading = true;
                 continue;
             }
-            open.push(OpenRunner {
-                sampling_rank: runner.sampling_rank,
-                key,
-            });
+            open.push(candidate);
+        }
+        if open.is_empty() {
+            open = failing;
         }
         if !open.is_empty() {
             return Ok(open);
--- a/crates/dotterelrudder_gateway/src/runner_health.rs
+++ b/crates/dotterelrudder_gateway/src/runner_health.rs
@@ -38,6 +38,8 @@
     /// Ejections since the last successful answer.
     ejections: u32,
     cooldown_until: Duration,
+    /// When the part of the cooldown ends that the runner's own words are the reason for.
+    declined_until: Duration,
     failure_rate: f64,
     /// When `failure_rate` was last updated.
     failure_rate_at: Duration,
@@ -54,8 +56,8 @@
                 self.ejections = 0;
                 self.failure_rate *= 1.0 - FAILURE_RATE_WEIGHT;
             }
-            RunOutcome::Shed => self.extend_cooldown(now + SHED_COOLDOWN),
-            RunOutcome::Misdirected => self.extend_cooldown(now + MISDIRECTED_COOLDOWN),
+            RunOutcome::Shed => self.decline(now + SHED_COOLDOWN),
+            RunOutcome::Misdirected => self.decline(now + MISDIRECTED_COOLDOWN),
             RunOutcome::Unreachable => {
                 self.count_failure();
                 self.eject(now);
@@ -72,7 +74,7 @@
 
     /// Puts the runner in cooldown for the time that it requested.
     pub fn back_off(&mut self, now: Duration, requested: Duration) {
-        self.extend_cooldown(now + requested.min(MAX_REQUESTED_BACKOFF));
+        self.decline(now + requested.min(MAX_REQUESTED_BACKOFF));
     }
 
     fn count_failure(&mut self) {
@@ -80,6 +82,11 @@
         self.failure_rate = self.failure_rate * (1.0 - FAILURE_RATE_WEIGHT) + FAILURE_RATE_WEIGHT;
     }
 
+    fn decline(&mut self, until: Duration) {
+        self.declined_until = self.declined_until.max(until);
+        self.extend_cooldown(until);
+    }
+
     fn extend_cooldown(&mut self, until: Duration) {
         self.cooldown_until = self.cooldown_until.max(until);
     }
@@ -96,6 +103,11 @@
         now >= self.cooldown_until
     }
 
+    /// Returns whether nothing but failures keeps the runner in cooldown.
+    pub fn is_open_but_for_failures(&self, now: Duration) -> bool {
+        now >= self.declined_until
+    }
+
     /// Returns whether the runner was ejected recently and has not answered a request since.
     pub fn is_on_probation(&self, now: Duration) -> bool {
         self.ejections > 0 && now < self.cooldown_until + PROBATION
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -142,6 +142,12 @@
         matches!(self.condition(now), Open | Loading)
     }
 
+    /// Returns whether nothing but failures speaks against sending the runner requests.
+    pub fn is_open_but_for_failures(&self, now: Duration) -> bool {
+        let in_cooldown = self.condition(now) == RunnerCondition::InCooldown;
+        in_cooldown && self.health.is_open_but_for_failures(now)
+    }
+
     /// Returns the runner's condition.
     pub fn condition(&self, now: Duration) -> RunnerCondition {
         if !self.listed || self.record.leaving {
--- a/crates/dotterelrudder_gateway/tests/software_versions.rs
+++ b/crates/dotterelrudder_gateway/tests/software_versions.rs
@@ -4,6 +4,7 @@
 
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::NotPlaced;
+use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::StreamOriginReports;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_wire::RunnerRecord;
@@ -100,3 +101,23 @@
     }
     assert_eq!(reports.kept(ms(62_000)).len(), 4_096);
 }
+
+#[test]
+fn a_stream_goes_on_at_a_failing_runner_if_its_version_has_no_other() {
+    let mut gateway = gateway_with(vec![versioned(1, "v1"), versioned(2, "v2")]);
+    let (engines, prompt) = (engines(), prompt("s", 100, 100));
+    let mut of_version = query(&engines, Some(&prompt), &[]);
+    of_version.software = Some("v2");
+    let newer = gateway.place(ms(10), &of_version).expect("v2").runner;
+    for _ in 0..3 {
+        gateway.ended(ms(20), newer, RunOutcome::Failed);
+    }
+    for _ in 0..20 {
+        let any = query(&engines, Some(&prompt), &[]);
+        assert_eq!(gateway.place(ms(30), &any).expect("v1").identity, "i-1");
+    }
+    let placed = gateway.place(ms(30), &of_version);
+    assert_eq!(placed.expect("v2 has a runner").runner, newer);
+    gateway.back_off(ms(40), newer, ms(500));
+    assert!(gateway.place(ms(50), &of_version).is_err());
+}
