Let a stream go on only at the service that began it

What callers would see: a stream that began at one service, taken up again behind a change of the configuration, goes on at another service. Cause: an origin at a service that the route had left counted as unknown, so that the only version of the new service was taken for it. On a route with several services, the one that was drawn for the new request decided whether versions are looked at, and stood in for an unknown origin. Evidence: found in the code; tests of the pure decision in the gateway. Not seen in a run of the programs, since an entry takes a version for the only one after 30 s. Why it works: a known origin decides alone. Where the route no longer leads to it, the stream is refused as not resumable; an unknown one is taken for the only version of the route's only service. All services of a route are looked at for versions. Open, noted in the design: a route that moved within the last 30 s, and a route whose need for a key changed between two tries.

--- a/crates/dotterelrudder_daemon/src/gateway/origin_queries.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/origin_queries.rs
@@ -143,63 +143,54 @@
     pub(super) async fn find_origin(&self, request: &mut ActiveRequest) -> Result<(), Refusal> {
         let (admission, call) = (&request.admission, &request.call);
         let resumes = call.resume_after.is_some() && admission.route.kind.is_stream();
-        if !resumes || !self.gateway().knows_versions(&admission.service) {
+        if !resumes || !self.gateway().knows_versions(&admission.route) {
             return Ok(());
         }
         let stream = Gateway::resumed_stream(admission, call);
         let own = stream.and_then(|stream| self.gateway().stream_origin(stream));
-        let only = self.gateway().only_version(self.now(), &admission.service);
         let answer = match (own, stream) {
             (Some(origin), _) => OriginAnswer::Known(origin),
             (None, Some(stream)) => {
-                let limit = self.origin_wait(request, only.is_some());
+                let limit = self.origin_wait(request);
                 self.origin_queries.ask(stream, limit).await
             }
             (None, None) => OriginAnswer::Unknown,
         };
-        let (known, no_reply) = match &answer {
-            OriginAnswer::Known(_) => (true, false),
-            OriginAnswer::Unknown => (false, false),
-            OriginAnswer::NoReply => (false, true),
-        };
-        let mut targets = admission.route.targets.iter();
-        let origin = match answer {
-            OriginAnswer::Known(origin) => {
-                Some(origin).filter(|o| targets.any(|t| t.service == o.service))
-            }
-            OriginAnswer::Unknown | OriginAnswer::NoReply => None,
-        };
-        let admission = &mut request.admission;
-        request.software = match origin {
-            Some(origin) => {
-                admission.service = origin.service;
-                Some(origin.software)
-            }
-            None => only,
+        let (origin, has_reply) = match answer {
+            OriginAnswer::Known(origin) => (Some(origin), true),
+            OriginAnswer::Unknown => (None, true),
+            OriginAnswer::NoReply => (None, false),
         };
+        let known = origin.is_some();
+        let now = self.now();
+        let resumed = self.gateway().resumed_at(now, admission, origin);
         slog::info!(self.log, "stream taken up again"; "id" => call.id.as_str(),
             "resumes" => call.resumes.as_deref().unwrap_or(""),
             "after" => call.resume_after.as_deref().unwrap_or(""), "origin_known" => known,
-            "software" => request.software.as_deref().unwrap_or(""));
-        match &request.software {
-            Some(_) => Ok(()),
+            "software" => resumed.as_ref().map_or("", |o| o.software.as_str()));
+        match resumed {
+            Ok(origin) => {
+                request.admission.service = origin.service;
+                request.software = Some(origin.software);
+                Ok(())
+            }
             // Another try may find out more.
-            None if no_reply => Err(Refusal::new(
+            Err(_) if !has_reply => Err(Refusal::new(
                 ErrorKind::NotReady,
                 "no control instance replied which version began the stream",
             )),
-            None => Err(self.gateway().resume_refusal(&admission.service, None)),
+            Err(refusal) => Err(refusal),
         }
     }
 
     /// Returns how long a request may wait for the origin of its stream: as long as it would wait
     /// for capacity, but one reply's time if the service's only version will do.
-    fn origin_wait(&self, request: &ActiveRequest, has_only_version: bool) -> Duration {
-        if has_only_version {
+    fn origin_wait(&self, request: &ActiveRequest) -> Duration {
+        let (now, admission) = (self.now(), &request.admission);
+        if self.gateway().resumed_at(now, admission, None).is_ok() {
             return REPLY_TIMEOUT;
         }
-        let objective = request.admission.route.objective;
-        let until = request.began + objective.mul_f64(MAX_WAIT_OBJECTIVES);
-        until.min(request.deadline).saturating_sub(self.now())
+        let until = request.began + admission.route.objective.mul_f64(MAX_WAIT_OBJECTIVES);
+        until.min(request.deadline).saturating_sub(now)
     }
 }
--- a/crates/dotterelrudder_gateway/src/gateway/stream_versions.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/stream_versions.rs
@@ -11,6 +11,7 @@
 use crate::Placement;
 use compact_str::format_compact;
 use compact_str::CompactString;
+use dotterelrudder_config::deployment::RouteRule;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::ServiceName;
@@ -116,10 +117,48 @@
         known.versions.first().filter(|_| is_settled).cloned()
     }
 
-    /// Returns whether the software versions of a service are known.
-    pub fn knows_versions(&self, service: &ServiceName) -> bool {
-        let known = self.versions.get(service);
-        known.is_some_and(|known| !known.versions.is_empty())
+    /// Returns whether the software versions of one of the route's services are known.
+    pub fn knows_versions(&self, route: &RouteRule) -> bool {
+        let mut known = route
+            .targets
+            .iter()
+            .filter_map(|t| self.versions.get(&t.service));
+        known.any(|known| !known.versions.is_empty())
+    }
+
+    /// Returns the service and the version at which a stream goes on that a caller takes up again:
+    /// those of its origin, if that is known. The service that was picked for the request may be
+    /// another one of the route.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the route no longer leads to the service that began the stream, or if
+    /// the origin is unknown and the stream may have begun at several services or versions.
+    pub fn resumed_at(
+        &self,
+        now: Duration,
+        admission: &Admission,
+        origin: Option<StreamOrigin>,
+    ) -> Result<StreamOrigin, Refusal> {
+        let (service, targets) = (&admission.service, &admission.route.targets);
+        if let Some(origin) = origin {
+            if targets.iter().any(|t| t.service == origin.service) {
+                return Ok(origin);
+            }
+            let detail = format_compact!(
+                "the route no longer leads to \"{}\", which began the stream",
+                origin.service
+            );
+            return Err(Refusal::new(ErrorKind::NotResumable, detail));
+        }
+        let only = self
+            .only_version(now, service)
+            .filter(|_| targets.len() == 1);
+        let service = service.clone();
+        match only {
+            Some(software) => Ok(StreamOrigin { service, software }),
+            None => Err(self.resume_refusal(&service, None)),
+        }
     }
 
     /// Builds the refusal of a stream that can't go on.
--- a/crates/dotterelrudder_gateway/tests/software_versions.rs
+++ b/crates/dotterelrudder_gateway/tests/software_versions.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use dotterelrudder_config::deployment::CallKind;
+use dotterelrudder_config::deployment::WeightedTarget;
+use dotterelrudder_gateway::Admission;
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::NotPlaced;
 use dotterelrudder_gateway::RunOutcome;
@@ -9,6 +12,7 @@
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_wire::RunnerRecord;
 use dotterelrudder_wire::StreamOrigin;
+use std::sync::Arc;
 use support::*;
 
 fn versioned(n: u16, software: &str) -> RunnerRecord {
@@ -121,3 +125,45 @@
     gateway.back_off(ms(40), newer, ms(500));
     assert!(gateway.place(ms(50), &of_version).is_err());
 }
+
+fn admission(services: &[&str]) -> Admission {
+    let mut route = route("long", CallKind::Stream { resumable: true }, services[0]);
+    let target = |service: &&str| WeightedTarget {
+        service: (*service).into(),
+        weight: 1,
+    };
+    route.targets = services.iter().map(target).collect();
+    Admission {
+        route: Arc::new(route),
+        account: None,
+        service: services[0].into(),
+    }
+}
+
+#[test]
+fn a_stream_of_a_service_that_its_route_left_goes_on_nowhere() {
+    let gateway = gateway_with(vec![versioned(1, "v1")]);
+    let (moved, later) = (admission(&["engines"]), ms(60_000));
+    let refusal = gateway.resumed_at(later, &moved, Some(origin("desk")));
+    let refusal = refusal.expect_err("the other service began the stream");
+    assert_eq!(refusal.kind, ErrorKind::NotResumable);
+    let resumed = gateway.resumed_at(later, &moved, None);
+    assert_eq!(resumed, Ok(origin("engines")));
+}
+
+#[test]
+fn a_stream_of_unknown_origin_goes_on_at_none_of_several_services() {
+    let gateway = gateway_with(vec![versioned(1, "v1")]);
+    let (shared, later) = (admission(&["engines", "desk"]), ms(60_000));
+    assert!(gateway.resumed_at(later, &shared, None).is_err());
+    let resumed = gateway.resumed_at(later, &shared, Some(origin("desk")));
+    assert_eq!(resumed, Ok(origin("desk")));
+}
+
+#[test]
+fn versions_count_of_every_service_to_which_the_route_leads() {
+    let gateway = gateway_with(vec![versioned(1, "v1")]);
+    let knows = |services: &[&str]| gateway.knows_versions(&admission(services).route);
+    assert!(knows(&["engines"]) && knows(&["desk", "engines"]));
+    assert!(!knows(&["desk"]));
+}
