--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -116,7 +116,7 @@
                 // A runner that has nothing to add doesn't show that the stream was complete.
                 RelayEnd::Complete if last_event.is_some() && !started.passed_event => {
                     let reason = "the resumed stream ended without an event";
-                    (AttemptFailure::answer_lost(reason), true)
+                    (AttemptFailure::answer_lost(reason), true, None)
                 }
                 RelayEnd::Complete => {
                     started.guard.end(RunOutcome::Answered);
@@ -203,7 +203,8 @@
                 splitter.push(&part);
                 while let Some(event) = splitter.take() {
                     if let Err(fault) = sequence.accept(&event) {
-                        return RelayEnd::broken(fault.as_str());
+                        let failure = AttemptFailure::answer_lost(fault.as_str());
+                        return RelayEnd::broken_during(failure, takeover);
                     }
                     if event.is_progress() && !started.passed_event {
                         started.passed_event = true;
