A refusal written once more no longer decides for another request

What callers saw: a runner wrote an earlier refusal once more on a kept connection, as the next request of that connection arrived. The caller of that request was told 503, "not run", while the runner ran it; a request that may run once could be sent to a second runner.

Cause: the check of an answer's head let a refusal (421, or the header that says "not run") count without a request id, so that any such bytes behind an earlier answer decided for the request that was sent last.

The fix: a refusal counts only if it names the request, as a signed answer does. Without the id the request may have run: 502 for one that may run once, another runner for one that may be repeated; the connection is closed. Besides, the socket of a runner's connection looks for unread bytes right before a request is written to it. The HTTP library drops a connection with such bytes too, but only once the runtime has polled the socket; the request now goes over a new connection instead.

Evidence: `repeated_refusals.rs`, with 503, 429, 421 and 408, with and without an id, on each kind of route. Copies that come at once or on the idle connection ended it before, too (that test passed before); the window that was left is closed by the check, which `upstream_socket.rs` shows with a runtime that is held up.

Ruled out: copies that name another request were no fault before. A request goes to one start of a runner at most once, so that no earlier refusal of it can come again there.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -141,8 +141,8 @@
     let req = build_request(dialect, outgoing, backend_request);
     let mut sent = timeout(head_limit, upstream.send(req)).await;
     if was_pooled && matches!(sent, Ok(Err(SendError::NotSent))) {
-        // The server closed the idle connection before the request was written; sending it over a
-        // new connection is not a retry.
+        // The server closed the idle connection, or sent unrequested bytes, before the request was
+        // written; sending it over a new connection is not a retry.
         upstream = match pool.connect(address).await {
             Ok(upstream) => upstream,
             Err(reason) => return Err(unreachable(pool, placement, reason)),
@@ -236,6 +236,13 @@
             "the answer names another request id",
         ));
     }
+    let is_refusal = status == 421 || facts.not_run;
+    if is_refusal && facts.request_id.is_none() {
+        // It may repeat the refusal of an earlier request, while this one runs.
+        return Err(AttemptFailure::answer_lost(format!(
+            "refusal with status {status} without a request id"
+        )));
+    }
     let declined = |outcome, reason: String| {
         Err(AttemptFailure {
             kind: FailureKind::Declined,
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -25,8 +25,11 @@
 mod streaming;
 mod takeover;
 mod upstream;
+mod upstream_socket;
 
 pub use answer_limits::AnswerLimits;
 pub use byte_limit::ByteLimit;
 pub use daemon::run_entry;
 pub use entry_file::GatewayFile;
+pub use upstream_socket::UnreadCheck;
+pub use upstream_socket::UpstreamSocket;
--- a/crates/dotterelrudder_daemon/src/gateway/upstream.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream.rs
@@ -14,6 +14,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::upstream_socket::UnreadCheck;
+use super::upstream_socket::UpstreamSocket;
+
 /// The timeout of a connection attempt. It leaves time for one retransmission of a lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The number of connection attempts after timeouts, in case packets are lost.
@@ -37,7 +40,7 @@
 /// Why a request could not be sent, or why no response head arrived.
 #[derive(Debug)]
 pub(super) enum SendError {
-    /// The connection closed before any byte of the request was written.
+    /// The connection closed, or held unread bytes, before any byte of the request was written.
     NotSent,
     /// The connection broke after bytes of the request were written.
     Broken(String),
@@ -48,6 +51,7 @@
 #[derive(Debug)]
 pub(super) struct UpstreamConnection {
     sender: http1::SendRequest<Full<Bytes>>,
+    unread_check: UnreadCheck,
     _driver: AbortOnDrop,
     /// The address of the server.
     pub(super) address: SocketAddr,
@@ -96,9 +100,11 @@
         socket
             .set_tcp_keepalive(&probes)
             .map_err(|e| e.to_string())?;
+        let unread_check = UnreadCheck::default();
+        let socket = UpstreamSocket::new(tcp, unread_check.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(head_bytes)
-            .handshake(TokioIo::new(tcp))
+            .handshake(TokioIo::new(socket))
             .await
             .map_err(|e| e.to_string())?;
         let driver = tokio::spawn(async move {
@@ -107,6 +113,7 @@
         });
         Ok(Self {
             sender,
+            unread_check,
             _driver: AbortOnDrop(driver),
             address,
             keep_alive: None,
@@ -133,8 +140,10 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.unread_check.arm();
         match self.sender.try_send_request(req).await {
             Ok(response) => Ok(response),
+            Err(_) if self.unread_check.has_failed() => Err(SendError::NotSent),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent),
                 None => Err(SendError::Broken(e.error().to_string())),
--- /dev/null
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream_socket.rs
@@ -0,0 +1,123 @@
+//! The socket of a connection to a backend server.
+
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+use socket2::SockRef;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// The check is not due.
+const PASSED: u8 = 0;
+/// The next write looks for unread bytes first.
+const DUE: u8 = 1;
+/// There were unread bytes, and nothing was written.
+const FAILED: u8 = 2;
+
+/// Controls the check of an [`UpstreamSocket`] for unread bytes; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct UnreadCheck {
+    state: Arc<AtomicU8>,
+}
+
+impl UnreadCheck {
+    /// Makes the socket check for unread bytes before its next write.
+    pub fn arm(&self) {
+        self.state.store(DUE, Ordering::Release);
+    }
+
+    /// Returns whether the socket refused to write since the check was armed.
+    pub fn has_failed(&self) -> bool {
+        self.state.load(Ordering::Acquire) == FAILED
+    }
+}
+
+/// A TCP stream to a backend server that writes no request while bytes wait to be read.
+///
+/// Such bytes were sent before the request, so they cannot be its response; the HTTP library only
+/// notices them once the runtime has polled the socket.
+/// See [docs/design/platform.md](../../../../docs/design/platform.md).
+#[derive(Debug)]
+pub struct UpstreamSocket {
+    tcp: TcpStream,
+    check: UnreadCheck,
+}
+
+impl UpstreamSocket {
+    /// Wraps a connected stream.
+    pub fn new(tcp: TcpStream, check: UnreadCheck) -> Self {
+        Self { tcp, check }
+    }
+
+    /// Runs the check if it is due.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if bytes or the end of the stream wait to be read.
+    fn check_unread(&self) -> io::Result<()> {
+        let state = &self.check.state;
+        let due = state.compare_exchange(DUE, PASSED, Ordering::AcqRel, Ordering::Acquire);
+        if due.is_err() {
+            return Ok(());
+        }
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&self.tcp).peek(&mut byte) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Ok(_) | Err(_) => {
+                state.store(FAILED, Ordering::Release);
+                let detail = "the connection holds unread bytes or was closed";
+                Err(io::Error::new(io::ErrorKind::ConnectionAborted, detail))
+            }
+        }
+    }
+}
+
+impl AsyncRead for UpstreamSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for UpstreamSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.check_unread()?;
+        Pin::new(&mut self.tcp).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.check_unread()?;
+        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+}
