--- a/crates/dotterelrudder_daemon/src/fleet/control.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/control.rs
@@ -152,6 +152,7 @@
         dialect: dialect.clone(),
         address: file.instance_list,
         period: file.list_period(),
+        metrics: metrics.clone(),
         log: log.clone(),
     };
     tokio::spawn(poller.run());
--- a/crates/dotterelrudder_daemon/src/fleet/dialects.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/dialects.rs
@@ -8,6 +8,8 @@
 use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::RunnerRecord;
 
+use crate::json_list::UnreadableEntry;
+
 /// One page of the platform's list of backend servers.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ListPage {
@@ -15,8 +17,12 @@
     pub rows: Vec<RunnerRecord>,
     /// Number of the list's entries that describe no usable server, such as damaged ones.
     pub unreadable: usize,
+    /// The first of these entries.
+    pub described: Vec<UnreadableEntry>,
     /// Token of the next page; `None` on the last page.
     pub next: Option<CompactString>,
+    /// Why part of the page could not be read, other than single entries.
+    pub fault: Option<String>,
 }
 
 /// Defines the HTTP interface of the platform's list of backend servers.
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -43,6 +43,7 @@
     part_blocks: Gauge<u64>,
     block_refusals: Counter<u64>,
     runners: Gauge<u64>,
+    unreadable_list_entries: Gauge<u64>,
     leads: Gauge<u64>,
     term: Gauge<u64>,
     confirmation_age: Gauge<f64>,
@@ -102,6 +103,7 @@
             part_blocks: gauge("dotterelrudder_part_blocks"),
             block_refusals: counter("dotterelrudder_block_refusals"),
             runners: gauge("dotterelrudder_runners"),
+            unreadable_list_entries: gauge("dotterelrudder_unreadable_list_entries"),
             leads: gauge("dotterelrudder_leads"),
             term: gauge("dotterelrudder_term"),
             confirmation_age: meter
@@ -254,6 +256,11 @@
         self.journal_sync.record(seconds, &[]);
     }
 
+    /// Sets the number of entries of the instance list that could not be read.
+    pub fn set_unreadable_list_entries(&self, entries: usize) {
+        self.unreadable_list_entries.record(entries as u64, &[]);
+    }
+
     /// Sets the number of open connections to other processes.
     pub fn set_links(&self, open_links: usize) {
         self.open_links.record(open_links as u64, &[]);
