--- a/crates/dotterelrudder_daemon/src/gateway/bodies.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/bodies.rs
@@ -115,6 +115,7 @@
         .split(',')
         .find_map(|p| p.trim().strip_prefix("timeout="));
     let seconds: f64 = seconds?.trim().parse().ok()?;
+    let seconds = seconds.clamp(0.0, MAX_KEEP_ALIVE_S);
     // A number that is none stays so when it is clamped.
-    Duration::try_from_secs_f64(seconds.clamp(0.0, MAX_KEEP_ALIVE_S)).ok()
+    Duration::try_from_secs_f64(seconds).ok()
 }
