Odd numbers in load reports, prompts and weights no longer end requests

What callers saw: an idle runner reported that it uses 2^64 - 1 tokens of 1. Requests for which an entry weighed this runner were closed without an answer, also when other runners were free.

Cause: the estimated time to the first token is computed from numbers that runners and callers name, and the conversion to a duration panics when it is too large or no number. Sums of counts that callers, runners and configurations name overflow, too: a panic in debug builds, a wrong number in release builds.

Found by looking for what other writers of numbers reach.

--- a/crates/dotterelrudder_gateway/src/engine_estimate.rs
+++ b/crates/dotterelrudder_gateway/src/engine_estimate.rs
@@ -17,6 +17,8 @@
     pub step_ms_per_request: f64,
 }
 
+/// The largest estimated time, in milliseconds.
+const MAX_ESTIMATE_MS: f64 = 24.0 * 3_600.0 * 1_000.0;
 /// Decoding steps until the first event reaches the caller; engines send several tokens in one
 /// event.
 const STEPS_TO_FIRST_EVENT: f64 = 5.0;
@@ -48,6 +50,17 @@
         let overcommit =
             ((memory - PREEMPTION_UTILISATION) / (1.0 - PREEMPTION_UTILISATION)).max(0.0);
         let ms = reading + steps + overcommit * PREEMPTION_MS;
-        Duration::from_secs_f64(ms.max(0.0) / 1_000.0)
+        estimated_time(ms)
     }
 }
+
+/// Converts estimated milliseconds to a duration. Estimates are computed from numbers that runners
+/// and callers name, so they may be out of range or no numbers.
+pub(crate) fn estimated_time(ms: f64) -> Duration {
+    let ms = if ms.is_nan() {
+        MAX_ESTIMATE_MS
+    } else {
+        ms.clamp(0.0, MAX_ESTIMATE_MS)
+    };
+    Duration::from_secs_f64(ms / 1_000.0)
+}
--- a/crates/dotterelrudder_gateway/src/gateway/admission_control.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/admission_control.rs
@@ -102,7 +102,8 @@
 
     /// Picks one of the route's services at random, by their weights.
     fn pick_service(&mut self, route: &RouteRule) -> ServiceName {
-        let total: u64 = route.targets.iter().map(|t| t.weight).sum();
+        let weights = route.targets.iter().map(|t| t.weight);
+        let total = weights.fold(0, u64::saturating_add);
         let mut drawn = self.rng.random_range(0..total.max(1));
         for target in &route.targets {
             if drawn < target.weight {
--- a/crates/dotterelrudder_gateway/src/gateway/runner_estimate.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/runner_estimate.rs
@@ -3,6 +3,7 @@
 use super::Gateway;
 use crate::cache_salt;
 use crate::candidate_set::ENTRIES_PER_RUNNER;
+use crate::engine_estimate::estimated_time;
 use crate::FirstTokenEstimate;
 use crate::NamedWeights;
 use crate::PlacementQuery;
@@ -64,7 +65,7 @@
                 let batch = runner.batch(now);
                 let work_ms = PLAIN_REQUEST_MS * (1.0 + batch / slots);
                 FirstTokenEstimate {
-                    expected: Duration::from_secs_f64(work_ms / 1_000.0),
+                    expected: estimated_time(work_ms),
                     batch,
                     ..FirstTokenEstimate::default()
                 }
@@ -169,7 +170,7 @@
                 .first_token(backlog, unread, batch, memory),
             backlog,
             unread,
-            fetch: fetch_ms.map(|ms| Duration::from_secs_f64(ms / 1_000.0)),
+            fetch: fetch_ms.map(estimated_time),
             batch,
             memory,
         }
--- a/crates/dotterelrudder_gateway/src/prompt.rs
+++ b/crates/dotterelrudder_gateway/src/prompt.rs
@@ -37,9 +37,10 @@
         &self.parts[..self.parts.len().saturating_sub(1)]
     }
 
-    /// Returns the number of tokens in all shared parts.
+    /// Returns the number of tokens in all shared parts. Callers may name any counts.
     pub fn shared_tokens(&self) -> u32 {
-        self.shared_parts().iter().map(|p| p.tokens).sum()
+        let tokens = self.shared_parts().iter().map(|p| p.tokens);
+        tokens.fold(0, u32::saturating_add)
     }
 
     /// Returns the KV-cache memory that the request needs at its end, in tokens.
--- a/crates/dotterelrudder_gateway/src/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runner_state.rs
@@ -198,11 +198,13 @@
     pub fn batch(&self, now: Duration) -> f64 {
         let reported = self
             .last_known_load(now)
-            .map(|l| l.reading.running + l.reading.waiting);
+            .map(|l| l.reading.running.saturating_add(l.reading.waiting));
         match reported {
-            Some(n) => f64::from(
-                n.max(self.in_flight.min(n + self.sent_since_report)) + self.sent_since_report,
-            ),
+            Some(n) => {
+                let sent = self.sent_since_report;
+                let known = n.max(self.in_flight.min(n.saturating_add(sent)));
+                f64::from(known) + f64::from(sent)
+            }
             None => f64::from(self.in_flight),
         }
     }
