One odd entry of the instance list of own deployments costs itself alone

Operators of own deployments would see new sides and entries not being found while one entry of the list is odd: `instance_list` parsed the list as one value, like the platform's list before. It is split into entries by the same scanner now, each odd one is logged once, and a list that breaks off counts as a failed read, as before.

--- a/crates/dotterelrudder_daemon/src/fleet/mod.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/mod.rs
@@ -40,3 +40,4 @@
 pub use seeds::Seeds;
 pub use side::run_side;
 pub use side_file::FleetSideFile;
+pub(crate) use unreadable_entries::UnreadableEntries;
--- a/crates/dotterelrudder_daemon/src/fleet/unreadable_entries.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/unreadable_entries.rs
@@ -13,13 +13,13 @@
 
 /// The unreadable entries and other faults that were logged.
 #[derive(Debug, Default)]
-pub(super) struct UnreadableEntries {
+pub(crate) struct UnreadableEntries {
     logged: HashSet<u64>,
 }
 
 impl UnreadableEntries {
     /// Logs the entries that were not logged before.
-    pub(super) fn log(&mut self, log: &Logger, entries: &[UnreadableEntry]) {
+    pub(crate) fn log(&mut self, log: &Logger, entries: &[UnreadableEntry]) {
         for entry in entries {
             if self.is_due(log, entry.digest) {
                 warn!(log, "entry of the instance list is left out";
--- a/crates/dotterelrudder_daemon/src/instance_list.rs
+++ b/crates/dotterelrudder_daemon/src/instance_list.rs
@@ -10,7 +10,11 @@
 use slog::debug;
 use slog::Logger;
 
+use crate::fleet::UnreadableEntries;
 use crate::http_client::HttpClient;
+use crate::json_list::for_each_entry;
+use crate::json_list::skip_space;
+use crate::json_list::ListOutcome;
 
 /// Delay between two reads of the list.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -40,19 +44,36 @@
     }
 }
 
-/// Reads the list at `url` periodically and passes each result to `on_list`; a failed read is
-/// logged and tried again after the usual delay.
+/// Reads the entries of a list, each by itself: an odd one costs itself alone.
+pub fn read_list(body: &[u8]) -> (Vec<ListedInstance>, ListOutcome) {
+    let mut rows = Vec::new();
+    let outcome = for_each_entry(body, skip_space(body, 0), |entry| {
+        let row = serde_json::from_slice(entry).map_err(|e| e.to_string())?;
+        rows.push(row);
+        Ok(())
+    });
+    (rows, outcome)
+}
+
+/// Reads the list at `url` periodically and passes each result to `on_list`; a failed read, or a
+/// list that breaks off, is logged and read again after the usual delay.
 pub async fn poll<T>(url: CompactString, log: Logger, on_list: T)
 where
     T: Fn(Vec<ListedInstance>),
 {
     let client = HttpClient::default();
+    let mut unreadable_entries = UnreadableEntries::default();
     loop {
         match client.get(&url, POLL_TIMEOUT).await {
-            Ok(body) => match serde_json::from_slice(&body) {
-                Ok(rows) => on_list(rows),
-                Err(e) => debug!(log, "failed to read the instance list"; "error" => e.to_string()),
-            },
+            Ok(body) => {
+                let (rows, outcome) = read_list(&body);
+                unreadable_entries.log(&log, &outcome.described);
+                if outcome.end.is_some() {
+                    on_list(rows);
+                } else {
+                    debug!(log, "failed to read the instance list"; "error" => "it doesn't end");
+                }
+            }
             Err(e) => debug!(log, "failed to read the instance list"; "error" => e.detail),
         }
         tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/dotterelrudder_daemon/src/json_list.rs
+++ b/crates/dotterelrudder_daemon/src/json_list.rs
@@ -176,7 +176,8 @@
     }
 }
 
-/// Returns whether the document ends properly behind one of its members.
+/// Returns whether the document ends properly behind one of its members, or behind a list that is
+/// all of it.
 fn is_document_end(text: &[u8], at: usize) -> bool {
     let at = skip_space(text, at);
     if text.len() - at.min(text.len()) > MAX_DOCUMENT_END_BYTES {
@@ -185,14 +186,16 @@
     let end = match text.get(at) {
         Some(b',') => read_members(text, at + 1, |_, value| value_end(text, value)),
         Some(b'}') => Some(at + 1),
+        // The document is the list itself.
+        None => Some(at),
         _ => None,
     };
     end.is_some_and(|end| skip_space(text, end) == text.len())
 }
 
-/// Calls `read` with the bytes of each entry of a list, which is a member of the document and begins
-/// at `start`; it returns why an entry cannot be read. Behind an entry that doesn't end, or that
-/// seems to end the list, reading resumes at the next object that can be read.
+/// Calls `read` with the bytes of each entry of a list, which begins at `start` and is a member of
+/// the document or all of it; `read` returns why an entry cannot be read. Behind an entry that
+/// doesn't end, or that seems to end the list, reading resumes at the next object that can be read.
 pub fn for_each_entry<F>(text: &[u8], start: usize, mut read: F) -> ListOutcome
 where
     F: FnMut(&[u8]) -> Result<(), String>,
