Tell a new leader the blocks that the one before announced

The restarted leader was elected again with an empty ledger. Each of the other control instances held the block from the leader's announcements, but used it only when it led itself.

A control instance that learns of a new term now sends the leader the blocks that were announced to it, and repeats this each half second until the leader announces blocks itself. It is sent ahead of the reply that may complete the leader's lease, on the same connection; entries are made ready only under a lease, so that none is ready without the blocks. Without blocks nothing is sent.

--- a/crates/dotterelrudder_control/src/control_core/fleet.rs
+++ b/crates/dotterelrudder_control/src/control_core/fleet.rs
@@ -12,6 +12,7 @@
 use dotterelrudder_wire::Message;
 use dotterelrudder_wire::ModelWeights;
 use dotterelrudder_wire::PartReport;
+use dotterelrudder_wire::PartVerdicts;
 use dotterelrudder_wire::RunnerRecord;
 use dotterelrudder_wire::WeightOrder;
 
@@ -90,6 +91,34 @@
         }
     }
 
+    /// Applies the blocks of parts that another control instance knows: the leader's announcement, or
+    /// what a new leader is told.
+    pub(super) fn on_known_blocks(&mut self, verdicts: &PartVerdicts, now: Duration) {
+        self.update_leadership(now);
+        let parts = &mut self.fleet_publisher.parts;
+        if self.was_leader {
+            parts.on_reminder(verdicts, now);
+        } else {
+            parts.on_announced(verdicts, now);
+        }
+    }
+
+    /// Tells a new leader the blocks that the one before announced. They are sent before the reply
+    /// that may complete its lease, so that it knows them before it makes an entry ready.
+    pub(super) fn remind_leader(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let leader = self.leader_instance();
+        let Some(to) = leader.filter(|l| *l != self.settings.name) else {
+            return;
+        };
+        let term = self.raft.term();
+        if let Some(verdicts) = self.fleet_publisher.parts.take_reminder(term, now) {
+            out.push(Output::Send {
+                to,
+                message: Message::PartVerdicts(Arc::new(verdicts)),
+            });
+        }
+    }
+
     /// Returns the stores whose contents this replica must read; empty unless it leads.
     pub fn stores_to_read(&self, now: Duration) -> Vec<SocketAddr> {
         if self.holds_leader_lease(now) {
@@ -157,7 +186,8 @@
         }
     }
 
-    pub(super) fn tick_fleet(&mut self, now: Duration, out: &mut Vec<Output>) {
+    /// Begins or ends the leader's duties when leadership changed.
+    fn update_leadership(&mut self, now: Duration) {
         let leads = self.raft.is_leader();
         if self.was_leader && !leads {
             self.fleet_publisher.reset();
@@ -170,7 +200,11 @@
             self.fleet_publisher.parts.begin_leadership(now);
         }
         self.was_leader = leads;
-        if !leads || !self.holds_leader_lease(now) {
+    }
+
+    pub(super) fn tick_fleet(&mut self, now: Duration, out: &mut Vec<Output>) {
+        self.update_leadership(now);
+        if !self.was_leader || !self.holds_leader_lease(now) {
             return;
         }
         let directory = &mut self.fleet_publisher.directory;
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -347,6 +347,7 @@
                 self.replica_instances.insert(id, from);
                 if to == self.raft.id() || to == 0 {
                     self.raft.receive(id, *message, now);
+                    self.remind_leader(now, out);
                 }
             }
             Message::Subscribe { held } => self.on_subscribe(from, held, now, out),
@@ -370,9 +371,7 @@
             Message::PartsUsed(keys) => self.fleet_publisher.directory.record_use(now, &keys),
             Message::LimitReport(report) => self.on_limit_report(from, report, now, out),
             Message::PartReport(report) => self.on_part_report(&from, report, now, out),
-            Message::PartVerdicts(verdicts) if !self.raft.is_leader() => {
-                self.fleet_publisher.parts.on_announced(&verdicts, now);
-            }
+            Message::PartVerdicts(verdicts) => self.on_known_blocks(&verdicts, now),
             Message::StreamOrigins(streams) => self.stream_origins.record(now, streams),
             Message::OriginQuery { number, stream } => {
                 let origin = self.stream_origins.find(stream).cloned();
--- a/crates/dotterelrudder_control/src/fleet/part_ledger.rs
+++ b/crates/dotterelrudder_control/src/fleet/part_ledger.rs
@@ -80,6 +80,7 @@
     blocks: Vec<Block>,
     /// The blocks that the leader announced to this instance, and when, while another one leads.
     announced: Vec<(PartBlock, Duration)>,
+    reminder: Reminder,
     announced_to_peers_at: Duration,
     /// Whether the last announcement had blocks, so that their end is announced too.
     has_announced_blocks: bool,
@@ -88,7 +89,25 @@
     has_changed: bool,
 }
 
+/// Whether the leader of a term knows the blocks that the one before announced.
+#[derive(Debug, Default)]
+struct Reminder {
+    term: u64,
+    is_known: bool,
+    sent_at: Option<Duration>,
+}
+
 impl Block {
+    /// Returns the block as another control instance knew it at `known_at`.
+    fn restored(block: PartBlock, known_at: Duration, now: Duration) -> Self {
+        Self {
+            parts: block.parts,
+            runners: block.runners,
+            since: known_at.saturating_sub(block.age),
+            refused_at: now,
+        }
+    }
+
     fn covers(&self, request: &BTreeSet<SharedPart>) -> bool {
         self.parts.iter().all(|p| request.contains(p))
     }
@@ -98,12 +117,8 @@
     /// Begins a leadership with the blocks that the leader before announced; those that entries hold
     /// are taken over for a while.
     pub fn begin_leadership(&mut self, now: Duration) {
-        let announced = self.announced.drain(..).map(|(b, at)| Block {
-            parts: b.parts,
-            runners: b.runners,
-            since: at.saturating_sub(b.age),
-            refused_at: now,
-        });
+        let announced = self.announced.drain(..);
+        let announced = announced.map(|(block, at)| Block::restored(block, at, now));
         *self = Self {
             blocks: announced.collect(),
             takeover_until: now + TAKEOVER_PERIOD,
@@ -152,6 +167,47 @@
     pub fn on_announced(&mut self, verdicts: &PartVerdicts, now: Duration) {
         let blocks = verdicts.blocks.iter().cloned();
         self.announced = blocks.map(|block| (block, now)).collect();
+        self.reminder.is_known = true;
+    }
+
+    /// Returns the announced blocks for the leader of a later term, until it announces some itself:
+    /// if it restarted, it knows none.
+    pub fn take_reminder(&mut self, term: u64, now: Duration) -> Option<PartVerdicts> {
+        if self.reminder.term != term {
+            self.reminder = Reminder {
+                term,
+                ..Reminder::default()
+            };
+        }
+        self.announced.retain(|(_, at)| now < *at + BLOCK_TTL);
+        let reminder = &mut self.reminder;
+        let is_due = |at: Duration| now >= at + ANNOUNCE_INTERVAL;
+        if self.announced.is_empty() || reminder.is_known || !reminder.sent_at.is_none_or(is_due) {
+            return None;
+        }
+        reminder.sent_at = Some(now);
+        let blocks = self.announced.iter().map(|(block, at)| PartBlock {
+            age: block.age + now.saturating_sub(*at),
+            ..block.clone()
+        });
+        Some(PartVerdicts {
+            blocks: blocks.collect(),
+            ..PartVerdicts::default()
+        })
+    }
+
+    /// Takes over blocks that another control instance knows, while a new leader does so.
+    pub fn on_reminder(&mut self, verdicts: &PartVerdicts, now: Duration) {
+        if !self.is_taking_over {
+            return;
+        }
+        for block in &verdicts.blocks {
+            let is_known = self.blocks.iter().any(|b| b.parts == block.parts);
+            if !is_known && self.blocks.len() < MAX_BLOCKS {
+                self.blocks.push(Block::restored(block.clone(), now, now));
+                self.has_changed = true;
+            }
+        }
     }
 
     /// Returns the verdicts for the other control instances, at regular intervals: the leader and all
