Log which requests are repetitions of each other when their connection is lost

The line of a lost connection named the id of the request, which is new at each repetition, so that the logs couldn't tell whether runners ended under one request or under many. It now names a fingerprint: a hash of service, client account, method, path, query, model and body. Headers and the host don't count, since ids, deadlines and the entry that is addressed differ between repetitions.

--- a/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
@@ -25,8 +25,8 @@
 where
     D: Dialect,
 {
-    /// Logs that a runner closed the connection of a request that had not begun, with the shared
-    /// parts of its prompt, and finds out whether the runner ended.
+    /// Logs that a runner closed the connection of a request that had not begun, with what tells its
+    /// repetitions and the shared parts of its prompt, and finds out whether the runner ended.
     pub(super) fn record_lost_connection(
         self: &Arc<Self>,
         request: &ActiveRequest,
@@ -41,7 +41,7 @@
         slog::info!(self.log, "connection to runner lost before the answer began";
             "id" => request.call.id.as_str(), "runner" => placement.identity.as_str(),
             "address" => %placement.address, "reason" => reason,
-            "parts" => parts.collect::<Vec<_>>().join(","));
+            "request" => %request.fingerprint, "parts" => parts.collect::<Vec<_>>().join(","));
         let Some(prompt) = prompt else {
             return;
         };
--- a/crates/dotterelrudder_daemon/src/gateway/request.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/request.rs
@@ -7,6 +7,7 @@
 use dotterelrudder_gateway::CallerRequest;
 use dotterelrudder_gateway::CapacityRequest;
 use dotterelrudder_gateway::Placement;
+use dotterelrudder_gateway::RequestFingerprint;
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_gateway::WaitQueue;
@@ -24,6 +25,7 @@
     pub(super) body: Bytes,
     pub(super) call: CallerRequest,
     pub(super) admission: Admission,
+    pub(super) fingerprint: RequestFingerprint,
     /// When the request arrived.
     pub(super) began: Duration,
     /// The time by which the response has to start.
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -19,6 +19,7 @@
 use dotterelrudder_gateway::CallerRequest;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Gateway;
+use dotterelrudder_gateway::RequestFingerprint;
 use dotterelrudder_gateway::WaitQueue;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::ErrorKind;
@@ -181,11 +182,13 @@
         };
         let max_wait = call.max_wait.unwrap_or(DEFAULT_MAX_WAIT);
         let deadline = began + max_wait.min(admission.route.time_limit);
+        let fingerprint = RequestFingerprint::new(&admission, &call, &head, &body);
         Ok(ActiveRequest {
             head,
             body,
             call,
             admission,
+            fingerprint,
             began,
             deadline,
             software: None,
