Part ledger: block the same parts only once

A decision blocks parts until no suspect is left, and relied on each block explaining the ends that led to it. What is blocked already is now passed over, so that each round adds a block or is the last one.

--- a/crates/dotterelrudder_control/src/fleet/part_ledger.rs
+++ b/crates/dotterelrudder_control/src/fleet/part_ledger.rs
@@ -253,11 +253,8 @@
             let Some(worst) = self.worst(&suspects, now) else {
                 return;
             };
-            // Parts of exactly the same requests can't be told apart.
-            let same = suspects.iter().filter(|s| s.requests == worst.requests);
-            let parts = same.map(|s| s.part.clone()).collect();
             let runners = worst.losses as u32;
-            self.block(parts, runners, now);
+            self.block(worst.inseparable_parts(&suspects), runners, now);
         }
     }
 
@@ -308,6 +305,11 @@
             let since = self.watched.get(&s.part);
             s.has_enough_losses(suspects) && since.is_some_and(|at| now >= *at + WATCH_PERIOD)
         });
+        // What is blocked already must not be blocked without end, whatever speaks against it.
+        let confirmed = confirmed.filter(|s| {
+            let parts = s.inseparable_parts(suspects);
+            self.blocks.iter().all(|b| b.parts != parts)
+        });
         confirmed.min_by_key(|s| {
             let losses = std::cmp::Reverse(s.losses);
             (losses, s.begun_at, s.requests.len())
--- a/crates/dotterelrudder_control/src/fleet/part_suspects.rs
+++ b/crates/dotterelrudder_control/src/fleet/part_suspects.rs
@@ -58,6 +58,12 @@
 }
 
 impl Suspect {
+    /// Returns the part and those of exactly the same requests, which can't be told apart from it.
+    pub(super) fn inseparable_parts(&self, suspects: &[Self]) -> Vec<SharedPart> {
+        let same = suspects.iter().filter(|s| s.requests == self.requests);
+        same.map(|s| s.part.clone()).collect()
+    }
+
     /// Returns whether enough runners ended for a block.
     pub(super) fn has_enough_losses(&self, suspects: &[Self]) -> bool {
         if self.part.is_whole_request() {
