--- a/crates/dotterelrudder_gateway/tests/software_versions.rs
+++ b/crates/dotterelrudder_gateway/tests/software_versions.rs
@@ -167,3 +167,15 @@
     assert!(knows(&["engines"]) && knows(&["desk", "engines"]));
     assert!(!knows(&["desk"]));
 }
+
+#[test]
+fn few_entries_report_origins_within_milliseconds() {
+    let mut gateway = gateway_with(vec![versioned(1, "v1")]);
+    let intervals = [3, 60, 600].map(|entries| {
+        let mut state = fleet_state(1);
+        state.entries = entries;
+        gateway.on_fleet_state(ms(0), state, None);
+        gateway.origin_report_interval()
+    });
+    assert_eq!(intervals, [ms(5), ms(100), ms(250)]);
+}
