Part ledger: count ends beside a blocked request against the next one

Requests that crash runners run beside each other, and all ends that one of them explained stopped counting against the others once it was blocked, though some were theirs.

Such ends now count against another whole request that was lost with the blocked one, like those against the blocked one's own parts; it is blocked after four in all, two of them without the first, so that a sound request that ran beside the first needs two ends of its own.

The new test of the ledger fails before ("first" instead of "first second"); the random schedules pass as before, after at most 12 ends.

--- a/crates/dotterelrudder_control/src/fleet/part_suspects.rs
+++ b/crates/dotterelrudder_control/src/fleet/part_suspects.rs
@@ -13,8 +13,7 @@
 
 /// The number of runners that must end under a part of prompts before it is blocked.
 const BLOCK_AFTER_LOSSES: usize = 4;
-/// The number of them that must not have ended under one request: that request may be at fault
-/// without the part.
+/// The number of them that must not have ended under one other request, which may be at fault alone.
 const MIN_LOSSES_BEYOND_REQUEST: usize = 2;
 /// The number of runners that must end under one request before it is blocked, if no other runner
 /// ended together with them. Fewer than for a part, as far fewer sound requests are refused for it.
@@ -71,7 +70,7 @@
                 true => BLOCK_REQUEST_AFTER_LOSSES,
                 false => BLOCK_UNLUCKY_REQUEST_AFTER_LOSSES,
             };
-            return self.losses >= needed;
+            return self.losses >= needed && self.unexplained.len() >= MIN_LOSSES_BEYOND_REQUEST;
         }
         if self.losses < BLOCK_AFTER_LOSSES {
             return false;
@@ -116,8 +115,9 @@
 }
 
 /// Returns the parts under which at least [`WATCH_AFTER_LOSSES`] runners ended. A loss that a
-/// block explains counts against no other part, except that the blocked request may have crashed
-/// its runner by a part of its prompt.
+/// block of a part explains counts against no other part. What the block of a request explains counts
+/// beside other losses: the request may have crashed its runner by a part of its prompt, or another
+/// request that ran there did.
 pub(super) fn find_suspects(
     losses: &VecDeque<Loss>,
     blocks: &[Block],
@@ -136,9 +136,10 @@
     let mut seen: BTreeMap<&SharedPart, Vec<(usize, usize)>> = BTreeMap::new();
     for (n, loss) in counted.iter().enumerate() {
         for (m, request) in loss.requests.iter().enumerate() {
-            let counts = n < known || covers_any(&of_requests, request);
-            let parts = request.iter().filter(|p| counts && repeated.contains(p));
-            for part in parts.filter(|p| n < known || !p.is_whole_request()) {
+            // Of an explained loss count the parts of the blocked request, and other requests.
+            let is_blocked = n >= known && covers_any(&of_requests, request);
+            let counts = |p: &SharedPart| n < known || p.is_whole_request() != is_blocked;
+            for part in request.iter().filter(|p| counts(p) && repeated.contains(p)) {
                 seen.entry(part).or_default().push((n, m));
             }
         }
@@ -153,6 +154,7 @@
         let under: BTreeSet<usize> = under.into_iter().filter(later).collect();
         let ends = under.iter().map(|n| counted[*n].at).collect();
         let (losses, is_alone) = count_losses(begun_at.is_some(), ends, &others);
+        let is_alone = is_alone && under.iter().all(|n| *n < known);
         Suspect {
             part: part.clone(),
             losses,
--- a/crates/dotterelrudder_control/tests/part_ledger.rs
+++ b/crates/dotterelrudder_control/tests/part_ledger.rs
@@ -167,6 +167,26 @@
     assert_eq!(blocked(&ledger, ms(4_000)), "dead+session");
 }
 
+#[test]
+fn a_request_that_ran_beside_a_blocked_one_is_blocked_after_two_more_ends() {
+    let mut ledger = PartLedger::default();
+    let end = |ledger: &mut PartLedger, n: u64, requests: &[&str]| {
+        let requests: Vec<[SharedPart; 1]> = requests.iter().map(|id| [whole(id)]).collect();
+        let requests: Vec<&[SharedPart]> = requests.iter().map(|r| &r[..]).collect();
+        let now = ms(1_000 + 300 * n);
+        ledger.on_report(lost_whole(&format!("r{n}"), &requests), now);
+        ledger.tick(now + ms(260));
+        blocked(ledger, now + ms(260))
+    };
+    end(&mut ledger, 0, &["first"]);
+    for n in 1..3 {
+        end(&mut ledger, n, &["first", "second", "sound"]);
+    }
+    assert_eq!(end(&mut ledger, 3, &["first", "second"]), "first");
+    assert_eq!(end(&mut ledger, 4, &["second", "sound"]), "first");
+    assert_eq!(end(&mut ledger, 5, &["second"]), "first second");
+}
+
 #[test]
 fn the_request_counts_among_many_that_several_entries_lost() {
     let mut ledger = PartLedger::default();
