--- a/crates/dotterelrudder_control/src/fleet/part_suspects.rs
+++ b/crates/dotterelrudder_control/src/fleet/part_suspects.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use dotterelrudder_wire::count_losses;
 use dotterelrudder_wire::PartBlock;
 use dotterelrudder_wire::SharedPart;
 
@@ -22,9 +23,6 @@
 const BLOCK_UNLUCKY_REQUEST_AFTER_LOSSES: usize = 4;
 /// The number after which entries are asked whether requests with the part begin.
 const WATCH_AFTER_LOSSES: usize = 2;
-/// Runners that end within this time end together: they may have been lost for one reason from
-/// outside.
-const ROUND_LENGTH: Duration = Duration::from_millis(200);
 
 /// One end of a runner, as all entries saw it together.
 #[derive(Debug)]
@@ -186,22 +184,3 @@
         .map(|(part, _)| part)
         .collect()
 }
-
-/// Counts the runners that ended under a part since a request with it last began, and returns whether
-/// all of them ended without others. Runners that ended together count once if the part doesn't
-/// explain all of them, or if requests with it began before.
-fn count_losses(has_begun: bool, mut ends: Vec<Duration>, others: &[Duration]) -> (usize, bool) {
-    ends.sort_unstable();
-    let (mut count, mut is_alone) = (0, true);
-    let mut round: Option<Duration> = None;
-    for at in ends {
-        let is_together = |other: &Duration| at.abs_diff(*other) < ROUND_LENGTH;
-        let counts_alone = !has_begun && !others.iter().any(is_together);
-        is_alone &= counts_alone;
-        if counts_alone || round.is_none_or(|round| at >= round + ROUND_LENGTH) {
-            count += 1;
-            round = Some(at);
-        }
-    }
-    (count, is_alone)
-}
--- a/crates/dotterelrudder_gateway/src/beginnings.rs
+++ b/crates/dotterelrudder_gateway/src/beginnings.rs
@@ -5,8 +5,10 @@
 
 use dotterelrudder_wire::SharedPart;
 
-/// How long a beginning counts.
-const TTL: Duration = Duration::from_secs(30);
+use crate::part_watch::LOSS_TTL;
+
+/// How long a beginning counts: as long as the ends that it speaks against.
+const TTL: Duration = LOSS_TTL;
 /// The number of parts after which older ones are put aside; as many more are then remembered.
 const MAX_RECENT: usize = 16_384;
 
--- a/crates/dotterelrudder_gateway/src/gateway/blocked_parts.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/blocked_parts.rs
@@ -96,6 +96,7 @@
     /// Returns the next report about parts of prompts; none if there is nothing to report. Ends are
     /// kept for later while the leader doesn't answer.
     pub fn take_part_report(&mut self, now: Duration) -> Option<PartReport> {
+        self.part_watch.expire(now);
         let age = self.confirmation_age(now);
         if age.is_none_or(|age| age > MAX_CONFIRMATION_AGE) {
             return None;
--- a/crates/dotterelrudder_gateway/src/part_watch.rs
+++ b/crates/dotterelrudder_gateway/src/part_watch.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use dotterelrudder_wire::count_losses;
 use dotterelrudder_wire::PartBlock;
 use dotterelrudder_wire::PartReport;
 use dotterelrudder_wire::PartVerdicts;
@@ -26,7 +27,7 @@
 /// them.
 pub const PART_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// How long the end of a runner counts.
-const LOSS_TTL: Duration = Duration::from_secs(60);
+pub(crate) const LOSS_TTL: Duration = Duration::from_secs(60);
 /// The largest number of ended runners that are remembered.
 const MAX_LOSSES: usize = 64;
 /// The number of runners that must end under a request, seen by this entry alone, before it refuses
@@ -197,9 +198,14 @@
     /// Returns the block of a request under which enough runners ended here, if there is none yet.
     fn own_block(&self, part: SharedPart, now: Duration) -> Option<PartBlock> {
         let begun_at = self.begun.last(now, &part);
-        let losses = self.losses.iter();
-        let losses = losses.filter(|l| l.closed.counts_against(&part, begun_at));
-        let runners = losses.count();
+        let (ends, others): (Vec<_>, Vec<_>) = self
+            .losses
+            .iter()
+            .partition(|l| l.closed.requests.iter().any(|r| r.contains(&part)));
+        let ends = ends.into_iter().map(|l| l.closed.closed_at);
+        let ends = ends.filter(|at| begun_at.is_none_or(|begun| *at > begun));
+        let others: Vec<Duration> = others.into_iter().map(|l| l.closed.closed_at).collect();
+        let (runners, _) = count_losses(begun_at.is_some(), ends.collect(), &others);
         let is_blocked = self.blocks.iter().any(|h| h.block.parts.contains(&part));
         (runners >= BLOCK_AFTER_OWN_LOSSES && !is_blocked).then(|| PartBlock {
             parts: vec![part],
@@ -262,10 +268,14 @@
         self.losses.iter().any(|l| !l.is_told) || !self.begun_due.is_empty()
     }
 
-    /// Returns the next report; none if there is nothing to report.
-    pub fn take_report(&mut self, now: Duration) -> Option<PartReport> {
+    /// Ends blocks of this entry that no leader has confirmed for long.
+    pub fn expire(&mut self, now: Duration) {
         let lasts = |since: Duration| now < since + OWN_BLOCK_TTL;
         self.blocks.retain(|h| h.own_since.is_none_or(lasts));
+    }
+
+    /// Returns the next report; none if there is nothing to report.
+    pub fn take_report(&mut self, now: Duration) -> Option<PartReport> {
         let repeats = !self.blocks.is_empty() && now >= self.reported_at + PART_REPORT_INTERVAL;
         if !self.is_report_due() && !repeats {
             return None;
@@ -289,7 +299,9 @@
             Some((part, ago))
         });
         let begun = begun.collect();
-        let held = self.blocks.iter_mut().map(|h| {
+        // A new leader takes over what it is told; the ends behind own blocks are told by themselves.
+        let held = self.blocks.iter_mut().filter(|h| h.own_since.is_none());
+        let held = held.map(|h| {
             let refused = std::mem::take(&mut h.refused);
             (h.block.parts.clone(), refused)
         });
--- a/crates/dotterelrudder_gateway/tests/crashing_requests.rs
+++ b/crates/dotterelrudder_gateway/tests/crashing_requests.rs
@@ -205,3 +205,59 @@
     let report = gateway.take_part_report(ms(2_900)).expect("ends");
     assert!(report.losses.len() <= 64, "{} losses", report.losses.len());
 }
+
+#[test]
+fn a_sound_request_at_runners_that_are_lost_together_is_not_blocked() {
+    let mut gateway = gateway(1);
+    let sound = Sent::new(&mut gateway, "/long/x", "k1", "body");
+    gateway.on_answer_begun(ms(1_000), sound.traits());
+    for n in 0..4 {
+        let blocks = end(&mut gateway, ms(1_050 + n), &format!("r{n}"), &sound);
+        assert_eq!(blocks, Vec::new());
+    }
+    // Beside another request's runners, though none of its own began before.
+    let (new, other) = (
+        Sent::new(&mut gateway, "/long/y", "k1", "body"),
+        Sent::new(&mut gateway, "/long/z", "k1", "body"),
+    );
+    end(&mut gateway, ms(5_000), "s", &other);
+    for n in 0..4 {
+        let blocks = end(&mut gateway, ms(5_001 + n), &format!("s{n}"), &new);
+        assert_eq!(blocks, Vec::new());
+    }
+}
+
+#[test]
+fn a_new_leader_takes_over_no_block_that_an_entry_made_alone() {
+    let mut gateway = gateway(1);
+    let dead = Sent::new(&mut gateway, "/long/x", "k1", "dead");
+    for n in 0..3 {
+        end(&mut gateway, ms(100 + n), &format!("r{n}"), &dead);
+    }
+    assert!(gateway.is_blocked(dead.traits()));
+    let report = gateway.take_part_report(ms(200)).expect("three ends");
+    assert_eq!((report.losses.len(), report.held), (3, Vec::new()));
+}
+
+#[test]
+fn beginnings_count_as_long_as_the_ends_that_they_speak_against() {
+    let mut gateway = gateway(1);
+    let sound = Sent::new(&mut gateway, "/long/x", "k1", "body");
+    end(&mut gateway, ms(1_000), "r0", &sound);
+    end(&mut gateway, ms(2_000), "r1", &sound);
+    gateway.on_answer_begun(ms(3_000), sound.traits());
+    assert_eq!(end(&mut gateway, ms(40_000), "r2", &sound), Vec::new());
+}
+
+#[test]
+fn an_own_block_ends_without_a_leader_too() {
+    let mut gateway = gateway(1);
+    let dead = Sent::new(&mut gateway, "/long/x", "k1", "dead");
+    for n in 0..3 {
+        end(&mut gateway, ms(100 + n), &format!("r{n}"), &dead);
+    }
+    assert_eq!(gateway.take_part_report(ms(300_000)), None);
+    assert!(gateway.is_blocked(dead.traits()));
+    assert_eq!(gateway.take_part_report(ms(700_000)), None);
+    assert!(!gateway.is_blocked(dead.traits()));
+}
--- a/crates/dotterelrudder_wire/src/lib.rs
+++ b/crates/dotterelrudder_wire/src/lib.rs
@@ -24,6 +24,7 @@
 pub use command::Member;
 pub use command_result::CommandResult;
 pub use fleet::cache_salt;
+pub use fleet::count_losses;
 pub use fleet::weights_of_salt;
 pub use fleet::DirectoryUpdate;
 pub use fleet::FleetQuery;
