Send a request under suspicion to no further runner on any path, and count only ends that tell

Four gaps between the evidence against a request and what is done with it, found by a reviewer: streams that broke off and takeovers went on to a further runner though the request was watched; two ends within 200 ms beside another did not have the request watched, so that second attempts went on; a server error counted as a beginning, though a failing server tells nothing about the request; and the closed connections of a runner that leaves counted as its end, so that a long request moved through a release could be blocked.

Each path now asks is_suspect before a further attempt, a request is watched from two ends however they came, answers of status 500 and above are no beginning, and runners known to leave are not probed. Open, in the design: bursts beside a stray end, attempts that the entry gave up itself, the shared memory of beginnings.

--- a/crates/dotterelrudder_control/src/fleet/part_suspects.rs
+++ b/crates/dotterelrudder_control/src/fleet/part_suspects.rs
@@ -46,6 +46,8 @@
 pub(super) struct Suspect {
     pub(super) part: SharedPart,
     pub(super) losses: usize,
+    /// The runners that ended under it since a request with it last began, each counted.
+    pub(super) ends: usize,
     /// Whether no other runner ended together with one of them.
     pub(super) is_alone: bool,
     /// The losses that no block of a request explains.
@@ -55,6 +57,13 @@
 }
 
 impl Suspect {
+    /// Returns whether entries are asked whether requests with the part begin. A single request is
+    /// watched for ends that came together too, since that costs it no more than further attempts.
+    fn is_watched(&self) -> bool {
+        let is_ended = self.part.is_whole_request() && self.ends >= WATCH_AFTER_LOSSES;
+        is_ended || self.losses >= WATCH_AFTER_LOSSES
+    }
+
     /// Returns the part and those of exactly the same requests, which can't be told apart from it.
     pub(super) fn inseparable_parts(&self, suspects: &[Self]) -> Vec<SharedPart> {
         let same = suspects.iter().filter(|s| s.requests == self.requests);
@@ -156,15 +165,14 @@
         Suspect {
             part: part.clone(),
             losses,
+            ends: under.len(),
             is_alone,
             unexplained: under.into_iter().filter(|n| *n < known).collect(),
             begun_at,
             requests,
         }
     });
-    suspects
-        .filter(|s| s.losses >= WATCH_AFTER_LOSSES)
-        .collect()
+    suspects.filter(Suspect::is_watched).collect()
 }
 
 /// Returns the parts that at least [`WATCH_AFTER_LOSSES`] losses have. Most parts are in one alone,
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -298,7 +298,9 @@
             }
             Ok(AnswerStart::Complete(head, body, upstream)) => {
                 guard.end(RunOutcome::Answered);
-                self.record_answer(request);
+                if !head.status.is_server_error() {
+                    self.record_answer(request);
+                }
                 self.return_connection(upstream);
                 let status = head.status;
                 let text = format!("status {} after {} ms", status.as_u16(), took.as_millis());
--- a/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
@@ -44,6 +44,10 @@
             "request" => %request.fingerprint, "parts" => parts.collect::<Vec<_>>().join(","));
         let identity = &placement.identity;
         let now = self.now();
+        // A runner that leaves closes its connections when it ends.
+        if self.gateway().is_leaving(placement.runner) {
+            return;
+        }
         let is_first =
             self.gateway()
                 .on_connection_closed(now, identity, sent_at, request.traits());
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -151,6 +151,7 @@
                 None => {
                     let allowed = may_resume
                         && request.may_run_again(&log)
+                        && !self.gateway().is_suspect(self.now(), request.traits())
                         && self.may_repeat_after(&failure, &request.admission.service);
                     if !allowed {
                         return Err(ResponseAborted("the stream from the runner failed"));
--- a/crates/dotterelrudder_daemon/src/gateway/takeover.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/takeover.rs
@@ -133,7 +133,8 @@
         let now = self.now();
         let query = self.placement_query(request, log);
         let need = capacity_request(request, &query, log);
-        self.may_skip_queue(now, query.service, &need)
+        !self.gateway().is_suspect(now, request.traits())
+            && self.may_skip_queue(now, query.service, &need)
             && self.gateway().has_room_for(now, &query)
             && self.may_repeat(query.service)
     }
@@ -218,7 +219,8 @@
         let is_sent = failure.kind != FailureKind::NotSent;
         let most = request.admission.route.max_runners.max(1) as usize;
         let service = &request.admission.service;
-        let may_go_on = !is_sent || self.may_repeat_after(&failure, service);
+        let is_suspect = self.gateway().is_suspect(self.now(), request.traits());
+        let may_go_on = !is_sent || !is_suspect && self.may_repeat_after(&failure, service);
         if log.may_have_run < most && may_go_on {
             log.notes.push(failure.reason);
             log.broke_off_at = Some(self.now());
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -191,6 +191,12 @@
         runner.is_some_and(|r| r.may_be_unreachable(now))
     }
 
+    /// Returns whether a runner is known to leave.
+    pub fn is_leaving(&self, runner: RunnerKey) -> bool {
+        let runner = self.runners.get(runner);
+        runner.is_some_and(|r| r.record.leaving)
+    }
+
     /// Returns the number of runners in each condition.
     pub fn count_runners(
         &self,
