--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -1,8 +1,9 @@
 //! A small HTTP/1.1 server and client on blocking sockets, for stand-ins.
 
 use std::io::{BufRead, BufReader, Error, ErrorKind, Read, Result, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// The largest body that is read, in bytes.
@@ -105,32 +106,70 @@
     tcp.write_all(&bytes)
 }
 
+/// The interval at which a server looks for new connections and for its end.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+
+/// A running server; clones share it.
+#[derive(Clone, Default)]
+pub struct Server {
+    is_ended: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    /// Ends the server as a process that ends: its connections close, and its port refuses new ones.
+    pub fn end(&self) {
+        self.is_ended.store(true, Ordering::SeqCst);
+        std::thread::sleep(ACCEPT_INTERVAL * 5);
+        let connections = self.connections.lock().unwrap_or_else(|e| e.into_inner());
+        for tcp in connections.iter() {
+            // It may have been closed before.
+            let _closed = tcp.shutdown(Shutdown::Both).is_err();
+        }
+    }
+}
+
 /// Serves requests, each connection in a thread of its own. The connection ends when the handler
 /// returns no response.
-pub fn serve<H>(address: SocketAddr, handler: H) -> Result<()>
+pub fn serve<H>(address: SocketAddr, handler: H) -> Result<Server>
 where
     H: Fn(&Request) -> Option<Response> + Send + Sync + 'static,
 {
     let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
     let handler = Arc::new(handler);
+    let server = Server::default();
+    let accepting = server.clone();
     std::thread::spawn(move || {
-        for tcp in listener.incoming().flatten() {
+        while !accepting.is_ended.load(Ordering::SeqCst) {
+            let Ok((tcp, _)) = listener.accept() else {
+                std::thread::sleep(ACCEPT_INTERVAL);
+                continue;
+            };
+            let Ok(shared) = tcp.set_nonblocking(false).and_then(|()| tcp.try_clone()) else {
+                continue;
+            };
+            let mut connections = accepting.connections.lock().unwrap_or_else(|e| e.into_inner());
+            connections.push(shared);
+            drop(connections);
             let handler = handler.clone();
             std::thread::spawn(move || {
                 // A broken connection ends its thread alone.
-                let _ended = serve_connection(tcp, &*handler).is_err();
+                let _ended = serve_connection(&tcp, &*handler).is_err();
+                let _closed = tcp.shutdown(Shutdown::Both).is_err();
             });
         }
     });
-    Ok(())
+    Ok(server)
 }
 
-fn serve_connection<H>(mut tcp: TcpStream, handler: &H) -> Result<()>
+fn serve_connection<H>(tcp: &TcpStream, handler: &H) -> Result<()>
 where
     H: Fn(&Request) -> Option<Response>,
 {
     tcp.set_nodelay(true)?;
     let mut reader = BufReader::new(tcp.try_clone()?);
+    let mut tcp = tcp.try_clone()?;
     while let Some((first, headers)) = read_head(&mut reader)? {
         let mut words = first.split(' ').map(str::to_owned);
         let (method, path) = (words.next(), words.next());
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -4,7 +4,10 @@
 //! in the environment it does the same without the disruption.
 
 mod deployment;
+mod frozen_voter;
 mod http;
+mod last_tenant;
+mod leaving;
 mod plain_runner;
 mod refused;
 
@@ -53,6 +56,9 @@
     });
     record.line(&format!("case {case}, trouble {trouble}"));
     let result = match case.as_str() {
+        "frozen-voter" => frozen_voter::run(record.clone(), trouble),
+        "last-tenant" => last_tenant::run(record.clone(), trouble),
+        "leaving" => leaving::run(record.clone(), trouble),
         "refused" => refused::run(record.clone(), trouble),
         _ => Ok(Verdict::CouldNotRun("the case is unknown".into())),
     };
--- a/review/rig/plain_runner.rs
+++ b/review/rig/plain_runner.rs
@@ -5,7 +5,10 @@
 use std::sync::{Arc, Mutex};
 
 use crate::deployment::{lock, wait, Record};
-use crate::http::{serve, Headers, Request, Response};
+use crate::http::{serve, Headers, Request, Response, Server};
+
+/// How long a request takes, in seconds, as the site's sheet has it.
+pub const WORK_S: f64 = 0.015;
 
 /// How a server treats requests now.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -28,23 +31,36 @@
     /// When requests arrived that name this server, with their ids.
     pub arrivals: Arc<Mutex<Vec<(f64, String)>>>,
     pub work_s: f64,
+    server: Server,
 }
 
 impl PlainRunner {
-    pub fn start(id: &str, address: SocketAddr, record: Record) -> std::io::Result<Self> {
-        let runner = Self {
+    pub fn start(
+        id: &str,
+        address: SocketAddr,
+        work_s: f64,
+        record: Record,
+    ) -> std::io::Result<Self> {
+        let mut runner = Self {
             id: id.into(),
             record,
             mood: Arc::new(Mutex::new(Mood::Well)),
             runs: Arc::default(),
             arrivals: Arc::default(),
-            work_s: 0.015,
+            work_s,
+            server: Server::default(),
         };
         let serving = runner.clone();
-        serve(address, move |request| Some(serving.answer(request)))?;
+        runner.server = serve(address, move |request| Some(serving.answer(request)))?;
         Ok(runner)
     }
 
+    /// Ends the server; what it runs at that moment is not answered.
+    pub fn end(&self) {
+        self.record.line(&format!("server {} ends", self.id));
+        self.server.end();
+    }
+
     pub fn set_mood(&self, mood: Mood) {
         *lock(&self.mood) = mood;
         self.record.line(&format!("server {} is now {mood:?}", self.id));
--- a/review/rig/refused.rs
+++ b/review/rig/refused.rs
@@ -5,7 +5,7 @@
 
 use crate::deployment::{configuration, lock, wait, Deployment, Record, Route, HOST, KEY};
 use crate::http::call;
-use crate::plain_runner::{Mood, PlainRunner};
+use crate::plain_runner::{Mood, PlainRunner, WORK_S};
 use crate::Verdict;
 
 const ENTRIES: u8 = 2;
@@ -25,7 +25,7 @@
     for n in 0..SERVERS {
         let id = format!("i-desk-{n}");
         let address = deployment.runner(n);
-        servers.push(PlainRunner::start(&id, address, record.clone())?);
+        servers.push(PlainRunner::start(&id, address, WORK_S, record.clone())?);
         deployment.add_listed(&id, "desk", address);
     }
     for n in 0..3 {
