--- a/review/rig/deployment.rs
+++ b/review/rig/deployment.rs
@@ -66,6 +66,8 @@
     pub id: String,
     pub service: &'static str,
     pub address: SocketAddr,
+    /// The model of a model runner.
+    pub model: Option<&'static str>,
     pub is_leaving: bool,
 }
 
@@ -84,11 +86,15 @@
         let entries = lock(&self.entries);
         let rows = entries.iter().map(|e| {
             let state = if e.is_leaving { "draining" } else { "ready" };
+            let model = e.model.map(|m| format!("{{\"name\":\"{m}\",\"version\":1,\"adapters\":[]}}"));
             format!(
                 "{{\"id\":\"{}\",\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"z\",\
                  \"version\":\"v1\",\"slots\":6,\"state\":\"{state}\",\"coldLeftMs\":0,\
-                 \"stage\":\"unified\",\"models\":[],\"born\":1700000000000}}",
-                e.id, e.service, e.address
+                 \"stage\":\"unified\",\"models\":[{}],\"born\":1700000000000}}",
+                e.id,
+                e.service,
+                e.address,
+                model.unwrap_or_default()
             )
         });
         let rows = rows.collect::<Vec<_>>().join(",");
@@ -177,10 +183,32 @@
 
     /// Adds a backend server to the platform's list.
     pub fn add_listed(&self, id: &str, service: &'static str, address: SocketAddr) {
+        self.add(id, service, address, None);
+    }
+
+    /// Adds a model runner to the platform's list.
+    pub fn add_listed_engine(
+        &self,
+        id: &str,
+        service: &'static str,
+        address: SocketAddr,
+        model: &'static str,
+    ) {
+        self.add(id, service, address, Some(model));
+    }
+
+    fn add(
+        &self,
+        id: &str,
+        service: &'static str,
+        address: SocketAddr,
+        model: Option<&'static str>,
+    ) {
         lock(&self.list.entries).push(Listed {
             id: id.into(),
             service,
             address,
+            model,
             is_leaving: false,
         });
     }
--- a/review/rig/leaving.rs
+++ b/review/rig/leaving.rs
@@ -133,7 +133,8 @@
          reached it were lost",
         sent.len()
     );
-    if served < 100 || (0..ENTRIES).all(|e| !reached.iter().any(|r| r.entry == e && r.says_leaving)) {
+    let is_told = reached.iter().any(|r| r.says_leaving);
+    if served < 100 || trouble && !is_told {
         return Ok(Verdict::CouldNotRun(text));
     }
     Ok(Verdict::of(late > 0, text))
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -4,8 +4,11 @@
 //! in the environment it does the same without the disruption.
 
 mod deployment;
+mod first_start;
 mod frozen_voter;
 mod http;
+mod isolation;
+mod large_changes;
 mod last_tenant;
 mod leaving;
 mod plain_runner;
@@ -59,6 +62,9 @@
         "frozen-voter" => frozen_voter::run(record.clone(), trouble),
         "last-tenant" => last_tenant::run(record.clone(), trouble),
         "leaving" => leaving::run(record.clone(), trouble),
+        "first-start" => first_start::run(record.clone(), trouble),
+        "isolation" => isolation::run(record.clone(), trouble),
+        "large-changes" => large_changes::run(record.clone(), trouble),
         "refused" => refused::run(record.clone(), trouble),
         _ => Ok(Verdict::CouldNotRun("the case is unknown".into())),
     };
