--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # deploy file and review/build.sh. TROUBLE=0 leaves the disruption out.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
-exec target/review/rig last-tenant "$folder/record.txt"
+exec target/review/rig silent-runner "$folder/record.txt"
--- a/review/rig/deployment.rs
+++ b/review/rig/deployment.rs
@@ -253,6 +253,18 @@
         self.start(&name, "entry", &(self.common(&name) + &own))
     }
 
+    /// Starts the side beside a model runner as `deploy/side.toml.template` sets it up.
+    pub fn start_side(&self, n: u8) -> std::io::Result<()> {
+        let name = format!("side-{n}");
+        let own = format!(
+            "admin = \"{}:{}\"\nrunner = \"{}\"\n",
+            ip(self.net, 4, n),
+            self.ports.admin,
+            self.runner(n)
+        );
+        self.start(&name, "side", &(self.common(&name) + &own))
+    }
+
     fn start(&self, name: &str, role: &str, settings: &str) -> std::io::Result<()> {
         let path = self.folder.join(format!("{name}.toml"));
         std::fs::write(&path, settings)?;
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -44,7 +44,7 @@
     }
 }
 
-fn read_head(reader: &mut BufReader<TcpStream>) -> Result<Option<(String, Headers)>> {
+pub fn read_head(reader: &mut BufReader<TcpStream>) -> Result<Option<(String, Headers)>> {
     let mut first = String::new();
     if reader.read_line(&mut first)? == 0 {
         return Ok(None);
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod plain_runner;
 mod refused;
+mod silent_runner;
 
 use std::process::exit;
 use std::time::Duration;
@@ -65,6 +66,7 @@
         "first-start" => first_start::run(record.clone(), trouble),
         "isolation" => isolation::run(record.clone(), trouble),
         "large-changes" => large_changes::run(record.clone(), trouble),
+        "silent-runner" => silent_runner::run(record.clone(), trouble),
         "refused" => refused::run(record.clone(), trouble),
         _ => Ok(Verdict::CouldNotRun("the case is unknown".into())),
     };
