--- a/review/rig/leaving.rs
+++ b/review/rig/leaving.rs
@@ -61,7 +61,10 @@
     }
     wait(1.5);
     let sent: Arc<Mutex<HashMap<String, Sent>>> = Arc::default();
-    let (is_over, number) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(0)));
+    let (is_over, number) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicU32::new(0)),
+    );
     let callers = (0..CALLERS).map(|caller| {
         let (deployment, record, sent) = (deployment.clone(), record.clone(), sent.clone());
         let (is_over, number) = (is_over.clone(), number.clone());
@@ -121,9 +124,14 @@
         .collect();
     let mut late = 0;
     for entry in 0..ENTRIES {
-        let told = reached.iter().filter(|r| r.entry == entry && r.says_leaving);
+        let told = reached
+            .iter()
+            .filter(|r| r.entry == entry && r.says_leaving);
         let told = told.map(|r| r.at).fold(f64::MAX, f64::min);
-        late += reached.iter().filter(|r| r.entry == entry && r.at > told + DRAIN_S).count();
+        late += reached
+            .iter()
+            .filter(|r| r.entry == entry && r.at > told + DRAIN_S)
+            .count();
     }
     let cut = reached.iter().filter(|r| r.status != 200).count();
     let served = sent.values().filter(|r| r.status == 200).count();
--- a/review/rig/plain_runner.rs
+++ b/review/rig/plain_runner.rs
@@ -63,7 +63,8 @@
 
     pub fn set_mood(&self, mood: Mood) {
         *lock(&self.mood) = mood;
-        self.record.line(&format!("server {} is now {mood:?}", self.id));
+        self.record
+            .line(&format!("server {} is now {mood:?}", self.id));
     }
 
     fn answer(&self, request: &Request) -> Response {
