Add a replica again that was removed from the members while it was away

Callers saw: after a control instance had been frozen for 4 s beside a planned replacement, the next single loss left the deployment without a quorum. The configuration could not be read or changed, and requests with a key got 503.

Cause: the leader removes a voter that is silent for 3 s in favour of a waiting learner. The removed replica never receives the entry that removes it, since the leader sends entries to members only. Its own log names it as a member, so that it never asked to join. A removed replica that restarts is not confirmed either: it asks only the voters that its log names, and those may be gone.

Now a replica without contact to a leader for as long as a removal takes sends its join request; the leader ignores it from a member and adds anybody else as a learner. The replica keeps its identity, votes and entries, which are all still true. A restarted replica whose named voters did not confirm it within a second asks all listed peers; a leader with a valid lease and no change of members under way tells it that it is no member, and it joins under a new identity. That message is new and is sent to peers that know it only.

Ruled out: that the message of removal was lost on a link (nothing sends one), and that the start check finds the removal (it needs rejections by a majority of the old voters).

--- a/crates/dotterelrudder_control/src/control_core/bootstrap.rs
+++ b/crates/dotterelrudder_control/src/control_core/bootstrap.rs
@@ -12,16 +12,27 @@
 use crate::Recovered;
 use crate::ReplicatedState;
 
-/// Interval at which a replica that is not a member sends its join request.
+/// Interval at which a replica that is not a member, or may not be one, asks its peers.
 const JOIN_INTERVAL: Duration = Duration::from_millis(300);
 
 impl ControlCore {
+    /// Asks all peers to be added to the members if this replica's log does not name it, or if it may
+    /// have been removed while it was frozen or cut off. A leader ignores the request of a member. A
+    /// replica whose disk is not confirmed sends its start check instead.
     pub(super) fn join_if_needed(&mut self, now: Duration, out: &mut Vec<Output>) {
         let known = self.raft.members().iter().any(|m| m.id == self.raft.id());
-        if known || now < self.next_join_at {
+        let start_check = self.raft.overdue_start_check(now);
+        let may_be_removed = start_check.is_some() || self.raft.may_have_been_removed(now);
+        if known && !may_be_removed || now < self.next_join_at {
             return;
         }
         self.next_join_at = now + JOIN_INTERVAL;
+        if let Some(start_check) = start_check {
+            for peer in self.settings.peers.clone() {
+                self.send_raft(peer, 0, start_check.clone(), out);
+            }
+            return;
+        }
         let instance = self.settings.name.clone();
         let member = Member {
             id: self.raft.id(),
--- a/crates/dotterelrudder_control/src/raft/boot.rs
+++ b/crates/dotterelrudder_control/src/raft/boot.rs
@@ -16,6 +16,8 @@
 
 /// The interval at which the start check is sent again until a quorum confirmed it.
 const BOOT_RESEND_INTERVAL: Duration = Duration::from_millis(200);
+/// How long the voters that the log names have to answer the start check before all peers are asked.
+const NAMED_VOTERS_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl Raft {
     /// Confirms the disk without a check if there is no other voter that could confirm it.
@@ -57,9 +59,37 @@
         }
     }
 
+    /// Returns the start check for peers that the log may not name, if the voters that it names did
+    /// not confirm the disk in time: they may all have been replaced while this replica was away.
+    pub fn overdue_start_check(&self, now: Duration) -> Option<RaftMessage> {
+        let is_start_synced = self.persist_sequence <= self.synced_sequence;
+        let is_overdue = now.saturating_sub(self.started_at) > NAMED_VOTERS_TIMEOUT;
+        (!self.confirmed && is_start_synced && is_overdue).then(|| RaftMessage::Boot {
+            boot: self.boot,
+            nonce: self.boot_nonce,
+            last_index: self.log.last_index(),
+        })
+    }
+
+    /// Abandons the identity if the disk is not confirmed: a leader's committed members exclude this
+    /// replica, so that no quorum needs what the disk holds. A confirmed replica keeps its disk and
+    /// asks to join again.
+    pub(super) fn on_not_member(&mut self) {
+        if !self.confirmed && !self.members.is_empty() {
+            self.out.push(RaftOutput::IdentityLost);
+        }
+    }
+
     /// Answers the start check of a peer, and records its start unless the check shows a rollback.
     /// A repeated check with the same nonce is not taken for a rollback.
-    pub(super) fn on_boot(&mut self, from: u64, boot: u64, nonce: u64, last_index: u64) {
+    pub(super) fn on_boot(
+        &mut self,
+        from: u64,
+        boot: u64,
+        nonce: u64,
+        last_index: u64,
+        now: Duration,
+    ) {
         let known = self.peer_boots.get(&from).copied().unwrap_or((0, 0));
         let is_repeated = known == (boot, nonce);
         let known_boot = if is_repeated { boot - 1 } else { known.0 };
@@ -67,7 +97,7 @@
             RaftRole::Leader { progress, .. } => progress.get(&from).map_or(0, |p| p.match_index),
             _ => 0,
         };
-        if boot > known_boot && last_index >= known_index {
+        if !is_repeated && boot > known_boot && last_index >= known_index {
             self.peer_boots.insert(from, (boot, nonce));
             self.persist(Record::PeerBoot {
                 id: from,
@@ -85,6 +115,9 @@
                 member,
             },
         );
+        if !member && self.holds_leader_lease(now) && !self.membership_change_in_flight() {
+            self.send(from, RaftMessage::NotMember);
+        }
     }
 
     pub(super) fn on_boot_reply(
--- a/crates/dotterelrudder_control/src/raft/membership.rs
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -14,7 +14,7 @@
 
 /// How long the leader must be without contact to a voter before it removes the voter in favour of
 /// a learner. Longer than a restart, so that a restarting voter keeps its vote.
-const LOST_VOTER_TIMEOUT: Duration = Duration::from_secs(3);
+pub(super) const LOST_VOTER_TIMEOUT: Duration = Duration::from_secs(3);
 
 impl Raft {
     pub(super) fn is_voter(&self, id: u64) -> bool {
@@ -90,7 +90,7 @@
 
     /// Returns whether a new membership change has to wait: until an entry of the leader's own term
     /// and the last membership entry are committed.
-    fn membership_change_in_flight(&self) -> bool {
+    pub(super) fn membership_change_in_flight(&self) -> bool {
         let uncommitted = self.log.entries().iter().filter(|e| e.index > self.commit);
         let own_term_committed = self.log.term_at(self.commit) == Some(self.term);
         !own_term_committed
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -29,6 +29,7 @@
 use crate::Record;
 use crate::Recovered;
 use log::Log;
+use membership::LOST_VOTER_TIMEOUT;
 use progress::Progress;
 pub use timing::RaftTiming;
 
@@ -116,6 +117,7 @@
     peer_boots: BTreeMap<u64, (u64, u64)>,
     incoming_snapshot: Vec<u8>,
     target_voters: Option<usize>,
+    started_at: Duration,
     out: Vec<RaftOutput>,
 }
 
@@ -156,6 +158,7 @@
             peer_boots: recovered.peer_boots,
             incoming_snapshot: Vec::new(),
             target_voters: None,
+            started_at: now,
             out: Vec::new(),
         };
         raft.recompute_members();
@@ -267,6 +270,14 @@
         self.leader.is_some() && caught_up && contact_age.is_some_and(|age| age < self.timing.lease)
     }
 
+    /// Returns whether this replica has heard from no leader for so long that it may have been
+    /// removed from the members without receiving the entry that removed it.
+    pub fn may_have_been_removed(&self, now: Duration) -> bool {
+        let last_contact = self.last_leader_contact.unwrap_or(self.started_at);
+        let is_silent = now.saturating_sub(last_contact) > LOST_VOTER_TIMEOUT;
+        self.confirmed && !self.is_leader() && is_silent
+    }
+
     /// Returns the outputs gathered since the last call, and clears them.
     pub fn take_outputs(&mut self) -> Vec<RaftOutput> {
         std::mem::take(&mut self.out)
@@ -342,8 +353,9 @@
                 nonce,
                 last_index,
             } => {
-                self.on_boot(from, boot, nonce, last_index);
+                self.on_boot(from, boot, nonce, last_index, now);
             }
+            RaftMessage::NotMember => self.on_not_member(),
             RaftMessage::BootReply {
                 boot,
                 known_boot,
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -282,6 +282,7 @@
             | Self::StreamOrigins(_)
             | Self::OriginQuery { .. }
             | Self::OriginReply { .. } => 1,
+            Self::Raft { message, .. } if matches!(**message, RaftMessage::NotMember) => 2,
             _ => 0,
         }
     }
--- a/crates/dotterelrudder_wire/src/raft_message.rs
+++ b/crates/dotterelrudder_wire/src/raft_message.rs
@@ -123,9 +123,12 @@
         /// Whether the replying replica belongs to no deployment either.
         empty: bool,
     },
-    /// Requests that the sender be added as a learner under a new identity.
+    /// Requests that the sender be added as a learner.
     Join {
         /// The replica to add, with the instance that runs it.
         member: crate::Member,
     },
+    /// Informs a replica that announced a start that the committed members exclude it. Only a leader
+    /// that holds its lease sends this.
+    NotMember,
 }
--- a/crates/dotterelrudder_wire/tests/last_release.rs
+++ b/crates/dotterelrudder_wire/tests/last_release.rs
@@ -16,6 +16,7 @@
 use dotterelrudder_wire::PartBlock;
 use dotterelrudder_wire::PartReport;
 use dotterelrudder_wire::PartVerdicts;
+use dotterelrudder_wire::RaftMessage;
 use dotterelrudder_wire::RunnerDemand;
 use dotterelrudder_wire::RunnerLoss;
 use dotterelrudder_wire::RunnerRecord;
@@ -167,7 +168,7 @@
 
 #[test]
 fn messages_that_the_last_release_does_not_know_are_marked_as_such() {
-    let new = [
+    let of_set_one = [
         Message::PartReport(PartReport::default()),
         Message::PartVerdicts(PartVerdicts::default().into()),
         Message::RunnerSoftware(RunnerSoftware::default()),
@@ -181,7 +182,13 @@
             origin: None,
         },
     ];
-    for message in new {
-        assert_eq!(message.message_set(), MESSAGE_SET, "{message:?}");
+    for message in of_set_one {
+        assert_eq!(message.message_set(), 1, "{message:?}");
     }
+    let of_set_two = Message::Raft {
+        from: 1,
+        to: 2,
+        message: Box::new(RaftMessage::NotMember),
+    };
+    assert_eq!(of_set_two.message_set(), MESSAGE_SET);
 }
