Keep the number of voters after a replica took a new identity

Cause: `take_new_identity` made the replica anew without the number of voters of its settings. When it later led, it let every learner vote, so that instances that had left for good stayed among five voters and the next loss ended the quorum.

Evidence: the drawn schedules of freezes, kills, lost disks, cuts and planned replacements, one loss at a time.

--- a/crates/dotterelrudder_control/src/control_core/bootstrap.rs
+++ b/crates/dotterelrudder_control/src/control_core/bootstrap.rs
@@ -102,6 +102,7 @@
             records: Vec::new(),
         });
         self.raft.confirm_as_new();
+        self.raft.set_voters(self.settings.voters);
         self.state = ReplicatedState::default();
         out.push(Output::NewIdentity { old, new });
     }
--- a/crates/dotterelrudder_control/tests/removed_voters.rs
+++ b/crates/dotterelrudder_control/tests/removed_voters.rs
@@ -12,6 +12,10 @@
 use dotterelrudder_control::RaftTiming;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::Message;
+use rand::seq::IndexedRandom;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 const TARGET_VOTERS: usize = 3;
 const TICK: Duration = Duration::from_millis(20);
@@ -194,6 +198,13 @@
         self.list_peers();
     }
 
+    fn cut_off(&mut self, of: &InstanceName) {
+        for other in self.peers_of(of) {
+            self.cut.insert((of.clone(), other.clone()));
+            self.cut.insert((other, of.clone()));
+        }
+    }
+
     fn leader(&self) -> Option<&ControlCore> {
         let running = self.instances.values().filter(|i| !i.frozen);
         let mut cores = running.filter_map(|i| i.core.as_ref());
@@ -295,3 +306,67 @@
         cluster.describe()
     );
 }
+
+/// One loss at a time, with time to catch up after each: the instances left always elect a leader.
+fn walk(seed: u64) -> Result<(), String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut cluster = Cluster::new();
+    let mut history = Vec::new();
+    for _ in 0..8 {
+        let names: Vec<InstanceName> = cluster.instances.keys().cloned().collect();
+        let chosen = names.choose(&mut rng).expect("instances").clone();
+        let pause = Duration::from_millis(rng.random_range(500..8_000));
+        let kind = rng.random_range(0..6);
+        history.push(format!("{kind} {chosen} {pause:?}"));
+        let successor = rng.random_bool(0.5).then(|| cluster.add());
+        if successor.is_some() {
+            cluster.run(CATCH_UP);
+        }
+        match kind {
+            0 | 1 => cluster.freeze(&chosen, true),
+            2 => cluster.kill(&chosen),
+            3 => {
+                cluster.kill(&chosen);
+                cluster.instances.get_mut(&chosen).expect("it").disk.clear();
+            }
+            4 => cluster.cut_off(&chosen),
+            _ => {}
+        }
+        cluster.run(pause);
+        let is_live = cluster.leader().is_some() || pause < CONTACT;
+        match kind {
+            0 | 1 => cluster.freeze(&chosen, false),
+            2 | 3 => cluster.start(&chosen),
+            4 => cluster.cut.clear(),
+            _ => {}
+        }
+        cluster.run(CATCH_UP);
+        // A planned replacement ends with the stop of the instance that is replaced.
+        if let Some(successor) = &successor {
+            let leaving = cluster.others_than(&[&chosen, successor]);
+            let leaving = leaving.choose(&mut rng).expect("another").clone();
+            history.push(format!("leaves {leaving}"));
+            cluster.remove(&leaving);
+            cluster.run(CATCH_UP + CONTACT);
+        }
+        if !is_live || cluster.leader().is_none() {
+            return Err(format!(
+                "seed {seed}: no leader after {history:?}\n{}",
+                cluster.describe()
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Freezes, cuts, restarts, lost disks and planned replacements, one at a time, leave a quorum.
+#[test]
+fn single_losses_beside_replacements_end_the_quorum() {
+    let seeds = std::env::var("WALK_SEEDS")
+        .ok()
+        .and_then(|s| s.parse().ok());
+    let failed: Vec<String> = (0..seeds.unwrap_or(60))
+        .filter_map(|seed| walk(seed).err())
+        .collect();
+    assert!(failed.is_empty(), "{} failed, {}", failed.len(), failed[0]);
+}
