Remove no voter in favour of a learner that is out of contact

Cause: a learner counted as caught up by its last acknowledged index alone. A learner that had left after that still was the reason to remove a voter that was frozen for 3 s, and could not take its place: two voters were left, and the next loss ended the quorum.

The learner has to have answered within the time after which a voter counts as lost. The test failed before: the frozen voter was removed.

--- a/crates/dotterelrudder_control/src/raft/membership.rs
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -144,9 +144,9 @@
     }
 
     /// Proposes the next membership change, if any, for a learner that has synced all committed
-    /// entries. If the learner's instance has another member, which is the identity that it lost
-    /// with its disk, that member is removed first; the learner becomes a voter afterwards. If
-    /// enough replicas vote already, the learner has to wait for a lost voter.
+    /// entries and is in contact. If the learner's instance has another member, which is the identity
+    /// that it lost with its disk, that member is removed first; the learner becomes a voter
+    /// afterwards. If enough replicas vote already, the learner has to wait for a lost voter.
     pub(super) fn tick_membership(&mut self, now: Duration) {
         if self.membership_change_in_flight() {
             return;
@@ -155,8 +155,10 @@
             return;
         };
         let caught_up = self.members.iter().find(|m| {
-            let match_index = progress.get(&m.id).map_or(0, |p| p.match_index);
-            !m.voter && match_index >= self.commit
+            let is_current = |p: &Progress| {
+                p.match_index >= self.commit && now <= p.last_contact + LOST_VOTER_TIMEOUT
+            };
+            !m.voter && progress.get(&m.id).is_some_and(is_current)
         });
         let Some(learner) = caught_up.cloned() else {
             return;
--- a/crates/dotterelrudder_control/tests/removed_voters.rs
+++ b/crates/dotterelrudder_control/tests/removed_voters.rs
@@ -307,6 +307,20 @@
     );
 }
 
+/// A voter that is frozen is not removed in favour of a learner that has stopped.
+#[test]
+fn a_frozen_voter_is_removed_for_a_learner_that_is_gone() {
+    let mut cluster = Cluster::new();
+    let learner = cluster.add();
+    cluster.run(CATCH_UP);
+    cluster.remove(&learner);
+    cluster.run(LOST_VOTER + CONTACT);
+    let paused = cluster.follower();
+    cluster.freeze(&paused, true);
+    cluster.run(CATCH_UP);
+    assert!(cluster.voters().contains(&paused), "{}", cluster.describe());
+}
+
 /// One loss at a time, with time to catch up after each: the instances left always elect a leader.
 fn walk(seed: u64) -> Result<(), String> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
