Let a reader accept every frame that a sender may send, and bound entries by bytes

Callers saw: a control instance that missed about 20 changes of 1,060 routes never caught up. After the next loss, which the deployment tolerates, the configuration could not be read or changed, and requests with a key got 503.

Cause: the limit of bincode counts the sizes of the decoded values when it reads, and the bytes written when it writes. Both were 8 MiB, so that a frame of 20 changes was written and then refused by its reader, which closed the link; the leader sent the same entries again. Entries were bounded by their number (64) alone: with more large ones the frame was dropped by its sender with a log line.

- The reader's limit is eight times the frame, the widest ratio of decoded to encoded size.
A declared length beyond it is still refused before memory is allocated.
- A change that no frame can hold is refused as too large; it was logged and could never be sent.
- A message that can't be sent is logged with its kind and peer, and counted with frames that can't be read as `dotterelrudder_frame_errors`.

The tests failed before: "entries: frame body is not a message of this protocol version, 8388606 bytes", and frames of 10,801,027 and 8,388,660 bytes that could not be encoded.

--- a/crates/dotterelrudder_control/src/control_core/proposing.rs
+++ b/crates/dotterelrudder_control/src/control_core/proposing.rs
@@ -5,9 +5,11 @@
 
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
+use dotterelrudder_wire::encoded_size;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::CommandResult;
 use dotterelrudder_wire::Message;
+use dotterelrudder_wire::MAX_ENTRY_BYTES;
 
 use super::ControlCore;
 use crate::Origin;
@@ -21,6 +23,15 @@
         now: Duration,
         out: &mut Vec<Output>,
     ) {
+        let size = encoded_size(&command);
+        if size > MAX_ENTRY_BYTES {
+            let detail = format!(
+                "the change of {size} bytes exceeds the {MAX_ENTRY_BYTES} bytes that can be replicated"
+            );
+            let refusal = Refusal::new(ErrorKind::TooLarge, detail);
+            self.answer(origin, CommandResult::Refused(refusal), out);
+            return;
+        }
         self.stamp_wall_clock(&mut command);
         if self.raft.is_leader() {
             if let Some(position) = self.raft.propose(command, now) {
--- a/crates/dotterelrudder_control/src/raft/log.rs
+++ b/crates/dotterelrudder_control/src/raft/log.rs
@@ -1,5 +1,6 @@
 //! The replicated log in memory: the last snapshot and the entries after it.
 
+use dotterelrudder_wire::encoded_size;
 use dotterelrudder_wire::LogEntry;
 
 /// The last snapshot and the entries after it, without gaps.
@@ -9,6 +10,8 @@
     snapshot_term: u64,
     snapshot_data: Vec<u8>,
     entries: Vec<LogEntry>,
+    /// The encoded sizes of the entries, in bytes.
+    sizes: Vec<usize>,
 }
 
 impl Log {
@@ -17,6 +20,7 @@
             snapshot_index: index,
             snapshot_term: term,
             snapshot_data: data,
+            sizes: entries.iter().map(encoded_size).collect(),
             entries,
         }
     }
@@ -59,30 +63,42 @@
         &self.entries
     }
 
-    /// Returns at most `limit` entries from `index` on; none if the snapshot covers `index`.
-    pub(super) fn entries_from(&self, index: u64, limit: usize) -> Vec<LogEntry> {
+    /// Returns at most `max_entries` entries from `index` on, whose encoded sizes add up to at most
+    /// `max_bytes`, or a single larger one; none if the snapshot covers `index`.
+    pub(super) fn entries_from(
+        &self,
+        index: u64,
+        max_entries: usize,
+        max_bytes: usize,
+    ) -> Vec<LogEntry> {
         let Some(offset) = index.checked_sub(self.snapshot_index + 1) else {
             return Vec::new();
         };
-        self.entries
-            .iter()
-            .skip(offset as usize)
-            .take(limit)
-            .cloned()
-            .collect()
+        let mut total = 0;
+        let entries = self.entries.iter().zip(&self.sizes);
+        let batch = entries.skip(offset as usize).take(max_entries);
+        let within_limit = batch.enumerate().take_while(|(n, (_, size))| {
+            total += **size;
+            *n == 0 || total <= max_bytes
+        });
+        within_limit.map(|(_, (entry, _))| entry.clone()).collect()
     }
 
     pub(super) fn append(&mut self, entry: LogEntry) {
+        self.sizes.push(encoded_size(&entry));
         self.entries.push(entry);
     }
 
     pub(super) fn truncate_from(&mut self, index: u64) {
         self.entries.retain(|e| e.index < index);
+        self.sizes.truncate(self.entries.len());
     }
 
     /// Drops the entries up to `index`, which the snapshot `data` covers.
     pub(super) fn compact(&mut self, index: u64, term: u64, data: Vec<u8>) {
         self.entries.retain(|e| e.index > index);
+        let covered = self.sizes.len() - self.entries.len();
+        self.sizes.drain(..covered);
         self.snapshot_index = index;
         self.snapshot_term = term;
         self.snapshot_data = data;
--- a/crates/dotterelrudder_control/src/raft/replication.rs
+++ b/crates/dotterelrudder_control/src/raft/replication.rs
@@ -12,6 +12,10 @@
 
 /// The most entries in one append message.
 const MAX_ENTRIES_PER_APPEND: usize = 64;
+/// The most bytes of entries in one append message; a larger entry is sent alone. Followers of the
+/// last release read a frame only if its decoded values take up at most 8 MiB, and values take up at
+/// most eight times the bytes that they are decoded from.
+const MAX_APPEND_BYTES: usize = 768 * 1024;
 /// The most bytes of a snapshot in one message.
 const SNAPSHOT_CHUNK_BYTES: usize = 1024 * 1024;
 /// How long the leader waits for the acknowledgement of a snapshot before it sends it again.
@@ -89,9 +93,9 @@
         let Some(prev_term) = self.log.term_at(prev_index) else {
             return;
         };
-        let entries = self
-            .log
-            .entries_from(peer.next_index, MAX_ENTRIES_PER_APPEND);
+        let entries =
+            self.log
+                .entries_from(peer.next_index, MAX_ENTRIES_PER_APPEND, MAX_APPEND_BYTES);
         if entries.is_empty() && !heartbeat {
             return;
         }
--- a/crates/dotterelrudder_daemon/src/control/actor.rs
+++ b/crates/dotterelrudder_daemon/src/control/actor.rs
@@ -131,7 +131,9 @@
         let now = state.clock.now();
         match message {
             ControlMessage::Tick => {
-                state.metrics.set_links(state.hub.open_links());
+                state
+                    .metrics
+                    .set_links(state.hub.open_links(), state.hub.frame_errors());
                 let at_ms = wall_ms(&state.clock);
                 state.handle_input(Input::WallClock { at_ms });
                 state.handle_input(Input::Tick);
--- a/crates/dotterelrudder_daemon/src/entry/actor.rs
+++ b/crates/dotterelrudder_daemon/src/entry/actor.rs
@@ -92,7 +92,9 @@
     ) -> Result<(), ActorProcessingErr> {
         let input = match message {
             EntryMessage::Tick => {
-                state.metrics.set_links(state.hub.open_links());
+                state
+                    .metrics
+                    .set_links(state.hub.open_links(), state.hub.frame_errors());
                 state.metrics.set_open(state.core.open_requests());
                 Input::Tick
             }
--- a/crates/dotterelrudder_daemon/src/link/connection.rs
+++ b/crates/dotterelrudder_daemon/src/link/connection.rs
@@ -146,7 +146,7 @@
         peer_message_set,
     } = channel;
     let ended = tokio::select! {
-        e = write_messages(hub, tx, messages, peer_message_set) => e,
+        e = write_messages(hub, &peer.name, tx, messages, peer_message_set) => e,
         e = read_messages(hub, &peer.name, connection_id, rx, decoder, &pending_replies) => e,
         e = check_liveness(ping, &pending_replies) => e,
     };
@@ -159,6 +159,7 @@
 /// peer can't decode are left out.
 async fn write_messages(
     hub: &LinkHub,
+    peer: &InstanceName,
     mut tx: SendStream<Bytes>,
     mut messages: UnboundedReceiver<Message>,
     peer_message_set: u32,
@@ -176,7 +177,9 @@
             }
             let envelope = Envelope { revision, message };
             if let Err(e) = encode_frame(&envelope, &mut buf) {
+                hub.count_frame_error();
                 warn!(hub.log(), "message dropped because it could not be encoded";
+                    "peer" => peer.as_str(), "message" => envelope.message.kind(),
                     "error" => e.to_string());
             }
         }
@@ -194,10 +197,10 @@
     pending_replies: &AtomicI32,
 ) -> Result<(), String> {
     loop {
-        while let Some(envelope) = decoder
-            .take_message::<Envelope>()
-            .map_err(|e| e.to_string())?
-        {
+        while let Some(envelope) = decoder.take_message::<Envelope>().map_err(|e| {
+            hub.count_frame_error();
+            e.to_string()
+        })? {
             let Envelope { revision, message } = envelope;
             let delta = message.waiting_delta();
             if delta < 0 {
--- a/crates/dotterelrudder_daemon/src/link/hub.rs
+++ b/crates/dotterelrudder_daemon/src/link/hub.rs
@@ -79,6 +79,8 @@
     /// Addresses and tasks of the processes that this one dials.
     dialers: Mutex<HashMap<InstanceName, (SocketAddr, tokio::task::AbortHandle)>>,
     next_connection_id: AtomicU64,
+    /// Messages that were dropped because no frame can hold them, and frames that could not be read.
+    frame_errors: AtomicU64,
     event_sink: EventSink,
     log: Logger,
 }
@@ -105,6 +107,7 @@
             links: Mutex::default(),
             dialers: Mutex::default(),
             next_connection_id: AtomicU64::new(1),
+            frame_errors: AtomicU64::new(0),
             event_sink: Box::new(event_sink),
             log,
         };
@@ -193,6 +196,17 @@
         lock(&self.shared.links).len()
     }
 
+    /// Counts a message that can't be sent in a frame, or a frame that can't be read.
+    pub(super) fn count_frame_error(&self) {
+        self.shared.frame_errors.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of messages that could not be sent in a frame and of frames that could not
+    /// be read, since the start.
+    pub fn frame_errors(&self) -> u64 {
+        self.shared.frame_errors.load(Ordering::Relaxed)
+    }
+
     /// Returns whether a connection to the peer is open.
     pub fn is_connected(&self, peer: &InstanceName) -> bool {
         lock(&self.shared.links).contains_key(peer)
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -56,6 +56,7 @@
     cached_tokens: Counter<u64>,
     prompt_tokens: Counter<u64>,
     open_links: Gauge<u64>,
+    frame_errors: Gauge<u64>,
     revision: Gauge<u64>,
     open_requests: Gauge<u64>,
     time_to_first_token: Histogram<f64>,
@@ -125,6 +126,7 @@
             cached_tokens: counter("dotterelrudder_cached_tokens"),
             prompt_tokens: counter("dotterelrudder_prompt_tokens"),
             open_links: gauge("dotterelrudder_open_links"),
+            frame_errors: gauge("dotterelrudder_frame_errors"),
             revision: gauge("dotterelrudder_revision"),
             open_requests: gauge("dotterelrudder_open_requests"),
             time_to_first_token: histogram(
@@ -265,7 +267,8 @@
     }
 
     /// Sets the number of open connections to other processes.
-    pub fn set_links(&self, open_links: usize) {
+    pub fn set_links(&self, open_links: usize, frame_errors: u64) {
+        self.frame_errors.record(frame_errors, &[]);
         self.open_links.record(open_links as u64, &[]);
     }
 
--- a/crates/dotterelrudder_daemon/src/side/actor.rs
+++ b/crates/dotterelrudder_daemon/src/side/actor.rs
@@ -99,7 +99,9 @@
     ) -> Result<(), ActorProcessingErr> {
         let input = match message {
             SideMessage::Tick => {
-                state.metrics.set_links(state.hub.open_links());
+                state
+                    .metrics
+                    .set_links(state.hub.open_links(), state.hub.frame_errors());
                 state.metrics.set_open(state.core.active_attempts());
                 Input::Tick
             }
--- a/crates/dotterelrudder_wire/src/frame.rs
+++ b/crates/dotterelrudder_wire/src/frame.rs
@@ -9,6 +9,14 @@
 /// The largest body of a frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 
+/// The largest size of a replicated change, in bytes: the rest of a frame is for the message around
+/// it.
+pub const MAX_ENTRY_BYTES: usize = MAX_FRAME_BYTES - 64 * 1024;
+
+/// The limit of the decoder, which counts the sizes of decoded values and not the bytes that they are
+/// read from. The widest ratio is that of a small integer of eight bytes, which is encoded in one.
+const MAX_DECODED_BYTES: usize = 8 * MAX_FRAME_BYTES;
+
 /// The size of the length prefix of a frame, in bytes.
 const LENGTH_BYTES: usize = 4;
 
@@ -17,8 +25,9 @@
 pub enum FrameError {
     /// The body exceeds [`MAX_FRAME_BYTES`]; holds the length of the body, in bytes.
     TooLarge(usize),
-    /// The body is not exactly one message of this protocol version.
-    Malformed,
+    /// The body is not exactly one message of this protocol version; holds the length of the body,
+    /// in bytes.
+    Malformed(usize),
 }
 
 impl std::fmt::Display for FrameError {
@@ -28,15 +37,45 @@
                 f,
                 "frame body of {n} bytes exceeds the limit of {MAX_FRAME_BYTES} bytes"
             ),
-            Self::Malformed => f.write_str("frame body is not a message of this protocol version"),
+            Self::Malformed(n) => write!(
+                f,
+                "frame body is not a message of this protocol version, {n} bytes"
+            ),
         }
     }
 }
 
 /// Returns the bincode settings of all frames. The limit makes the decoder reject a collection
-/// whose declared length exceeds the largest frame, before it allocates memory.
+/// whose declared length exceeds what the largest frame can hold, before it allocates memory. Every
+/// message that fits into a frame is within the limit.
 fn bincode_config() -> impl bincode::config::Config {
-    bincode::config::standard().with_limit::<MAX_FRAME_BYTES>()
+    bincode::config::standard().with_limit::<MAX_DECODED_BYTES>()
+}
+
+/// Counts written bytes and drops them.
+struct ByteCounter(usize);
+
+impl std::io::Write for ByteCounter {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Returns the size of a value in a frame, in bytes.
+pub fn encoded_size<T>(value: &T) -> usize
+where
+    T: Serialize,
+{
+    let mut counter = ByteCounter(0);
+    let config = bincode::config::standard();
+    bincode::serde::encode_into_std_write(value, &mut counter, config)
+        .expect("every type in a message can be encoded by bincode");
+    counter.0
 }
 
 /// Encodes a message and appends it to `buf` as one frame.
@@ -109,9 +148,9 @@
         self.buf.advance(LENGTH_BYTES);
         let frame = self.buf.split_to(body);
         let (message, used) = bincode::serde::decode_from_slice(&frame, bincode_config())
-            .map_err(|_| FrameError::Malformed)?;
+            .map_err(|_| FrameError::Malformed(body))?;
         if used != body {
-            return Err(FrameError::Malformed);
+            return Err(FrameError::Malformed(body));
         }
         Ok(Some(message))
     }
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -287,6 +287,15 @@
         }
     }
 
+    /// Returns the name of the message's variant, or of the variant of a nested [`RaftMessage`], for
+    /// logs.
+    pub fn kind(&self) -> String {
+        match self {
+            Self::Raft { message, .. } => variant_name(message),
+            _ => variant_name(self),
+        }
+    }
+
     /// Returns the change in the number of outstanding requests of a connection: 1 for a request
     /// that is sent, -1 for a reply that is received, 0 for all other messages. The number of
     /// outstanding requests decides how often the connection is probed for a peer that stopped
@@ -303,3 +312,24 @@
         }
     }
 }
+
+/// Returns the first word that `value` is formatted as, which is the name of an enum's variant.
+fn variant_name<T>(value: &T) -> String
+where
+    T: std::fmt::Debug,
+{
+    /// Takes one word and then fails, so that a large value isn't formatted as a whole.
+    struct FirstWord(String);
+    impl std::fmt::Write for FirstWord {
+        fn write_str(&mut self, text: &str) -> std::fmt::Result {
+            let word = text.split(|c: char| !c.is_alphanumeric()).next();
+            self.0.push_str(word.unwrap_or_default());
+            let is_whole = word.is_some_and(|word| word.len() < text.len());
+            (!is_whole).then_some(()).ok_or(std::fmt::Error)
+        }
+    }
+    let mut first = FirstWord(String::new());
+    // The error is how the formatting ends after the first word.
+    let _ended = std::fmt::write(&mut first, format_args!("{value:?}"));
+    first.0
+}
--- a/crates/dotterelrudder_wire/tests/frames.rs
+++ b/crates/dotterelrudder_wire/tests/frames.rs
@@ -2,6 +2,8 @@
 //! cause a panic, a hang or unbounded memory use, and messages must survive any split of the
 //! stream.
 
+use std::time::Duration;
+
 use bytes::BytesMut;
 use dotterelrudder_types::AttemptId;
 use dotterelrudder_types::BlockKey;
@@ -9,10 +11,21 @@
 use dotterelrudder_types::Tier;
 use dotterelrudder_wire::encode_frame;
 use dotterelrudder_wire::AnswerChunk;
+use dotterelrudder_wire::Command;
 use dotterelrudder_wire::Envelope;
 use dotterelrudder_wire::FrameDecoder;
 use dotterelrudder_wire::FrameError;
+use dotterelrudder_wire::LimitReport;
+use dotterelrudder_wire::LimitUpdate;
+use dotterelrudder_wire::LogEntry;
+use dotterelrudder_wire::Member;
 use dotterelrudder_wire::Message;
+use dotterelrudder_wire::PartKey;
+use dotterelrudder_wire::PartReport;
+use dotterelrudder_wire::RaftMessage;
+use dotterelrudder_wire::RunnerDemand;
+use dotterelrudder_wire::RunnerRecord;
+use dotterelrudder_wire::SharedPart;
 use dotterelrudder_wire::MAX_FRAME_BYTES;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
@@ -160,5 +173,181 @@
     let mut decoder = FrameDecoder::default();
     decoder.push(&(body.len() as u32).to_le_bytes());
     decoder.push(&body);
-    assert_eq!(decode_all(&mut decoder), (0, Some(FrameError::Malformed)));
+    assert_eq!(
+        decode_all(&mut decoder),
+        (0, Some(FrameError::Malformed(body.len())))
+    );
+}
+
+/// Returns a message that fits into a frame, and nearly fills it, with its frame; `make` makes a
+/// message of this many elements.
+fn nearly_full_frame<M>(make: M) -> (Message, BytesMut)
+where
+    M: Fn(usize) -> Message,
+{
+    let encoded = |count| {
+        let mut buf = BytesMut::new();
+        let envelope = Envelope {
+            revision: Revision(1),
+            message: make(count),
+        };
+        encode_frame(&envelope, &mut buf).ok().map(|()| buf)
+    };
+    let size = |count| encoded(count).expect("few elements fit").len();
+    let per_thousand = size(1_001) - size(1);
+    let estimate = MAX_FRAME_BYTES / per_thousand * 1_000;
+    let margin = estimate / 50 + 1;
+    let (mut fits, mut too_many) = (estimate - margin, estimate + margin);
+    while fits + margin / 32 + 1 < too_many {
+        let count = fits.midpoint(too_many);
+        if encoded(count).is_some() {
+            fits = count;
+        } else {
+            too_many = count;
+        }
+    }
+    (make(fits), encoded(fits).expect("one element fits"))
+}
+
+/// Frames that were sent could not be read: the reader counted decoded sizes, the writer bytes.
+#[test]
+fn a_frame_at_the_limit_is_refused_by_its_reader() {
+    let entry = |command| LogEntry {
+        term: 1,
+        index: 1,
+        command,
+    };
+    let append = |entries| Message::Raft {
+        from: 1,
+        to: 2,
+        message: Box::new(RaftMessage::Append {
+            term: 1,
+            prev_index: 0,
+            prev_term: 0,
+            entries,
+            commit: 0,
+            round: 0,
+        }),
+    };
+    let member = Member {
+        id: 1,
+        instance: "".into(),
+        voter: true,
+    };
+    let makers: [(&str, Box<dyn Fn(usize) -> Message>); 9] = [
+        ("entries", {
+            Box::new(move |n| append(vec![entry(Command::Noop); n]))
+        }),
+        ("members of an entry", {
+            Box::new(move |n| {
+                let members = vec![member.clone(); n];
+                append(vec![entry(Command::Members { members })])
+            })
+        }),
+        ("a snapshot", {
+            Box::new(|n| Message::Raft {
+                from: 1,
+                to: 2,
+                message: Box::new(RaftMessage::Snapshot {
+                    term: 1,
+                    index: 1,
+                    last_term: 1,
+                    offset: 0,
+                    total: 0,
+                    data: vec![0; n],
+                    round: 0,
+                }),
+            })
+        }),
+        ("runners", {
+            let runner = RunnerRecord {
+                identity: "".into(),
+                service: "".into(),
+                address: "10.0.0.1:80".parse().expect("an address"),
+                data_centre: "".into(),
+                slots: 1,
+                leaving: false,
+                weights: Vec::new(),
+                software: None,
+                born_ms: 0,
+            };
+            Box::new(move |n| Message::Runners(vec![runner.clone(); n]))
+        }),
+        ("limits", {
+            let limit = LimitUpdate {
+                runner: "".into(),
+                rate: None,
+            };
+            Box::new(move |n| Message::RunnerLimits(vec![limit.clone(); n]))
+        }),
+        ("demands", {
+            let demand = RunnerDemand {
+                runner: "".into(),
+                held: 0.0,
+                named: None,
+                answers_without: 0,
+                wanted: vec![(0, 0); 8],
+            };
+            Box::new(move |n| {
+                Message::LimitReport(LimitReport {
+                    number: 0,
+                    runners: vec![demand.clone(); n],
+                })
+            })
+        }),
+        ("parts", {
+            let part = SharedPart {
+                model: "".into(),
+                id: "".into(),
+            };
+            Box::new(move |n| {
+                Message::PartReport(PartReport {
+                    losses: Vec::new(),
+                    begun: vec![(part.clone(), Duration::ZERO); n],
+                    held: Vec::new(),
+                })
+            })
+        }),
+        ("a chunk", {
+            Box::new(|n| {
+                Message::AnswerChunk(AnswerChunk {
+                    attempt: AttemptId {
+                        incarnation: 0,
+                        sequence: 0,
+                    },
+                    number: 0,
+                    data: vec![0; n].into(),
+                })
+            })
+        }),
+        ("keys", {
+            Box::new(|n| {
+                let key = PartKey {
+                    salt: "".into(),
+                    part: "".into(),
+                };
+                Message::PartsUsed(vec![key; n])
+            })
+        }),
+    ];
+    for (name, make) in makers {
+        let (message, frame) = nearly_full_frame(make);
+        let mut decoder = FrameDecoder::default();
+        decoder.push(&frame);
+        let read = decoder.take_message::<Envelope>();
+        let read = read.unwrap_or_else(|e| panic!("{name}: {e}"));
+        assert!(read.is_some_and(|e| e.message == message), "{name}");
+    }
+}
+
+#[test]
+fn a_dropped_message_is_not_named_in_the_log() {
+    let message = Box::new(RaftMessage::NotMember);
+    let raft = Message::Raft {
+        from: 1,
+        to: 2,
+        message,
+    };
+    assert_eq!(raft.kind(), "NotMember");
+    assert_eq!(Message::PartsUsed(Vec::new()).kind(), "PartsUsed");
 }
