Return to a silent runner if the one that replaces it did not run the request

Callers saw: streams whose runner was silent for 1.4 s were cut, most often beside a planned stop, when the other runners were full and refused them later than 250 ms.

Cause: a runner that is given up for its silence is among the tried ones from then on. The takeover was due after 250 ms whether or not the other runner had begun; a runner that refuses once the request has waited in its queue left the stream with no runner, though the first one was sound and had its KV cache. Requests without a first byte had the same cause: their runner is given up when another one has room, and that one may refuse too.

A request now returns to the runner that was given up if its replacement says that it did not run it or can't be reached, from the last event on. Waiting until the other runner has begun was ruled out: two runners may work on a stream for 400 ms only, and a prefill can take longer.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -67,12 +67,24 @@
             if left < MIN_TIME_LEFT {
                 return ServeResult::Refused(timeout_refusal(log));
             }
-            let query = self.placement_query(request, log);
-            let placement = match self.wait_for_capacity(request, &query, log).await {
-                Ok(placement) => Arc::new(placement),
-                Err(refusal) => {
-                    let refusal = placement_refusal(refusal, log);
-                    return log.failed_answer_or(refusal);
+            let placement = match log.returns_to.take() {
+                Some(given_up) => given_up,
+                None => {
+                    let query = self.placement_query(request, log);
+                    match (
+                        self.wait_for_capacity(request, &query, log).await,
+                        log.given_up.take(),
+                    ) {
+                        (Ok(placement), given_up) => {
+                            log.given_up = given_up;
+                            Arc::new(placement)
+                        }
+                        (Err(_), Some(given_up)) => given_up,
+                        (Err(refusal), None) => {
+                            let refusal = placement_refusal(refusal, log);
+                            return log.failed_answer_or(refusal);
+                        }
+                    }
                 }
             };
             let left = request.deadline.saturating_sub(self.now());
@@ -85,6 +97,7 @@
                 Err(failure) => failure,
             };
             log.notes.push(attempt_note(&placement, &failure.reason));
+            log.record_failure(&placement, failure.kind);
             let error_kind = match failure.kind {
                 FailureKind::NotSent => continue,
                 FailureKind::Declined => ErrorKind::Overloaded,
--- a/crates/dotterelrudder_daemon/src/gateway/request.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! A request in progress, with its place in the wait queue and its attempts.
 
+use super::attempt::FailureKind;
 use super::upstream::UpstreamConnection;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -160,6 +161,10 @@
     pub(super) may_have_run: usize,
     /// The description of each attempt, for the request's log line.
     pub(super) notes: Vec<String>,
+    /// The runner that was last given up for its silence alone. It may still be sound.
+    pub(super) given_up: Option<Arc<Placement>>,
+    /// The runner that was given up, if the one that replaced it did not run the request.
+    pub(super) returns_to: Option<Arc<Placement>>,
     /// When the stream broke off; the wait for another runner counts from then.
     pub(super) broke_off_at: Option<Duration>,
     /// The software version whose events were relayed, so that the stream goes on only there.
@@ -174,6 +179,21 @@
         self.broke_off_at.unwrap_or(request.began)
     }
 
+    /// Records a failed attempt: a runner that was given up for its silence is returned to if its
+    /// replacement did not run the request.
+    pub(super) fn record_failure(&mut self, placement: &Arc<Placement>, kind: FailureKind) {
+        match kind {
+            // A runner with a request limit needs a new permit, which only a new placement takes.
+            FailureKind::RetryReserved if placement.limit.rate.is_none() => {
+                self.given_up = Some(placement.clone());
+            }
+            FailureKind::Declined | FailureKind::NotSent => {
+                self.returns_to = self.given_up.take();
+            }
+            _ => self.given_up = None,
+        }
+    }
+
     /// Returns the server error of a runner, if there is one, and otherwise the refusal.
     pub(super) fn failed_answer_or(&mut self, refusal: Refusal) -> ServeResult {
         match self.failed_answer.take() {
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -145,7 +145,8 @@
                 Some(mut takeover) => {
                     let end = takeover.end().await;
                     log = end.log;
-                    self.finish_takeover(request, end.result, &mut log, after.as_deref())
+                    let silent = &started.placement;
+                    self.finish_takeover(request, silent, end.result, &mut log, after.as_deref())
                         .await
                 }
                 None => {
--- a/crates/dotterelrudder_daemon/src/gateway/takeover.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/takeover.rs
@@ -12,6 +12,7 @@
 use compact_str::CompactString;
 use dotterelrudder_gateway::CapacityRequest;
 use dotterelrudder_gateway::Dialect;
+use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_gateway::StreamProgress;
@@ -201,11 +202,13 @@
         })
     }
 
-    /// Continues after a takeover whose stream has been given up by its first runner: a takeover that
-    /// failed is followed by attempts at further runners, where the route allows them.
+    /// Continues after a takeover of a stream that its runner `silent` has lost: a takeover that failed
+    /// is followed by attempts at further runners, where the route allows them. If the runner that was
+    /// to take over did not run the request, the stream first returns to `silent`.
     pub(super) async fn finish_takeover(
         self: &Arc<Self>,
         request: &ActiveRequest,
+        silent: &Arc<Placement>,
         result: Result<ServeResult, AttemptFailure>,
         log: &mut AttemptLog,
         after: Option<&str>,
@@ -216,6 +219,8 @@
         };
         let has_not_run = matches!(failure.kind, FailureKind::NotSent | FailureKind::Declined);
         log.may_have_run += usize::from(!has_not_run);
+        log.record_failure(silent, FailureKind::RetryReserved);
+        log.record_failure(silent, failure.kind);
         let is_sent = failure.kind != FailureKind::NotSent;
         let most = request.admission.route.max_runners.max(1) as usize;
         let service = &request.admission.service;
--- a/crates/dotterelrudder_wire/tests/frames.rs
+++ b/crates/dotterelrudder_wire/tests/frames.rs
@@ -209,6 +209,9 @@
     (make(fits), encoded(fits).expect("one element fits"))
 }
 
+/// Makes a message of this many elements.
+type Maker = Box<dyn Fn(usize) -> Message>;
+
 /// Frames that were sent could not be read: the reader counted decoded sizes, the writer bytes.
 #[test]
 fn a_frame_at_the_limit_is_refused_by_its_reader() {
@@ -234,7 +237,7 @@
         instance: "".into(),
         voter: true,
     };
-    let makers: [(&str, Box<dyn Fn(usize) -> Message>); 9] = [
+    let makers: [(&str, Maker); 9] = [
         ("entries", {
             Box::new(move |n| append(vec![entry(Command::Noop); n]))
         }),
