Keep KV cache apart that an account left before it was isolated

Callers saw: after a configuration isolated an account, requests of other accounts still ran on KV cache that the account's requests had made before.

Cause: the salt of all accounts that share held the version of the weights alone, so that nothing in it changed when an account left those that share.

The salt now also holds a hash of the names of the isolated accounts. It is a function of one configuration, the same at every entry that holds it, without anybody having watched the change.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -135,7 +135,7 @@
         PlacementQuery {
             service: &admission.service,
             prompt: request.call.prompt.as_ref(),
-            account: admission.account.as_deref(),
+            cache_group: &admission.cache_group,
             tried: &log.tried,
             repeatable: admission.route.kind.may_repeat(),
             objective: admission.route.objective,
--- a/crates/dotterelrudder_gateway/src/gateway/admission_control.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/admission_control.rs
@@ -50,9 +50,11 @@
         let window = self.settings.retry_window;
         let budget = self.budgets.entry(service.clone()).or_default();
         budget.count_request(now, window);
+        let cache_group = self.cache_groups.of(account.as_deref());
         Ok(Admission {
             route,
             account,
+            cache_group,
             service,
         })
     }
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub use request_limits::LIMIT_REPORT_INTERVAL;
 
 use crate::Admission;
+use crate::CacheGroups;
 use crate::ConfirmedLease;
 use crate::EngineEstimate;
 use crate::EntryCount;
@@ -61,6 +62,7 @@
     configuration: DeploymentConfiguration,
     routes: RouteTable,
     accounts: HashMap<AccountKeyHash, Arc<AccountEntry>>,
+    cache_groups: CacheGroups,
     runners: RunnerTable,
     /// When the current sample of candidate runners was drawn.
     sampled_at: Option<Duration>,
@@ -94,6 +96,7 @@
             configuration: DeploymentConfiguration::default(),
             routes: RouteTable::default(),
             accounts: HashMap::new(),
+            cache_groups: CacheGroups::default(),
             runners: RunnerTable::default(),
             sampled_at: None,
             placements: 0,
@@ -151,6 +154,7 @@
     /// Puts a configuration in force and rebuilds the tables derived from it.
     fn apply_configuration(&mut self, cfg: DeploymentConfiguration) {
         self.routes = RouteTable::new(&cfg.routes);
+        self.cache_groups = CacheGroups::new(&cfg.accounts);
         self.accounts.clear();
         for account in &cfg.accounts {
             let entry = Arc::new(account.clone());
--- a/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
@@ -10,7 +10,6 @@
 use super::Gateway;
 use super::DEFAULT_RETRY_AFTER;
 use super::MIN_RETRY_AFTER;
-use crate::cache_salt;
 use crate::fetch_time_limit;
 use crate::CachePlan;
 use crate::FirstTokenEstimate;
@@ -27,6 +26,7 @@
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::RoutingPolicy;
+use dotterelrudder_wire::cache_salt;
 use dotterelrudder_wire::RunnerRecord;
 use dotterelrudder_wire::FETCH_LIMIT;
 use std::net::SocketAddr;
@@ -69,7 +69,9 @@
         let weights = query.prompt.and_then(|p| runner.version_of(&p.model));
         let load_age = runner.load_age(now);
         let record = runner.record.clone();
-        let salt = query.prompt.map(|_| cache_salt(weights, query.account));
+        let salt = query
+            .prompt
+            .map(|_| cache_salt(weights.unwrap_or(0), query.cache_group));
         let cache = match (query.prompt, &salt) {
             (Some(prompt), Some(salt)) => self.plan_cache(
                 now,
--- a/crates/dotterelrudder_gateway/src/gateway/runner_estimate.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/runner_estimate.rs
@@ -1,7 +1,6 @@
 //! Estimate of the time that a runner takes to the first token of a request.
 
 use super::Gateway;
-use crate::cache_salt;
 use crate::candidate_set::ENTRIES_PER_RUNNER;
 use crate::engine_estimate::estimated_time;
 use crate::FirstTokenEstimate;
@@ -9,7 +8,8 @@
 use crate::PlacementQuery;
 use crate::Prompt;
 use crate::RunnerState;
-use dotterelrudder_config::deployment::AccountEntry;
+use dotterelrudder_wire::cache_salt;
+use dotterelrudder_wire::CacheGroup;
 use std::time::Duration;
 
 /// Added to the estimate of a runner in another data centre, for the transfer between data centres.
@@ -57,9 +57,13 @@
         let prompt = query.prompt;
         let is_local = runner.record.data_centre == self.settings.data_centre;
         let mut estimate = match prompt {
-            Some(prompt) => {
-                self.estimate_engine_first_token(now, runner, prompt, query.account, affinity_rank)
-            }
+            Some(prompt) => self.estimate_engine_first_token(
+                now,
+                runner,
+                prompt,
+                query.cache_group,
+                affinity_rank,
+            ),
             None => {
                 let slots = f64::from(runner.record.slots.max(1));
                 let batch = runner.batch(now);
@@ -113,9 +117,10 @@
         now: Duration,
         runner: &RunnerState,
         prompt: &Prompt,
-        account: Option<&AccountEntry>,
+        cache_group: &CacheGroup,
     ) -> Option<f64> {
-        let salt = cache_salt(runner.version_of(&prompt.model), account);
+        let weights = runner.version_of(&prompt.model);
+        let salt = cache_salt(weights.unwrap_or(0), cache_group);
         let service = &runner.record.service;
         let services = self.configuration.services.iter();
         let mut engines = services.filter(|s| s.name == *service);
@@ -131,14 +136,14 @@
         now: Duration,
         runner: &RunnerState,
         prompt: &Prompt,
-        account: Option<&AccountEntry>,
+        cache_group: &CacheGroup,
         affinity_rank: Option<usize>,
     ) -> FirstTokenEstimate {
         let mut unread = runner.unread_tokens(prompt, now);
         let held = prompt
             .session_part()
             .is_some_and(|part| runner.holds_session(&part.id, now));
-        let fetch_ms = self.fetch_ms(now, runner, prompt, account);
+        let fetch_ms = self.fetch_ms(now, runner, prompt, cache_group);
         if let Some(ms) = fetch_ms.filter(|_| !held) {
             // Links are shared, so a fetch delays the transfers of other requests as well.
             let miss_rate = if affinity_rank == Some(0) {
--- a/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
@@ -7,7 +7,6 @@
 //! docs/design/waiting.md has the measurements.
 
 use super::Gateway;
-use crate::cache_salt;
 use crate::candidate_set::MAX_WARM_CANDIDATES;
 use crate::candidate_set_size;
 use crate::memory_limit;
@@ -22,6 +21,7 @@
 use compact_str::CompactString;
 use dotterelrudder_types::RoutingPolicy;
 use dotterelrudder_types::ServiceName;
+use dotterelrudder_wire::cache_salt;
 use dotterelrudder_wire::PartKey;
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -189,7 +189,8 @@
         let Some(prompt) = query.prompt else {
             return false;
         };
-        let salt = cache_salt(runner.version_of(&prompt.model), query.account);
+        let weights = runner.version_of(&prompt.model);
+        let salt = cache_salt(weights.unwrap_or(0), query.cache_group);
         let part = part.clone();
         let data_centre = self.stored_parts.data_centre_of(&PartKey { salt, part });
         data_centre == Some(&runner.record.data_centre)
--- a/crates/dotterelrudder_gateway/src/placement_query.rs
+++ b/crates/dotterelrudder_gateway/src/placement_query.rs
@@ -2,8 +2,8 @@
 
 use crate::Prompt;
 use crate::RunnerKey;
-use dotterelrudder_config::deployment::AccountEntry;
 use dotterelrudder_types::ServiceName;
+use dotterelrudder_wire::CacheGroup;
 use std::time::Duration;
 
 /// The input of [`crate::Gateway::place`].
@@ -13,8 +13,8 @@
     pub service: &'a ServiceName,
     /// The shape of the prompt, for a request to a model.
     pub prompt: Option<&'a Prompt>,
-    /// The client account; if it is isolated, it has its own KV cache.
-    pub account: Option<&'a AccountEntry>,
+    /// The accounts with which the request shares KV cache.
+    pub cache_group: &'a CacheGroup,
     /// Runners that the request was already sent to.
     pub tried: &'a [RunnerKey],
     /// Whether the request may be sent again after a failure.
--- a/crates/dotterelrudder_gateway/tests/software_versions.rs
+++ b/crates/dotterelrudder_gateway/tests/software_versions.rs
@@ -10,6 +10,7 @@
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::StreamOriginReports;
 use dotterelrudder_types::ErrorKind;
+use dotterelrudder_wire::CacheGroup;
 use dotterelrudder_wire::RunnerRecord;
 use dotterelrudder_wire::StreamOrigin;
 use std::sync::Arc;
@@ -136,6 +137,7 @@
     Admission {
         route: Arc::new(route),
         account: None,
+        cache_group: CacheGroup::All,
         service: services[0].into(),
     }
 }
--- a/crates/dotterelrudder_wire/src/fleet/mod.rs
+++ b/crates/dotterelrudder_wire/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Messages about the whole deployment that the leading control instance exchanges with entries
 //! and sides: fleet state, runners, their loads and request limits, stored parts; see docs/design/platform.md.
 
+mod cache_group;
 mod cache_salt;
 mod directory_update;
 mod fleet_query;
@@ -29,6 +30,7 @@
 mod stream_origin;
 mod weight_order;
 
+pub use cache_group::CacheGroup;
 pub use cache_salt::cache_salt;
 pub use cache_salt::weights_of_salt;
 pub use directory_update::DirectoryUpdate;
--- a/crates/dotterelrudder_wire/src/lib.rs
+++ b/crates/dotterelrudder_wire/src/lib.rs
@@ -26,6 +26,7 @@
 pub use fleet::cache_salt;
 pub use fleet::count_losses;
 pub use fleet::weights_of_salt;
+pub use fleet::CacheGroup;
 pub use fleet::DirectoryUpdate;
 pub use fleet::FleetQuery;
 pub use fleet::FleetState;
