Take a service's only version for a stream's origin only while the list is confirmed

Cause: `find_origin` went on at the only version of the entry's list when no control instance had replied, and "for 30 s" counted from the entry's last list, however old that was.

- Without a reply of control, or without a confirmation of the list by the leader that was asked for after the request came, the caller gets 503 and may come back.
- After more than 3 s without a confirmation the 30 s begin anew, since versions may have come and gone.
- A runner whose version is not known, beside others whose versions are, leaves the origin open.
- The leader sends a new list before the state that confirms it.

The test of the gateway failed before: after a pause of 8 s the only version counted as settled at once.

--- a/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
+++ b/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
@@ -89,8 +89,9 @@
             self.send_verdicts(&from, now, out);
         }
         self.send_directory(&from, out);
-        self.send_fleet_state(&from, state, controls, now, out);
+        // The fleet state confirms the list, which has to be there by then.
         self.send_runner_list(&from, out);
+        self.send_fleet_state(&from, state, controls, now, out);
         if entry_is_new && !self.loads.is_empty() {
             let loads = self.loads.values().map(|l| load_update(l, true));
             let message = Message::RunnerLoadUpdate(loads.collect());
--- a/crates/dotterelrudder_daemon/src/gateway/origin_queries.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/origin_queries.rs
@@ -29,6 +29,9 @@
 /// How long control instances have to reply before they are asked again. It covers a lost packet
 /// within a region.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
+/// The interval at which it is checked whether the list of backend servers is confirmed. Control is
+/// asked every half a second.
+const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// How long a report may take from an entry to a control instance.
 const REPORT_LAG: Duration = Duration::from_millis(100);
 
@@ -162,7 +165,18 @@
             OriginAnswer::NoReply => (None, false),
         };
         let known = origin.is_some();
+        let is_current = known || has_reply && self.confirm_versions(request).await;
         let now = self.now();
+        if !is_current {
+            slog::info!(self.log, "stream not taken up, its version can't be determined now";
+                "id" => call.id.as_str(), "resumes" => call.resumes.as_deref().unwrap_or(""),
+                "control_replied" => has_reply,
+                "waited_ms" => now.saturating_sub(request.began).as_millis() as u64);
+            return Err(Refusal::new(
+                ErrorKind::NotReady,
+                "control did not confirm which version began the stream",
+            ));
+        }
         let resumed = self.gateway().resumed_at(now, admission, origin);
         slog::info!(self.log, "stream taken up again"; "id" => call.id.as_str(),
             "resumes" => call.resumes.as_deref().unwrap_or(""),
@@ -174,15 +188,30 @@
                 request.software = Some(origin.software);
                 Ok(())
             }
-            // Another try may find out more.
-            Err(_) if !has_reply => Err(Refusal::new(
-                ErrorKind::NotReady,
-                "no control instance replied which version began the stream",
-            )),
             Err(refusal) => Err(refusal),
         }
     }
 
+    /// Waits until the leader has confirmed the list of backend servers since the request came. The
+    /// only version of an older list may not be the one that began the stream: this entry may have
+    /// been frozen or cut off while another one joined. Returns whether the list is confirmed.
+    async fn confirm_versions(&self, request: &ActiveRequest) -> bool {
+        let confirmed = async {
+            while !self.gateway().are_versions_confirmed(request.began) {
+                tokio::time::sleep(CONFIRMATION_CHECK_INTERVAL).await;
+            }
+        };
+        let limit = self.wait_limit(request);
+        timeout(limit, confirmed).await.is_ok()
+    }
+
+    /// Returns how long a request may wait to be placed from now on.
+    fn wait_limit(&self, request: &ActiveRequest) -> Duration {
+        let objective = request.admission.route.objective;
+        let until = request.began + objective.mul_f64(MAX_WAIT_OBJECTIVES);
+        until.min(request.deadline).saturating_sub(self.now())
+    }
+
     /// Returns how long a request may wait for the origin of its stream: as long as it would wait
     /// for capacity, but one reply's time if the service's only version will do.
     fn origin_wait(&self, request: &ActiveRequest) -> Duration {
@@ -190,7 +219,6 @@
         if self.gateway().resumed_at(now, admission, None).is_ok() {
             return REPLY_TIMEOUT;
         }
-        let until = request.began + admission.route.objective.mul_f64(MAX_WAIT_OBJECTIVES);
-        until.min(request.deadline).saturating_sub(now)
+        self.wait_limit(request)
     }
 }
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -81,6 +81,8 @@
     part_watch: PartWatch,
     stream_origins: StreamOriginReports,
     versions: HashMap<ServiceName, ServiceVersions>,
+    /// When the query was sent whose answer last confirmed the list of backend servers.
+    versions_confirmed_at: Option<Duration>,
     /// When the limits of all runners were last reported.
     limits_reported_at: Duration,
     rng: ChaCha8Rng,
@@ -110,6 +112,7 @@
             part_watch: PartWatch::default(),
             stream_origins: StreamOriginReports::default(),
             versions: HashMap::new(),
+            versions_confirmed_at: None,
             limits_reported_at: Duration::ZERO,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -138,6 +141,7 @@
         }
         self.entries.update(now, state.entries);
         if let Some(at) = queried_at {
+            self.confirm_versions(now, at);
             self.stored_parts
                 .confirm(state.directory, at, state.engine_clock_ms, now);
         }
--- a/crates/dotterelrudder_gateway/src/gateway/stream_versions.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/stream_versions.rs
@@ -24,6 +24,10 @@
 /// unknown can't have begun at another one: longer than the time limits of routes.
 const SINGLE_VERSION_FOR: Duration = Duration::from_secs(30);
 
+/// The longest time between two confirmations of the list in which no version can have joined and
+/// left unseen: a release takes longer.
+const MAX_CONFIRMATION_GAP: Duration = Duration::from_secs(3);
+
 /// How often all entries together report origins of streams, while their services have one software
 /// version each; it bounds the messages that control instances get.
 const ORIGIN_REPORTS_PER_SECOND: f64 = 600.0;
@@ -57,6 +61,24 @@
         }
     }
 
+    /// Records that the leader confirmed the list of backend servers at or after `queried_at`. After a
+    /// longer time without a confirmation, versions may have come and gone unseen.
+    pub(super) fn confirm_versions(&mut self, now: Duration, queried_at: Duration) {
+        let previous = self.versions_confirmed_at.unwrap_or_default();
+        if queried_at > previous + MAX_CONFIRMATION_GAP {
+            for known in self.versions.values_mut() {
+                known.since = now;
+            }
+        }
+        self.versions_confirmed_at = Some(queried_at.max(previous));
+    }
+
+    /// Returns whether the leader has confirmed the list since a time, so that the versions which had
+    /// runners until then are known here.
+    pub fn are_versions_confirmed(&self, since: Duration) -> bool {
+        self.versions_confirmed_at.is_some_and(|at| at >= since)
+    }
+
     /// Records that a stream began at a runner. Returns whether the control instances should hear of
     /// it at once, since the service has runners of several versions.
     pub fn on_stream_begun(
@@ -113,7 +135,9 @@
     /// had no other one for long enough.
     pub fn only_version(&self, now: Duration, service: &ServiceName) -> Option<CompactString> {
         let known = self.versions.get(service)?;
-        let is_settled = known.versions.len() == 1 && now >= known.since + SINGLE_VERSION_FOR;
+        let is_settled = known.versions.len() == 1
+            && now >= known.since + SINGLE_VERSION_FOR
+            && !self.runners.has_unversioned(service);
         known.versions.first().filter(|_| is_settled).cloned()
     }
 
--- a/crates/dotterelrudder_gateway/src/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runner_table.rs
@@ -146,6 +146,13 @@
             .collect()
     }
 
+    /// Returns whether the software version of one of a service's runners is not known, though those of
+    /// others are.
+    pub fn has_unversioned(&self, service: &ServiceName) -> bool {
+        let mut runners = self.of_service(service);
+        runners.any(|(_, r)| r.record.software.is_none()) && !self.software_of(service).is_empty()
+    }
+
     /// Applies the leader's announcement of a runner's request limit, or of its end. It is kept for
     /// runners that are not listed yet.
     pub fn announce_limit(&mut self, now: Duration, identity: &CompactString, rate: Option<f64>) {
--- a/crates/dotterelrudder_gateway/tests/software_versions.rs
+++ b/crates/dotterelrudder_gateway/tests/software_versions.rs
@@ -83,6 +83,34 @@
     );
 }
 
+/// An entry that was frozen or cut off took its old list's only version for that of a stream which had
+/// begun at a newer one.
+#[test]
+fn a_version_that_came_unseen_is_not_ruled_out() {
+    let mut gateway = gateway_with(vec![versioned(1, "v1")]);
+    let confirm = |gateway: &mut Gateway, at| {
+        gateway.on_fleet_state(ms(at), fleet_state(1), Some(ms(at)));
+    };
+    for at in (0..=40_000).step_by(500) {
+        confirm(&mut gateway, at);
+    }
+    let only = |gateway: &Gateway, now| gateway.only_version(ms(now), &engines());
+    assert_eq!(only(&gateway, 40_000), Some("v1".into()));
+    assert!(gateway.are_versions_confirmed(ms(40_000)));
+    assert!(!gateway.are_versions_confirmed(ms(40_001)));
+    // After a pause in which versions may have come and gone.
+    confirm(&mut gateway, 48_000);
+    assert_eq!(only(&gateway, 48_000), None);
+    for at in (48_500..=78_500).step_by(500) {
+        confirm(&mut gateway, at);
+    }
+    assert_eq!(only(&gateway, 78_500), Some("v1".into()));
+    // A runner whose version has not come yet.
+    gateway.on_runners(vec![versioned(1, "v1"), record(2, "engines", "z")]);
+    gateway.update_versions(ms(79_000));
+    assert_eq!(only(&gateway, 79_000), None);
+}
+
 fn origin(service: &str) -> StreamOrigin {
     StreamOrigin {
         service: service.into(),
