Return a blocked request to no runner that was given up

The choice of the next runner is a function of its own now. No test of its own: the window is a wait for capacity.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -67,24 +67,11 @@
             if left < MIN_TIME_LEFT {
                 return ServeResult::Refused(timeout_refusal(log));
             }
-            let placement = match log.returns_to.take() {
-                Some(given_up) => given_up,
-                None => {
-                    let query = self.placement_query(request, log);
-                    match (
-                        self.wait_for_capacity(request, &query, log).await,
-                        log.given_up.take(),
-                    ) {
-                        (Ok(placement), given_up) => {
-                            log.given_up = given_up;
-                            Arc::new(placement)
-                        }
-                        (Err(_), Some(given_up)) => given_up,
-                        (Err(refusal), None) => {
-                            let refusal = placement_refusal(refusal, log);
-                            return log.failed_answer_or(refusal);
-                        }
-                    }
+            let placement = match self.next_placement(request, log).await {
+                Ok(placement) => placement,
+                Err(refusal) => {
+                    let refusal = placement_refusal(refusal, log);
+                    return log.failed_answer_or(refusal);
                 }
             };
             let left = request.deadline.saturating_sub(self.now());
@@ -124,6 +111,30 @@
         ServeResult::Refused(failure_refusal(ErrorKind::Overloaded, reason, log))
     }
 
+    /// Returns where the request is sent next: to the runner that it returns to, or to one with room.
+    /// If there is none, it returns to a runner that was given up for its silence alone, unless the
+    /// request was blocked meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no runner can take the request or none had capacity in time.
+    async fn next_placement(
+        &self,
+        request: &ActiveRequest,
+        log: &mut AttemptLog,
+    ) -> Result<Arc<Placement>, Refusal> {
+        if let Some(given_up) = log.returns_to.take() {
+            return Ok(given_up);
+        }
+        let query = self.placement_query(request, log);
+        let refusal = match self.wait_for_capacity(request, &query, log).await {
+            Ok(placement) => return Ok(Arc::new(placement)),
+            Err(refusal) => refusal,
+        };
+        let is_blocked = self.refuse_blocked(request).is_some();
+        log.given_up.take().filter(|_| !is_blocked).ok_or(refusal)
+    }
+
     /// Builds the query for the next runner of a request.
     pub(super) fn placement_query<'a>(
         &self,
