Build the start check in one place, and send either request to the peers in one loop

Both places wrote the same message, and both requests went through a loop of their own. Behaviour is the same: the tests of removed voters and of voters pass as before.

--- a/crates/dotterelrudder_control/src/control_core/bootstrap.rs
+++ b/crates/dotterelrudder_control/src/control_core/bootstrap.rs
@@ -27,23 +27,16 @@
             return;
         }
         self.next_join_at = now + JOIN_INTERVAL;
-        if let Some(start_check) = start_check {
-            for peer in self.settings.peers.clone() {
-                self.send_raft(peer, 0, start_check.clone(), out);
-            }
-            return;
-        }
-        let instance = self.settings.name.clone();
-        let member = Member {
-            id: self.raft.id(),
-            instance,
-            voter: false,
-        };
-        for peer in self.settings.peers.clone() {
-            let message = RaftMessage::Join {
-                member: member.clone(),
+        let message = start_check.unwrap_or_else(|| {
+            let member = Member {
+                id: self.raft.id(),
+                instance: self.settings.name.clone(),
+                voter: false,
             };
-            self.send_raft(peer, 0, message, out);
+            RaftMessage::Join { member }
+        });
+        for peer in self.settings.peers.clone() {
+            self.send_raft(peer, 0, message.clone(), out);
         }
     }
 
--- a/crates/dotterelrudder_control/src/raft/boot.rs
+++ b/crates/dotterelrudder_control/src/raft/boot.rs
@@ -46,16 +46,16 @@
             return;
         }
         self.boot_sent_at = Some(now);
-        let (boot, nonce, last_index) = (self.boot, self.boot_nonce, self.log.last_index());
         for to in self.other_voters() {
-            self.send_synced(
-                to,
-                RaftMessage::Boot {
-                    boot,
-                    nonce,
-                    last_index,
-                },
-            );
+            self.send_synced(to, self.start_check());
+        }
+    }
+
+    fn start_check(&self) -> RaftMessage {
+        RaftMessage::Boot {
+            boot: self.boot,
+            nonce: self.boot_nonce,
+            last_index: self.log.last_index(),
         }
     }
 
@@ -64,11 +64,7 @@
     pub fn overdue_start_check(&self, now: Duration) -> Option<RaftMessage> {
         let is_start_synced = self.persist_sequence <= self.synced_sequence;
         let is_overdue = now.saturating_sub(self.started_at) > NAMED_VOTERS_TIMEOUT;
-        (!self.confirmed && is_start_synced && is_overdue).then(|| RaftMessage::Boot {
-            boot: self.boot,
-            nonce: self.boot_nonce,
-            last_index: self.log.last_index(),
-        })
+        (!self.confirmed && is_start_synced && is_overdue).then(|| self.start_check())
     }
 
     /// Abandons the identity if the disk is not confirmed: a leader's committed members exclude this
