Move the gateway's modules into a folder for each decision

Each folder now begins with the load that its decision answers: admission, placement, limits, health, cache, streams; heads and runners hold what the decisions read. Only files moved and paths changed; the public names of the crate are the same.

--- a/crates/dotterelrudder_gateway/src/stored_parts.rs
+++ b/crates/dotterelrudder_gateway/src/cache/stored_parts.rs
@@ -23,7 +23,7 @@
 use dotterelrudder_wire::FETCH_LIMIT;
 use smallvec::SmallVec;
 
-use crate::memory_limit::memory_pressure;
+use crate::placement::memory_pressure;
 use crate::rendezvous_score;
 use crate::CachePlan;
 use crate::ConfirmedLease;
--- a/crates/dotterelrudder_gateway/src/gateway/runner_estimate.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/runner_estimate.rs
@@ -1,8 +1,8 @@
 //! Estimate of the time that a runner takes to the first token of a request.
 
 use super::Gateway;
-use crate::candidate_set::ENTRIES_PER_RUNNER;
-use crate::engine_estimate::estimated_time;
+use crate::placement::estimated_time;
+use crate::placement::ENTRIES_PER_RUNNER;
 use crate::FirstTokenEstimate;
 use crate::NamedWeights;
 use crate::PlacementQuery;
--- a/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
@@ -7,10 +7,10 @@
 //! docs/design/waiting.md has the measurements.
 
 use super::Gateway;
-use crate::candidate_set::MAX_WARM_CANDIDATES;
 use crate::candidate_set_size;
 use crate::memory_limit;
-use crate::memory_limit::SHORT_PROMPT_TOKENS;
+use crate::placement::MAX_WARM_CANDIDATES;
+use crate::placement::SHORT_PROMPT_TOKENS;
 use crate::rendezvous_score;
 use crate::FirstTokenEstimate;
 use crate::NotPlaced;
--- a/crates/dotterelrudder_gateway/src/beginnings.rs
+++ b/crates/dotterelrudder_gateway/src/health/beginnings.rs
@@ -5,7 +5,7 @@
 
 use dotterelrudder_wire::SharedPart;
 
-use crate::part_watch::LOSS_TTL;
+use crate::health::LOSS_TTL;
 
 /// How long a beginning counts: as long as the ends that it speaks against.
 const TTL: Duration = LOSS_TTL;
--- a/crates/dotterelrudder_gateway/src/first_token_estimate.rs
+++ b/crates/dotterelrudder_gateway/src/placement/first_token_estimate.rs
@@ -6,7 +6,7 @@
 /// computed from.
 ///
 /// The inputs are kept for logs and for comparison with the measured time; see
-/// [docs/design/waiting.md](../../../docs/design/waiting.md).
+/// [docs/design/waiting.md](../../../../docs/design/waiting.md).
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct FirstTokenEstimate {
     /// The estimated time to the first token.
