Declare how backend servers warm up, and evacuations of data centres, in the replicated state

Configurations name how long a server is cold after its start and which rate it takes then; both were read and dropped. They are kept now, and a command of the log sets or withdraws an evacuation. Both are encoded beside what the last release knows: a configuration without them is published, stored and sent byte for byte as before, and a replica of the last release gets no entry that it can't decode. Nothing uses them yet.

--- a/crates/dotterelrudder_config/src/deployment/deployment_configuration.rs
+++ b/crates/dotterelrudder_config/src/deployment/deployment_configuration.rs
@@ -9,6 +9,7 @@
 use super::AccountEntry;
 use super::CallerLimits;
 use super::ConfigurationFault;
+use super::DeploymentExtension;
 use super::RouteRule;
 use super::ServiceEndpoint;
 
@@ -62,6 +63,24 @@
         self.check_keys()
     }
 
+    /// Returns the fields that aren't part of the encoding.
+    pub fn extension(&self) -> DeploymentExtension {
+        let services = self.services.iter();
+        let warm_ups = services.filter_map(|s| Some((s.name.clone(), s.warm_up?)));
+        DeploymentExtension {
+            warm_ups: warm_ups.collect(),
+        }
+    }
+
+    /// Puts back the fields that aren't part of the encoding.
+    pub fn extend(&mut self, extension: &DeploymentExtension) {
+        for (name, warm_up) in &extension.warm_ups {
+            if let Some(service) = self.services.iter_mut().find(|s| s.name == *name) {
+                service.warm_up = Some(*warm_up);
+            }
+        }
+    }
+
     fn check_keys(&self) -> Result<(), ConfigurationFault> {
         let mut owners = BTreeMap::new();
         for account in &self.accounts {
--- a/crates/dotterelrudder_config/src/deployment/service_endpoint.rs
+++ b/crates/dotterelrudder_config/src/deployment/service_endpoint.rs
@@ -7,6 +7,7 @@
 
 use super::EngineAttributes;
 use super::StoreTraits;
+use super::WarmUp;
 
 /// A service and what its backend servers offer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -21,4 +22,8 @@
     pub engine: Option<EngineAttributes>,
     /// The address and capacity of the store; set for a KV cache store.
     pub store: Option<StoreTraits>,
+    /// How the backend servers warm up; none if they bear any rate from their start. It isn't part
+    /// of the encoding; see [`super::DeploymentExtension`].
+    #[serde(skip)]
+    pub warm_up: Option<WarmUp>,
 }
--- a/crates/dotterelrudder_control/src/control_core/proposing.rs
+++ b/crates/dotterelrudder_control/src/control_core/proposing.rs
@@ -69,6 +69,8 @@
             | Command::FinishClaim { at_ms, .. }
             | Command::IssueOrder { at_ms, .. }
             | Command::PublishWhole { at_ms, .. }
+            | Command::PublishExtended { at_ms, .. }
+            | Command::SetEvacuation { at_ms, .. }
             | Command::NameWeights { at_ms, .. }
             | Command::Drain { at_ms, .. } => *at_ms = self.wall_clock_ms,
             _ => {}
--- a/crates/dotterelrudder_control/src/state/mod.rs
+++ b/crates/dotterelrudder_control/src/state/mod.rs
@@ -3,6 +3,7 @@
 
 mod audit;
 mod claims;
+mod extension;
 mod publishing;
 
 use std::collections::BTreeMap;
@@ -11,8 +12,10 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use dotterelrudder_config::deployment::DeploymentConfiguration;
+use dotterelrudder_config::deployment::DeploymentExtension;
 use dotterelrudder_config::Configuration;
 use dotterelrudder_types::AttemptId;
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Revision;
 use dotterelrudder_types::WeightVersion;
@@ -29,6 +32,7 @@
 use audit::AuditTrail;
 use claims::Claims;
 use claims::KeptAnswer;
+use extension::StateExtension;
 use publishing::ChangeHistory;
 
 /// The last weight order issued to a side.
@@ -63,6 +67,9 @@
     whole_document: Bytes,
     /// Weight version named last for each model.
     weights: BTreeMap<CompactString, u64>,
+    /// What older releases don't know; it is encoded behind the other fields.
+    #[serde(skip)]
+    extension: StateExtension,
 }
 
 impl ReplicatedState {
@@ -85,6 +92,11 @@
         named.collect()
     }
 
+    /// Returns the data centres whose backend servers get no requests, in order of their names.
+    pub fn evacuated(&self) -> Vec<DataCentre> {
+        self.extension.evacuated.iter().cloned().collect()
+    }
+
     /// Returns the index of the last entry applied.
     pub fn index(&self) -> u64 {
         self.index
@@ -196,7 +208,25 @@
                 document,
                 at_ms,
             } => {
-                self.publish_deployment(configuration, document, *at_ms);
+                let extension = DeploymentExtension::default();
+                self.publish_deployment(configuration, extension, document, *at_ms);
+                CommandResult::Done
+            }
+            Command::PublishExtended {
+                configuration,
+                extension,
+                document,
+                at_ms,
+            } => {
+                self.publish_deployment(configuration, extension.clone(), document, *at_ms);
+                CommandResult::Done
+            }
+            Command::SetEvacuation {
+                data_centre,
+                evacuated,
+                at_ms,
+            } => {
+                self.set_evacuation(data_centre, *evacuated, *at_ms);
                 CommandResult::Done
             }
             Command::ReadWhole => CommandResult::Whole {
@@ -218,6 +248,7 @@
     fn publish_deployment(
         &mut self,
         configuration: &DeploymentConfiguration,
+        extension: DeploymentExtension,
         document: &Bytes,
         at_ms: u64,
     ) {
@@ -231,10 +262,23 @@
         );
         if accepted {
             self.whole = configuration.clone();
+            self.whole.extend(&extension);
+            self.extension.deployment = extension;
             self.whole_document = document.clone();
         }
     }
 
+    fn set_evacuation(&mut self, data_centre: &DataCentre, evacuated: bool, at_ms: u64) {
+        let set = &mut self.extension.evacuated;
+        let changed = match evacuated {
+            true => set.insert(data_centre.clone()),
+            false => set.remove(data_centre),
+        };
+        let what = if evacuated { "on" } else { "off" };
+        let line = format!("evacuation of \"{data_centre}\" {what}");
+        self.push_audit_row(self.whole.version, changed, at_ms, line);
+    }
+
     fn name_weights(&mut self, weights: &ModelWeights, at_ms: u64) {
         let held = self.weights.get(&weights.model).copied().unwrap_or(0);
         let accepted = weights.version > held;
@@ -286,14 +330,19 @@
 
     /// Encodes the state for a snapshot.
     pub fn encode(&self) -> Vec<u8> {
-        bincode::serde::encode_to_vec(self, bincode::config::standard())
-            .expect("the state holds only types that bincode can write")
+        let mut data = bincode::serde::encode_to_vec(self, bincode::config::standard())
+            .expect("the state holds only types that bincode can write");
+        self.extension.encode_behind(&mut data);
+        data
     }
 
     /// Decodes a snapshot; `None` when the data is not a valid one.
     pub fn decode(data: &[u8]) -> Option<Self> {
         let decoded = bincode::serde::decode_from_slice(data, bincode::config::standard());
-        decoded.ok().map(|(state, _)| state)
+        let (mut state, read): (Self, usize) = decoded.ok()?;
+        state.extension = StateExtension::decode(&data[read..])?;
+        state.whole.extend(&state.extension.deployment);
+        Some(state)
     }
 }
 
--- a/crates/dotterelrudder_control/tests/cache_directory.rs
+++ b/crates/dotterelrudder_control/tests/cache_directory.rs
@@ -51,6 +51,7 @@
                 first_ms: 6.0,
                 managed: true,
             }),
+            warm_up: None,
         }],
         ..DeploymentConfiguration::default()
     }
--- a/crates/dotterelrudder_control/tests/fleet.rs
+++ b/crates/dotterelrudder_control/tests/fleet.rs
@@ -386,6 +386,7 @@
         max_connections: 0,
         engine: None,
         store: Some(traits),
+        warm_up: None,
     };
     leader.propose(Command::PublishWhole {
         configuration: Box::new(DeploymentConfiguration {
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -92,6 +92,7 @@
                     link_mbps: 370_000.0,
                 }),
                 store: None,
+                warm_up: None,
             },
             ServiceEndpoint {
                 name: "desk".into(),
@@ -99,6 +100,7 @@
                 max_connections: 110,
                 engine: None,
                 store: None,
+                warm_up: None,
             },
         ],
         accounts: vec![
--- a/crates/dotterelrudder_wire/src/command.rs
+++ b/crates/dotterelrudder_wire/src/command.rs
@@ -5,8 +5,10 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use dotterelrudder_config::deployment::DeploymentConfiguration;
+use dotterelrudder_config::deployment::DeploymentExtension;
 use dotterelrudder_config::ChangeSet;
 use dotterelrudder_types::AttemptId;
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Revision;
 use dotterelrudder_types::WeightVersion;
@@ -160,4 +162,37 @@
         /// The model and the weight version to load.
         weights: ModelWeights,
     },
+    /// Replaces the deployment configuration like [`Command::PublishWhole`], by one with fields that
+    /// older releases can't decode.
+    PublishExtended {
+        /// The parsed configuration.
+        configuration: Box<DeploymentConfiguration>,
+        /// Its fields that aren't part of the encoding.
+        extension: DeploymentExtension,
+        /// The document as the operator sent it.
+        document: Bytes,
+        /// The time in milliseconds since the Unix epoch, set from the leader's wall clock when the
+        /// command is proposed.
+        at_ms: u64,
+    },
+    /// Requests that the backend servers of a data centre get no requests, or withdraws this.
+    SetEvacuation {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// Whether it is to be evacuated.
+        evacuated: bool,
+        /// The time in milliseconds since the Unix epoch, set from the leader's wall clock when the
+        /// command is proposed.
+        at_ms: u64,
+    },
+}
+
+impl Command {
+    /// Returns the lowest [`crate::MESSAGE_SET`] of a replica that can decode the command.
+    pub fn message_set(&self) -> u32 {
+        match self {
+            Self::PublishExtended { .. } | Self::SetEvacuation { .. } => 3,
+            _ => 0,
+        }
+    }
 }
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -9,6 +9,7 @@
 use dotterelrudder_types::AttemptId;
 use dotterelrudder_types::BlockKey;
 use dotterelrudder_types::ClientAccount;
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::Revision;
@@ -35,6 +36,7 @@
 use crate::RunnerLoadUpdate;
 use crate::RunnerRecord;
 use crate::RunnerSoftware;
+use crate::RunnerWarmUps;
 use crate::Start;
 use crate::StreamKey;
 use crate::StreamOrigin;
@@ -269,6 +271,10 @@
         /// The origin; `None` if the sender doesn't know it.
         origin: Option<StreamOrigin>,
     },
+    /// Sends the rates of cold backend servers to entries.
+    RunnerWarmUps(RunnerWarmUps),
+    /// Sends all data centres that are evacuated to entries, before the fleet state.
+    Evacuations(Vec<DataCentre>),
 }
 
 impl Message {
@@ -282,7 +288,16 @@
             | Self::StreamOrigins(_)
             | Self::OriginQuery { .. }
             | Self::OriginReply { .. } => 1,
-            Self::Raft { message, .. } if matches!(**message, RaftMessage::NotMember) => 2,
+            Self::Raft { message, .. } => match &**message {
+                RaftMessage::NotMember => 2,
+                RaftMessage::Append { entries, .. } => {
+                    let sets = entries.iter().map(|e| e.command.message_set());
+                    sets.max().unwrap_or(0)
+                }
+                _ => 0,
+            },
+            Self::Propose { command, .. } => command.message_set(),
+            Self::RunnerWarmUps(_) | Self::Evacuations(_) => 3,
             _ => 0,
         }
     }
--- a/crates/dotterelrudder_wire/tests/last_release.rs
+++ b/crates/dotterelrudder_wire/tests/last_release.rs
@@ -5,12 +5,14 @@
 
 use dotterelrudder_types::Revision;
 use dotterelrudder_wire::encode_frame;
+use dotterelrudder_wire::Command;
 use dotterelrudder_wire::Envelope;
 use dotterelrudder_wire::FleetQuery;
 use dotterelrudder_wire::FrameDecoder;
 use dotterelrudder_wire::LimitGrants;
 use dotterelrudder_wire::LimitReport;
 use dotterelrudder_wire::LimitUpdate;
+use dotterelrudder_wire::LogEntry;
 use dotterelrudder_wire::Message;
 use dotterelrudder_wire::ModelWeights;
 use dotterelrudder_wire::PartBlock;
@@ -21,6 +23,7 @@
 use dotterelrudder_wire::RunnerLoss;
 use dotterelrudder_wire::RunnerRecord;
 use dotterelrudder_wire::RunnerSoftware;
+use dotterelrudder_wire::RunnerWarmUps;
 use dotterelrudder_wire::SharedPart;
 use dotterelrudder_wire::MESSAGE_SET;
 use dotterelrudder_wire::PROTOCOL_VERSION;
@@ -190,5 +193,34 @@
         to: 2,
         message: Box::new(RaftMessage::NotMember),
     };
-    assert_eq!(of_set_two.message_set(), MESSAGE_SET);
+    assert_eq!(of_set_two.message_set(), 2);
+    let evacuation = Command::SetEvacuation {
+        data_centre: "z".into(),
+        evacuated: true,
+        at_ms: 0,
+    };
+    let append = RaftMessage::Append {
+        term: 1,
+        prev_index: 0,
+        prev_term: 0,
+        entries: vec![LogEntry {
+            term: 1,
+            index: 1,
+            command: evacuation,
+        }],
+        commit: 0,
+        round: 0,
+    };
+    let of_set_three = [
+        Message::RunnerWarmUps(RunnerWarmUps::default()),
+        Message::Evacuations(Vec::new()),
+        Message::Raft {
+            from: 1,
+            to: 2,
+            message: Box::new(append),
+        },
+    ];
+    for message in of_set_three {
+        assert_eq!(message.message_set(), MESSAGE_SET, "{message:?}");
+    }
 }
