Send streams of one version also to runners that failed, if the open one begins none in time

Cause, from the log: the origin of each stream was known, but at most one runner of its version was open at a time, the others being passed over after failures. All streams of that version went to the open one, whose estimate said 3.7 s, and gave up there after 0.8 s; the second attempt began at a runner that had been passed over after 24 and 66 ms. The suspected change (the only version counts only while the list is confirmed) wasn't it: no stream was refused for that.

If no open runner has room, or the chosen one is estimated to miss the objective, a runner of the version that only failures speak against is used if it would begin earlier. Requests that may go to any version are placed as before.

Evidence: the new test failed before (no room at the open runner).

--- a/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
@@ -52,7 +52,7 @@
         self.resample_candidates(now);
         self.advance_limits(now);
         self.placements = self.placements.wrapping_add(1);
-        let open = self.open_runners(now, query)?;
+        let (open, failing) = self.open_and_failing_runners(now, query)?;
         let context = self.selection_context(now, query);
         let (allowed, exhausted): (Vec<_>, Vec<_>) = open
             .iter()
@@ -63,7 +63,8 @@
             ));
         }
         let passed_over = self.want_permit(now, query, &context, &open, &exhausted);
-        let (key, estimate) = self.choose_trusted_first(now, query, &context, &allowed)?;
+        let best = self.choose_trusted_first(now, query, &context, &allowed);
+        let (key, estimate) = self.choose_failing_if_late(now, query, &context, best, &failing)?;
         let limit = self.take_permit(now, query, key, passed_over);
         let runner = self.runners.get(key).ok_or(NotPlaced::Busy)?;
         let weights = query.prompt.and_then(|p| runner.version_of(&p.model));
@@ -124,6 +125,35 @@
         }
     }
 
+    /// Replaces the chosen runner of a stream that can go on at one version only by one that failed
+    /// requests, if no open one has room, or the chosen one is estimated to miss the objective and the
+    /// other to begin earlier.
+    /// While all runners of a version fail a part of their requests, a single one that is open at the
+    /// moment gets all its streams otherwise, and begins none in time.
+    fn choose_failing_if_late(
+        &self,
+        now: Duration,
+        query: &PlacementQuery<'_>,
+        context: &SelectionContext,
+        best: Result<(RunnerKey, FirstTokenEstimate), NotPlaced>,
+        failing: &[OpenRunner],
+    ) -> Result<(RunnerKey, FirstTokenEstimate), NotPlaced> {
+        let in_time =
+            |(_, estimate): &(_, FirstTokenEstimate)| estimate.expected <= query.objective;
+        if failing.is_empty() || best.as_ref().is_ok_and(in_time) {
+            return best;
+        }
+        let allowed = failing.iter().copied();
+        let allowed = allowed.filter(|c| self.is_allowed(now, query, c.key));
+        let Ok(other) = self.choose(now, query, context, allowed.collect()) else {
+            return best;
+        };
+        match best {
+            Ok(best) if best.1.expected <= other.1.expected => Ok(best),
+            _ => Ok(other),
+        }
+    }
+
     /// Records demand for a permit of a request that waits in the queue behind others. Returns the
     /// estimated wait; none unless all open runners have a request limit.
     pub fn queue_behind_others(
@@ -175,9 +205,19 @@
         now: Duration,
         query: &PlacementQuery<'_>,
     ) -> Result<Vec<OpenRunner>, NotPlaced> {
+        let runners = self.open_and_failing_runners(now, query);
+        runners.map(|(open, _)| open)
+    }
+
+    /// Returns the open runners that may take the request, and those that only failures speak
+    /// against, if the request is a stream that can go on at one version only. The latter count as
+    /// open if there are no others.
+    fn open_and_failing_runners(
+        &mut self,
+        now: Duration,
+        query: &PlacementQuery<'_>,
+    ) -> Result<(Vec<OpenRunner>, Vec<OpenRunner>), NotPlaced> {
         let mut open = Vec::new();
-        // A stream can go on at the runners of one version only: those that failed are tried too
-        // when no other one is left.
         let mut failing = Vec::new();
         let mut earliest_open: Option<Duration> = None;
         let mut loading = false;
@@ -215,10 +255,10 @@
             open.push(candidate);
         }
         if open.is_empty() {
-            open = failing;
+            open = std::mem::take(&mut failing);
         }
         if !open.is_empty() {
-            return Ok(open);
+            return Ok((open, failing));
         }
         if query.software.is_some() && !has_version {
             let refusal = self.resume_refusal(query.service, query.software);
--- a/crates/dotterelrudder_gateway/tests/software_versions.rs
+++ b/crates/dotterelrudder_gateway/tests/software_versions.rs
@@ -155,6 +155,42 @@
     assert!(gateway.place(ms(50), &of_version).is_err());
 }
 
+/// Guards against all streams of a version being sent to its only open runner, which begins none of
+/// them in time, while the others only failed some requests.
+#[test]
+fn streams_of_a_version_are_not_all_sent_to_its_one_open_runner() {
+    let records = vec![
+        versioned(1, "v1"),
+        versioned(2, "v2"),
+        versioned(3, "v2"),
+        versioned(4, "v2"),
+    ];
+    let mut gateway = gateway_with(records);
+    let (engines, prompt) = (engines(), prompt("s", 9_000, 2_000));
+    let mut failed = Vec::new();
+    for n in 0..2 {
+        let mut of_version = query(&engines, Some(&prompt), &failed);
+        of_version.software = Some("v2");
+        let runner = gateway.place(ms(10 + n), &of_version).expect("v2").runner;
+        for _ in 0..3 {
+            gateway.ended(ms(20), runner, RunOutcome::Failed);
+        }
+        failed.push(runner);
+    }
+    let mut of_version = query(&engines, Some(&prompt), &[]);
+    of_version.software = Some("v2");
+    let mut placed = Vec::new();
+    for n in 0..5 {
+        let now = ms(30 + n);
+        let runner = gateway.place(now, &of_version).expect("v2").runner;
+        gateway.sent(now, runner, Some(&prompt));
+        placed.push(runner);
+    }
+    assert!(!failed.contains(&placed[0]), "the open runner comes first");
+    let at_failed = placed.iter().filter(|r| failed.contains(r)).count();
+    assert!(at_failed >= 2, "{at_failed} of 5 at the others");
+}
+
 fn admission(services: &[&str]) -> Admission {
     let mut route = route("long", CallKind::Stream { resumable: true }, services[0]);
     let target = |service: &&str| WeightedTarget {
