Grant permits for cold runners, and hold runners for cold until they are known to be warm

Cause: runners that crash come back empty, rank as least loaded at all entries at once, get more requests than a cold runner takes, and crash again; the list's coldLeftMs was read and dropped. Change: the leader knows cold runners from the list, from start times and from a presumption of a whole data centre (ColdRunners), announces them (RunnerWarmUps) before the list, loads or state, and grants short-lived permits from a bucket of one. Entries use permits also after a refused or lost connection and after they stood still, check the permit right before each write, and bound their requests in flight at a runner that returned. Nothing is sent without a declared warm-up.

--- a/crates/dotterelrudder_control/src/control_core/fleet.rs
+++ b/crates/dotterelrudder_control/src/control_core/fleet.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::FleetQuery;
@@ -164,7 +165,21 @@
         out: &mut Vec<Output>,
     ) {
         if self.holds_leader_lease(now) {
-            self.fleet_publisher.set_runner_list(records, out);
+            self.fleet_publisher.set_runner_list(
+                records,
+                &self.state,
+                self.wall_clock_ms,
+                now,
+                out,
+            );
+        }
+    }
+
+    /// Presumes that all runners of a data centre are cold that warm up, since nothing was sent to them
+    /// while the data centre was evacuated.
+    pub fn presume_cold(&mut self, data_centre: &DataCentre, now: Duration, out: &mut Vec<Output>) {
+        if self.was_leader {
+            self.fleet_publisher.presume_cold(data_centre, now, out);
         }
     }
 
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -378,7 +378,9 @@
                 let message = Message::OriginReply { number, origin };
                 out.push(Output::Send { to: from, message });
             }
-            Message::RunnerLoads(loads) => self.fleet_publisher.record_loads(loads),
+            Message::RunnerLoads(loads) => {
+                self.fleet_publisher.record_loads(loads, now, out);
+            }
             Message::Load(load) => self.subscribers.get_or_insert(&from).load = Some(load),
             Message::OrderDone { version, .. } => {
                 if let Some(load) = &mut self.subscribers.get_or_insert(&from).load {
--- a/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
+++ b/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::FleetQuery;
 use dotterelrudder_wire::FleetState;
@@ -21,6 +22,7 @@
 
 use super::fleet_client::FleetClient;
 use super::CacheDirectory;
+use super::ColdRunners;
 use super::LimitLedger;
 use super::PartLedger;
 use super::WeightRollout;
@@ -51,6 +53,7 @@
     rollout: WeightRollout,
     pub(crate) directory: CacheDirectory,
     pub(crate) limits: LimitLedger,
+    cold: ColdRunners,
     pub(crate) parts: PartLedger,
 }
 
@@ -83,14 +86,16 @@
             runner_list_sent,
         };
         self.clients.insert(from.clone(), client);
+        self.apply_configuration(state, now, out);
         // The fleet state makes an entry ready, which has to know limits and blocks by then.
         if entry_is_new {
             send_limits(&from, self.limits.limits(), out);
+            self.send_warm_ups(&from, now, out);
             self.send_verdicts(&from, now, out);
         }
         self.send_directory(&from, out);
         // The fleet state confirms the list, which has to be there by then.
-        self.send_runner_list(&from, out);
+        self.send_runner_list(&from, now, out);
         self.send_fleet_state(&from, state, controls, now, out);
         if entry_is_new && !self.loads.is_empty() {
             let loads = self.loads.values().map(|l| load_update(l, true));
@@ -131,7 +136,56 @@
         });
     }
 
-    fn send_runner_list(&mut self, to: &InstanceName, out: &mut Vec<Output>) {
+    /// Applies the warm-ups of the configuration in force, and announces a change.
+    fn apply_configuration(
+        &mut self,
+        state: &ReplicatedState,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        if self.cold.configure(state.deployment_configuration()) {
+            self.push_warm_ups(now, out);
+        }
+    }
+
+    /// Announces the rates of all runners that warm up to an entry.
+    fn send_warm_ups(&self, to: &InstanceName, now: Duration, out: &mut Vec<Output>) {
+        if let Some(warm_ups) = self.cold.announcement(now) {
+            out.push(Output::Send {
+                to: to.clone(),
+                message: Message::RunnerWarmUps(warm_ups),
+            });
+        }
+    }
+
+    /// Announces runners that became cold or warm to all entries, and grants by the new rates.
+    fn push_warm_ups(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let Some(warm_ups) = self.cold.take_announcement(now) else {
+            return;
+        };
+        self.limits.set_cold(now, self.cold.rates());
+        let clients = self.clients.iter();
+        for (name, _) in clients.filter(|(_, f)| f.colocated_runner.is_none()) {
+            out.push(Output::Send {
+                to: name.clone(),
+                message: Message::RunnerWarmUps(warm_ups.clone()),
+            });
+        }
+    }
+
+    /// Presumes that all runners of a data centre are cold, and announces it. It is called when an
+    /// evacuation of the data centre ends.
+    pub(crate) fn presume_cold(
+        &mut self,
+        data_centre: &DataCentre,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        self.cold.presume_cold(data_centre, now);
+        self.push_warm_ups(now, out);
+    }
+
+    fn send_runner_list(&mut self, to: &InstanceName, now: Duration, out: &mut Vec<Output>) {
         let Some(client) = self.clients.get_mut(to) else {
             return;
         };
@@ -140,6 +194,8 @@
             return;
         }
         client.runner_list_sent = self.runner_list_number;
+        // An entry must not use a new runner without knowing whether it is cold.
+        self.send_warm_ups(to, now, out);
         let with_software = self.runner_records.iter().filter_map(|r| {
             let software = r.software.clone()?;
             Some((r.identity.clone(), software))
@@ -199,32 +255,55 @@
         now: Duration,
         out: &mut Vec<Output>,
     ) {
+        self.apply_configuration(state, now, out);
         for name in self.clients.keys().cloned().collect::<Vec<_>>() {
             self.send_fleet_state(&name, state, controls.to_vec(), now, out);
         }
     }
 
     /// Replaces the list of backend servers and sends it to entries if it changed.
-    pub(crate) fn set_runner_list(&mut self, records: Vec<RunnerRecord>, out: &mut Vec<Output>) {
+    pub(crate) fn set_runner_list(
+        &mut self,
+        mut records: Vec<RunnerRecord>,
+        state: &ReplicatedState,
+        wall_clock_ms: u64,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        self.apply_configuration(state, now, out);
+        self.cold.on_list(&records, wall_clock_ms, now);
+        self.push_warm_ups(now, out);
+        self.limits.set_cold(now, self.cold.rates());
+        // Entries are told by another message, and the time changes with each reading.
+        for record in &mut records {
+            record.cold_left = None;
+        }
         if records == self.runner_records && self.runner_list_number > 0 {
             return;
         }
         self.runner_records = records;
         self.runner_list_number += 1;
         for name in self.clients.keys().cloned().collect::<Vec<_>>() {
-            self.send_runner_list(&name, out);
+            self.send_runner_list(&name, now, out);
         }
     }
 
-    /// Records the runner loads that a side reports.
-    pub(crate) fn record_loads(&mut self, loads: Vec<RunnerLoad>) {
+    /// Records the runner loads that a side reports. A start that they show is announced before them.
+    pub(crate) fn record_loads(
+        &mut self,
+        loads: Vec<RunnerLoad>,
+        now: Duration,
+        out: &mut Vec<Output>,
+    ) {
         for load in loads {
             let address = load.reading.address;
+            self.cold.on_report(address, load.traits.born_ms, now);
             let before = self.loads.get(&address);
             let traits = before.is_none_or(|b| b.traits != load.traits);
             *self.changed_loads.entry(address).or_default() |= traits;
             self.loads.insert(address, load);
         }
+        self.push_warm_ups(now, out);
     }
 
     /// Answers an entry's report about request limits with permits.
@@ -314,6 +393,8 @@
             out.push(Output::Send { to, message });
         }
         self.push_limits(out);
+        self.cold.tick(now);
+        self.push_warm_ups(now, out);
         self.parts.tick(now);
         self.push_verdicts(now, out);
         if now >= self.next_directory_push_at {
--- a/crates/dotterelrudder_control/src/fleet/limit_ledger.rs
+++ b/crates/dotterelrudder_control/src/fleet/limit_ledger.rs
@@ -11,6 +11,7 @@
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::NamedLimit;
 use dotterelrudder_types::TokenBucket;
+use dotterelrudder_wire::cold_grant_rate;
 use dotterelrudder_wire::LimitGrants;
 use dotterelrudder_wire::LimitReport;
 use dotterelrudder_wire::LimitUpdate;
@@ -40,10 +41,19 @@
     granted: BTreeMap<u8, u32>,
 }
 
+/// How long an entry's report counts that it takes a runner to be cold which the leader doesn't;
+/// three times the interval at which entries repeat their reports.
+const PRESUMPTION_TTL: Duration = Duration::from_secs(3);
+
 /// The limit of one runner and the demand for it.
 #[derive(Debug)]
 struct LimitedRunner {
+    /// The limit in the runner's answers.
     limit: NamedLimit,
+    /// What the runner takes while it is cold, in requests a second.
+    cold_rate: Option<f64>,
+    /// The same for a runner that only entries take to be cold, and until when their reports count.
+    presumed_rate: Option<(f64, Duration)>,
     bucket: TokenBucket,
     demand: BTreeMap<InstanceName, EntryDemand>,
     /// The entry that got the last permit; the next one goes to an entry behind it.
@@ -59,14 +69,16 @@
     takeover_until: Duration,
     /// Changes that were not sent to the entries yet.
     updates: Vec<LimitUpdate>,
+    /// What each runner of a service with a warm-up takes when it is cold.
+    cold_rates: BTreeMap<CompactString, f64>,
 }
 
 impl LimitedRunner {
-    fn new(now: Duration, rate: f64) -> Self {
-        let mut limit = NamedLimit::default();
-        limit.on_named(now, rate);
+    fn new(now: Duration) -> Self {
         Self {
-            limit,
+            limit: NamedLimit::default(),
+            cold_rate: None,
+            presumed_rate: None,
             bucket: TokenBucket::new(now, 0.0),
             demand: BTreeMap::new(),
             last_granted: None,
@@ -74,11 +86,40 @@
         }
     }
 
+    /// Returns what the runner takes if it is cold, in requests a second.
+    fn cold_rate(&self, now: Duration) -> Option<f64> {
+        let presumed = self.presumed_rate.filter(|(_, until)| now < *until);
+        self.cold_rate.or(presumed.map(|(rate, _)| rate))
+    }
+
+    /// Returns the rate of permits and the capacity of their bucket; none without a limit.
+    fn grant_rate(&self, now: Duration) -> Option<(f64, f64)> {
+        let named = self.limit.rate();
+        let named = named.map(|l| (l * (1.0 - RESERVED_SHARE)).max(MIN_LIMIT_RATE));
+        match (named, self.cold_rate(now).map(cold_grant_rate)) {
+            (Some(named), None) => Some((named, 1.0 + named * BURST_SECONDS)),
+            // More than one permit at once would add to those of a second.
+            (named, Some(cold)) => Some((named.map_or(cold, |n| n.min(cold)), 1.0)),
+            (None, None) => None,
+        }
+    }
+
+    /// Empties the bucket and withdraws permits that were not sent, since the runner takes less from
+    /// now on.
+    fn withdraw_permits(&mut self, now: Duration) {
+        self.bucket = TokenBucket::new(now, 0.0);
+        for demand in self.demand.values_mut() {
+            demand.granted.clear();
+        }
+    }
+
     /// Grants the permits that are available: the most urgent demand first, and entries with equally
     /// urgent demand in turn.
     fn grant(&mut self, now: Duration) {
-        let rate = (self.limit.rate().unwrap_or(0.0) * (1.0 - RESERVED_SHARE)).max(MIN_LIMIT_RATE);
-        self.bucket.refill(now, rate, 1.0 + rate * BURST_SECONDS);
+        let Some((rate, capacity)) = self.grant_rate(now) else {
+            return;
+        };
+        self.bucket.refill(now, rate, capacity);
         self.demand
             .retain(|_, d| now < d.reported_at + DEMAND_TTL || !d.granted.is_empty());
         while self.bucket.tokens() >= 1.0 {
@@ -144,11 +185,17 @@
         for row in report.runners {
             let identity = row.runner.clone();
             self.apply_answers(&row, now);
-            let Some(runner) = self.runners.get_mut(&identity) else {
+            // A row without a finite limit is about a runner that the entry takes to be cold.
+            let holds_named = row.held.is_finite();
+            let runner = self.runners.get_mut(&identity);
+            let names_none = runner.as_ref().is_none_or(|r| r.limit.rate().is_none());
+            if holds_named && names_none {
                 ended.push(LimitUpdate {
-                    runner: identity,
+                    runner: identity.clone(),
                     rate: None,
                 });
+            }
+            let Some(runner) = runner else {
                 continue;
             };
             runner.reported_at = now;
@@ -176,18 +223,32 @@
         (LimitGrants { number, grants }, ended)
     }
 
-    /// Applies what the answers to an entry stated about a runner's limit.
+    /// Applies what the answers to an entry stated about a runner's limit, and that the entry takes the
+    /// runner to be cold.
     fn apply_answers(&mut self, row: &RunnerDemand, now: Duration) {
-        let Some(runner) = self.runners.get_mut(&row.runner) else {
-            let taken_over = (now < self.takeover_until).then_some(row.held);
+        let holds_named = row.held.is_finite();
+        let taken_over = (now < self.takeover_until && holds_named).then_some(row.held);
+        let presumed_rate = self.cold_rates.get(&row.runner);
+        let presumed_rate = presumed_rate.filter(|_| !holds_named).copied();
+        let known = self.runners.get(&row.runner);
+        if known.is_none_or(|r| r.limit.rate().is_none()) {
             if let Some(rate) = row.named.or(taken_over) {
-                self.runners
-                    .insert(row.runner.clone(), LimitedRunner::new(now, rate));
+                let runners = self.runners.entry(row.runner.clone());
+                let runner = runners.or_insert_with(|| LimitedRunner::new(now));
+                runner.limit.on_named(now, rate);
                 self.updates.push(LimitUpdate {
                     runner: row.runner.clone(),
                     rate: Some(rate),
                 });
+                return;
             }
+        }
+        if let Some(rate) = presumed_rate {
+            let runners = self.runners.entry(row.runner.clone());
+            let runner = runners.or_insert_with(|| LimitedRunner::new(now));
+            runner.presumed_rate = Some((rate, now + PRESUMPTION_TTL));
+        }
+        let Some(runner) = self.runners.get_mut(&row.runner) else {
             return;
         };
         let before = runner.limit.rate();
@@ -205,11 +266,40 @@
                 rate,
             });
         }
-        if rate.is_none() {
+        if runner.grant_rate(now).is_none() {
             self.runners.remove(&row.runner);
         }
     }
 
+    /// Sets what the runners of services with a warm-up take when they are cold, and which are: rows of
+    /// identity, requests a second and whether the runner is cold. Other runners are not cold.
+    pub fn set_cold<'a, R>(&mut self, now: Duration, rows: R)
+    where
+        R: Iterator<Item = (&'a CompactString, f64, bool)>,
+    {
+        self.cold_rates.clear();
+        let mut cold: BTreeMap<&CompactString, f64> = BTreeMap::new();
+        for (identity, rate, is_cold) in rows {
+            self.cold_rates.insert(identity.clone(), rate);
+            if is_cold {
+                cold.insert(identity, rate);
+            }
+        }
+        for (identity, runner) in &mut self.runners {
+            let rate = cold.remove(identity);
+            if rate.is_some() && runner.cold_rate.is_none() {
+                runner.withdraw_permits(now);
+            }
+            runner.cold_rate = rate;
+        }
+        for (identity, rate) in cold {
+            let mut runner = LimitedRunner::new(now);
+            runner.cold_rate = Some(rate);
+            self.runners.insert(identity.clone(), runner);
+        }
+        self.runners.retain(|_, r| r.grant_rate(now).is_some());
+    }
+
     /// Grants the permits that became available, and removes limits without reports. Returns the
     /// grants by entry.
     pub fn tick(&mut self, now: Duration) -> BTreeMap<InstanceName, LimitGrants> {
@@ -217,13 +307,14 @@
         let updates = &mut self.updates;
         self.runners.retain(|identity, runner| {
             let expired = now >= runner.reported_at + LIMIT_TTL;
-            if expired {
+            if expired && runner.limit.rate().is_some() {
+                runner.limit = NamedLimit::default();
                 updates.push(LimitUpdate {
                     runner: identity.clone(),
                     rate: None,
                 });
             }
-            !expired
+            runner.grant_rate(now).is_some()
         });
         for (identity, runner) in &mut self.runners {
             runner.grant(now);
@@ -263,9 +354,10 @@
         std::mem::take(&mut self.updates)
     }
 
-    /// Returns the limits of all runners.
+    /// Returns the limits that runners name.
     pub fn limits(&self) -> Vec<LimitUpdate> {
         let runners = self.runners.iter();
+        let runners = runners.filter(|(_, runner)| runner.limit.rate().is_some());
         let limits = runners.map(|(identity, runner)| LimitUpdate {
             runner: identity.clone(),
             rate: runner.limit.rate(),
--- a/crates/dotterelrudder_control/src/lib.rs
+++ b/crates/dotterelrudder_control/src/lib.rs
@@ -21,6 +21,7 @@
 pub use control_core::ControlCore;
 pub use control_core::ControlSettings;
 pub use fleet::CacheDirectory;
+pub use fleet::ColdRunners;
 pub use fleet::FreePartsOrder;
 pub use fleet::LimitLedger;
 pub use fleet::PartLedger;
--- a/crates/dotterelrudder_daemon/src/fleet/follower.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -21,6 +21,7 @@
 use dotterelrudder_wire::PartVerdicts;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRecord;
+use dotterelrudder_wire::RunnerWarmUps;
 use dotterelrudder_wire::StreamKey;
 use dotterelrudder_wire::StreamOrigin;
 use dotterelrudder_wire::WeightOrder;
@@ -59,6 +60,8 @@
     LimitGrants(LimitGrants),
     /// Request limits of runners that changed.
     RunnerLimits(Vec<LimitUpdate>),
+    /// Runners that became cold or warm, and the services whose runners warm up.
+    RunnerWarmUps(RunnerWarmUps),
     /// Verdicts on parts of prompts that may crash runners.
     PartVerdicts(Arc<PartVerdicts>),
     /// A connection to a control instance opened, which may have been restarted.
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -244,6 +244,9 @@
                 Message::RunnerLimits(limits) => {
                     (self.on_update)(FleetUpdate::RunnerLimits(limits));
                 }
+                Message::RunnerWarmUps(warm_ups) => {
+                    (self.on_update)(FleetUpdate::RunnerWarmUps(warm_ups));
+                }
                 Message::PartVerdicts(verdicts) => {
                     (self.on_update)(FleetUpdate::PartVerdicts(verdicts));
                 }
--- a/crates/dotterelrudder_daemon/src/fleet/runner_list.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/runner_list.rs
@@ -58,7 +58,12 @@
         let missing = self.known.iter().filter(|known| {
             !identities.contains(&known.identity) && !addresses.contains(&known.address)
         });
-        let missing: Vec<RunnerRecord> = missing.cloned().collect();
+        // How long they stay cold is not known from this reading.
+        let missing = missing.cloned().map(|known| RunnerRecord {
+            cold_left: None,
+            ..known
+        });
+        let missing: Vec<RunnerRecord> = missing.collect();
         records.extend(missing);
     }
 
@@ -90,7 +95,12 @@
                 *held = record;
             } else if record.born_ms == held.born_ms {
                 let leaving = held.leaving || record.leaving;
-                *held = RunnerRecord { leaving, ..record };
+                let cold_left = held.cold_left.max(record.cold_left);
+                *held = RunnerRecord {
+                    leaving,
+                    cold_left,
+                    ..record
+                };
             }
         }
         (merged, conflicts)
--- a/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
@@ -50,7 +50,6 @@
         placement: &Placement,
         backend_request: &BackendRequest,
         limit: Duration,
-        now: Duration,
         stream: bool,
     ) -> Result<AnswerStart, AttemptFailure> {
         let answered = send_attempt(
@@ -60,7 +59,7 @@
             placement,
             backend_request,
             limit,
-            now,
+            &self.clock,
         );
         let answered = answered.await;
         let limit = match &answered {
--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::RunOutcome;
+use dotterelrudder_types::Clock;
 use http::header::CONTENT_LENGTH;
 use http::Request;
 use http::Version;
@@ -18,6 +19,7 @@
 use super::connection_pool::ConnectionPool;
 use super::upstream::SendError;
 use super::upstream::UpstreamConnection;
+use crate::system_clock::SystemClock;
 
 /// How a failed attempt ended, which decides whether the request may be sent again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,6 +78,29 @@
         }
     }
 
+    /// Returns whether the runner may have ended: it refused or closed a connection.
+    pub(super) fn shows_lost_runner(&self) -> bool {
+        use FailureKind::*;
+        matches!(self.kind, NotSent | ConnectionLost) && self.outcome != RunOutcome::Abandoned
+    }
+
+    /// Builds the failure of an attempt whose permit expired before the request was sent.
+    fn permit_expired() -> Self {
+        Self {
+            kind: FailureKind::NotSent,
+            outcome: RunOutcome::Abandoned,
+            ..Self::answer_lost("the permit for a cold runner expired before the request was sent")
+        }
+    }
+
+    /// Builds the failure of a request for which the connection closed before it was sent.
+    fn not_sent() -> Self {
+        Self {
+            kind: FailureKind::NotSent,
+            ..Self::answer_lost("the connection closed before the request was sent")
+        }
+    }
+
     /// Builds the failure of an attempt that was cancelled after a retry was taken from the budget.
     pub(super) fn retry_reserved<S>(outcome: RunOutcome, reason: S) -> Self
     where
@@ -123,30 +148,45 @@
     placement: &Placement,
     backend_request: &BackendRequest,
     head_limit: Duration,
-    now: Duration,
+    clock: &SystemClock,
 ) -> Result<AnswerHead, AttemptFailure>
 where
     D: Dialect,
 {
     let address = placement.address;
-    let pooled = pool.take(address, outgoing.may_repeat, now);
-    let was_pooled = pooled.is_some();
-    let mut upstream = match pooled {
+    let limit = &placement.limit;
+    // A closed connection may be the first sign that the runner started again and is cold; a request
+    // without a permit must not be sent over a new one.
+    let may_reconnect = !limit.warms_up || limit.cold_rate.is_some();
+    // The permit is checked right before each write: connecting took time, or this process stood still.
+    let is_expired = || limit.send_by.is_some_and(|by| clock.now() >= by);
+    let pooled = pool.take(address, outgoing.may_repeat, clock.now());
+    let was_pooled = pooled.upstream.is_some();
+    let mut upstream = match pooled.upstream {
         Some(upstream) => upstream,
+        None if pooled.found_closed && !may_reconnect => return Err(AttemptFailure::not_sent()),
         None => match pool.connect(address).await {
             Ok(upstream) => upstream,
             Err(reason) => return Err(unreachable(pool, placement, reason)),
         },
     };
+    if is_expired() {
+        pool.put_back(upstream, clock.now());
+        return Err(AttemptFailure::permit_expired());
+    }
     let req = build_request(dialect, outgoing, backend_request);
     let mut sent = timeout(head_limit, upstream.send(req)).await;
-    if was_pooled && matches!(sent, Ok(Err(SendError::NotSent))) {
+    if was_pooled && may_reconnect && matches!(sent, Ok(Err(SendError::NotSent))) {
         // The server closed the idle connection, or sent unrequested bytes, before the request was
         // written; sending it over a new connection is not a retry.
         upstream = match pool.connect(address).await {
             Ok(upstream) => upstream,
             Err(reason) => return Err(unreachable(pool, placement, reason)),
         };
+        if is_expired() {
+            pool.put_back(upstream, clock.now());
+            return Err(AttemptFailure::permit_expired());
+        }
         let req = build_request(dialect, outgoing, backend_request);
         sent = timeout(head_limit, upstream.send(req)).await;
     }
@@ -158,13 +198,7 @@
                 Ok(limit) => Ok((head, limit, body, upstream)),
             }
         }
-        Ok(Err(SendError::NotSent)) => Err(AttemptFailure {
-            kind: FailureKind::NotSent,
-            outcome: RunOutcome::Failed,
-            requested_backoff: None,
-            limit: None,
-            reason: "the connection closed before the request was sent".into(),
-        }),
+        Ok(Err(SendError::NotSent)) => Err(AttemptFailure::not_sent()),
         Ok(Err(SendError::Broken(reason))) => {
             pool.close_idle(address);
             Err(AttemptFailure::connection_lost(reason))
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -123,7 +123,8 @@
         request: &ActiveRequest,
         log: &mut AttemptLog,
     ) -> Result<Arc<Placement>, Refusal> {
-        if let Some(given_up) = log.returns_to.take() {
+        let returns_to = log.returns_to.take();
+        if let Some(given_up) = returns_to.filter(|p| !self.gateway().is_cold(p.runner)) {
             return Ok(given_up);
         }
         let query = self.placement_query(request, log);
@@ -131,8 +132,11 @@
             Ok(placement) => return Ok(Arc::new(placement)),
             Err(refusal) => refusal,
         };
+        // A runner that is cold by now needs a permit, which only a new placement takes.
+        let is_cold = |p: &Arc<Placement>| self.gateway().is_cold(p.runner);
         let is_blocked = self.refuse_blocked(request).is_some();
-        log.given_up.take().filter(|_| !is_blocked).ok_or(refusal)
+        let given_up = log.given_up.take().filter(|p| !is_blocked && !is_cold(p));
+        given_up.ok_or(refusal)
     }
 
     /// Builds the query for the next runner of a request.
@@ -230,6 +234,9 @@
     /// Builds the refusal of a request that can't get a permit in time, and removes its demand.
     fn refuse_for_limits(&self, query: &PlacementQuery<'_>, wait: PermitWait) -> Refusal {
         self.metrics.count_limit_refusal();
+        if wait.is_cold {
+            self.metrics.count_cold_refusal();
+        }
         let mut gateway = self.gateway();
         gateway.forget_demand(query.request);
         self.limit_report_due.notify_one();
@@ -289,7 +296,6 @@
             placement,
             &backend_request,
             limit,
-            began,
             route.kind.is_stream(),
         );
         let first = timeout(limit, first);
@@ -312,6 +318,9 @@
         match first {
             Err(failure) => {
                 guard.end(failure.outcome);
+                if failure.shows_lost_runner() {
+                    self.note_lost_runner(placement);
+                }
                 if failure.kind == FailureKind::ConnectionLost {
                     self.record_lost_connection(request, placement, began, &failure.reason);
                 }
@@ -486,6 +495,9 @@
             limit.permits_left
         );
     }
+    if let Some(rate) = limit.cold_rate {
+        note += &format!(", cold at {rate}/s");
+    }
     if let Some(runner) = &limit.passed_over {
         note += &format!(", no permit for {runner}");
     }
--- a/crates/dotterelrudder_daemon/src/gateway/connection_pool.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/connection_pool.rs
@@ -40,6 +40,15 @@
     }
 }
 
+/// An idle connection that was taken from the pool.
+#[derive(Debug, Default)]
+pub(super) struct TakenConnection {
+    /// The connection; `None` if there was none to use.
+    pub(super) upstream: Option<UpstreamConnection>,
+    /// Whether connections were found that the server had closed.
+    pub(super) found_closed: bool,
+}
+
 /// The open connections that no request uses.
 #[derive(Debug)]
 pub(super) struct ConnectionPool {
@@ -80,20 +89,25 @@
         address: SocketAddr,
         may_repeat: bool,
         now: Duration,
-    ) -> Option<UpstreamConnection> {
+    ) -> TakenConnection {
+        let mut taken = TakenConnection::default();
         let mut idle_connections = self.lock();
-        let list = idle_connections.get_mut(&address)?;
+        let Some(list) = idle_connections.get_mut(&address) else {
+            return taken;
+        };
         while let Some(last) = list.pop() {
             if !last.is_usable(now) {
+                taken.found_closed |= !last.upstream.is_usable();
                 continue;
             }
             if !may_repeat && last.idle(now) > CONNECTION_MAX_IDLE_NOT_REPEATABLE {
                 list.push(last);
-                return None;
+                return taken;
             }
-            return Some(last.upstream);
+            taken.upstream = Some(last.upstream);
+            return taken;
         }
-        None
+        taken
     }
 
     /// Returns a connection to the pool after a complete response.
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -47,6 +47,9 @@
 const MIN_LIMIT_REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// The shortest interval between two reports about parts of prompts.
 const MIN_PART_REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// The interval at which it is checked whether the process stood still; several times shorter than what
+/// counts as standing still.
+const PAUSE_WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval at which expired idle connections are closed and the state metrics are updated.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -141,6 +144,7 @@
     .await?;
     tokio::spawn(report_limits(server.clone(), follower.clone()));
     tokio::spawn(report_parts(server.clone(), follower.clone()));
+    tokio::spawn(watch_for_pauses(server.clone()));
     // It is set only here.
     let _set = server
         .origin_queries
@@ -206,6 +210,24 @@
     }
 }
 
+/// Notices when this process stood still, while there are services whose runners warm up.
+async fn watch_for_pauses<D>(server: Arc<EntryServer<D>>)
+where
+    D: Dialect,
+{
+    loop {
+        tokio::time::sleep(PAUSE_WATCH_INTERVAL).await;
+        let now = server.clock.now();
+        if server.gateway().watch_for_pause(now) {
+            warn!(
+                server.log,
+                "process stood still; runners that warm up count as cold until the \
+                leading control instance answers"
+            );
+        }
+    }
+}
+
 /// Reports runners that ended, and what speaks for or against parts of prompts, to the leader.
 async fn report_parts<D>(server: Arc<EntryServer<D>>, follower: FollowerHandle)
 where
@@ -283,6 +305,16 @@
             }
             gateway.on_limit_updates(now, limits);
         }
+        FleetUpdate::RunnerWarmUps(warm_ups) => {
+            for change in gateway.on_warm_ups(now, warm_ups) {
+                let text = match change.rate {
+                    Some(_) => "runner is cold",
+                    None => "runner is warm",
+                };
+                info!(server.log, "{}", text; "runner" => change.runner.as_str(),
+                    "limit_per_s" => change.rate, "left_ms" => change.left_ms);
+            }
+        }
         FleetUpdate::ControlConnected(control) => {
             let kept = gateway.kept_stream_origins(now);
             if let Some(follower) = server.origin_queries.follower.get() {
--- a/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/lost_connections.rs
@@ -57,6 +57,21 @@
         }
     }
 
+    /// Records that a runner refused or closed a connection. It may start again, and be cold then.
+    pub(super) fn note_lost_runner(&self, placement: &Placement) {
+        let now = self.now();
+        let mut gateway = self.gateway();
+        let counts_as_cold = gateway.on_connection_lost(now, placement.runner);
+        if gateway.is_limit_report_due() {
+            self.limit_report_due.notify_one();
+        }
+        drop(gateway);
+        if counts_as_cold {
+            slog::info!(self.log, "runner counts as cold after a lost connection";
+                "runner" => placement.identity.as_str(), "address" => %placement.address);
+        }
+    }
+
     /// Finds out whether a runner ended: only the host of a process that has ended refuses a
     /// connection. A connection that was reset, a lost answer or a cut link leave the runner there,
     /// and a machine without power doesn't answer.
--- a/crates/dotterelrudder_daemon/src/gateway/state_metrics.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/state_metrics.rs
@@ -15,10 +15,12 @@
         let counts = gateway.count_runners(now);
         let age = gateway.confirmation_age(now);
         let (limited, permits) = (gateway.limited_runners(), gateway.unused_permits());
+        let cold = gateway.cold_runners();
         let (parts, requests) = gateway.part_blocks();
         drop(gateway);
         self.metrics.set_blocks(parts, requests);
         self.metrics.set_limited_runners(limited, permits);
+        self.metrics.set_cold_runners(cold);
         for (state, runners) in counts {
             self.metrics.set_runners(state.as_str(), runners);
         }
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -131,6 +131,9 @@
             log.software = started.software(&log);
             started.guard.end(failure.outcome);
             drop(started.upstream);
+            if failure.shows_lost_runner() {
+                self.note_lost_runner(&started.placement);
+            }
             if failure.kind == FailureKind::ConnectionLost && !started.passed_event {
                 let (placement, sent_at) = (&started.placement, started.sent_at);
                 self.record_lost_connection(request, placement, sent_at, &failure.reason);
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -39,6 +39,8 @@
     limited_sends: Counter<u64>,
     limited_runners: Gauge<u64>,
     limit_refusals: Counter<u64>,
+    cold_runners: Gauge<u64>,
+    cold_refusals: Counter<u64>,
     unused_permits: Gauge<u64>,
     part_blocks: Gauge<u64>,
     request_blocks: Gauge<u64>,
@@ -101,6 +103,8 @@
             limited_sends: counter("dotterelrudder_limited_sends"),
             limited_runners: gauge("dotterelrudder_limited_runners"),
             limit_refusals: counter("dotterelrudder_limit_refusals"),
+            cold_runners: gauge("dotterelrudder_cold_runners"),
+            cold_refusals: counter("dotterelrudder_cold_refusals"),
             unused_permits: gauge("dotterelrudder_unused_permits"),
             part_blocks: gauge("dotterelrudder_part_blocks"),
             request_blocks: gauge("dotterelrudder_request_blocks"),
@@ -203,6 +207,16 @@
         self.limit_refusals.add(1, &[]);
     }
 
+    /// Counts a request refused because runners are cold and no permit was left for them.
+    pub fn count_cold_refusal(&self) {
+        self.cold_refusals.add(1, &[]);
+    }
+
+    /// Sets the number of runners that are cold, or may be.
+    pub fn set_cold_runners(&self, runners: usize) {
+        self.cold_runners.record(runners as u64, &[]);
+    }
+
     /// Sets the number of runners that name a request limit, and of unused permits for them.
     pub fn set_limited_runners(&self, runners: usize, permits: usize) {
         self.limited_runners.record(runners as u64, &[]);
--- a/crates/dotterelrudder_daemon/tests/runner_list.rs
+++ b/crates/dotterelrudder_daemon/tests/runner_list.rs
@@ -18,6 +18,7 @@
         weights: Vec::new(),
         software: Some("v1".into()),
         born_ms: 5,
+        cold_left: None,
     }
 }
 
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission_control;
 mod blocked_parts;
+mod cold_runners;
 mod request_limits;
 mod request_placement;
 mod runner_estimate;
@@ -19,6 +20,7 @@
 use crate::LimitReports;
 use crate::NamedWeights;
 use crate::PartWatch;
+use crate::PauseDetector;
 use crate::Prompt;
 use crate::RetryBudget;
 use crate::RouteTable;
@@ -39,6 +41,7 @@
 use dotterelrudder_wire::PartKey;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRecord;
+use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -85,6 +88,11 @@
     versions_confirmed_at: Option<Duration>,
     /// When the limits of all runners were last reported.
     limits_reported_at: Duration,
+    /// The services whose runners warm up, and what a cold runner takes in requests a second.
+    warm_ups: HashMap<ServiceName, f64>,
+    pauses: PauseDetector,
+    /// Where this entry's parts of reserves begin, from 0 to 1.
+    reserve_phase: f64,
     rng: ChaCha8Rng,
 }
 
@@ -114,6 +122,9 @@
             versions: HashMap::new(),
             versions_confirmed_at: None,
             limits_reported_at: Duration::ZERO,
+            warm_ups: HashMap::new(),
+            pauses: PauseDetector::default(),
+            reserve_phase: ChaCha8Rng::seed_from_u64(!seed).random(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -142,6 +153,8 @@
         self.entries.update(now, state.entries);
         if let Some(at) = queried_at {
             self.confirm_versions(now, at);
+            self.runners.for_each_limited(|r| r.limit.on_confirmed(at));
+            self.runners.forget_ended_limits();
             self.stored_parts
                 .confirm(state.directory, at, state.engine_clock_ms, now);
         }
--- a/crates/dotterelrudder_gateway/src/gateway/request_limits.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_limits.rs
@@ -15,8 +15,6 @@
 use dotterelrudder_wire::LimitGrants;
 use dotterelrudder_wire::LimitReport;
 use dotterelrudder_wire::LimitUpdate;
-use dotterelrudder_wire::MIN_LIMIT_RATE;
-use dotterelrudder_wire::RESERVED_SHARE;
 use std::time::Duration;
 
 /// The interval at which known limits are reported without a change, so that a new leader learns
@@ -39,7 +37,9 @@
         runner: RunnerKey,
         limit: AnswerLimit,
     ) -> Option<(Option<f64>, Option<f64>)> {
-        let limited = &mut self.runners.get_mut(runner)?.limit;
+        let answering = self.runners.get_mut(runner)?;
+        answering.on_answer_begun();
+        let limited = &mut answering.limit;
         let before = limited.rate();
         limited.on_answer(now, limit);
         let after = limited.rate();
@@ -112,8 +112,10 @@
     pub(super) fn advance_limits(&mut self, now: Duration) {
         let entries = self.entries.get();
         let is_cut_off = self.limit_reports.is_cut_off(now);
+        let phase = self.reserve_phase;
         self.runners
-            .for_each_limited(|r| r.limit.advance(now, entries, is_cut_off));
+            .for_each_limited(|r| r.limit.advance(now, entries, is_cut_off, phase));
+        self.runners.forget_ended_limits();
     }
 
     /// Returns whether a request may be sent to a runner now, by its request limit.
@@ -146,9 +148,12 @@
         let Some(runner) = self.runners.get_mut(key) else {
             return AppliedLimit::default();
         };
-        runner.limit.take(now, query.urgency);
+        let send_by = runner.limit.take(now, query.urgency);
         AppliedLimit {
             rate: runner.limit.rate(),
+            cold_rate: runner.limit.cold_rate(),
+            warms_up: self.warm_ups.contains_key(&runner.record.service),
+            send_by,
             permits_left: runner.limit.permits(),
             answered_ago,
             passed_over,
@@ -165,10 +170,9 @@
     ) -> PermitWait {
         let answered_at = self.limit_reports.answered_at();
         let is_cut_off = self.limit_reports.is_cut_off(now);
-        let share = match is_cut_off {
-            true => RESERVED_SHARE / f64::from(self.entries.get()),
-            false => 1.0 - RESERVED_SHARE,
-        };
+        let entries = self.entries.get();
+        let mut is_cold = false;
+        let mut warm_at: Option<Duration> = None;
         let (mut rates, mut waiting) = (0.0, 1.0);
         let mut shortest: Option<(f64, RunnerKey)> = None;
         let mut wanted_since = None;
@@ -176,7 +180,10 @@
             let Some(runner) = self.runners.get(open.key) else {
                 continue;
             };
-            let rate = (runner.limit.rate().unwrap_or(0.0) * share).max(MIN_LIMIT_RATE);
+            let rate = runner.limit.permit_rate(entries, is_cut_off);
+            is_cold |= runner.limit.cold_rate().is_some();
+            let warm = runner.limit.cold_until();
+            warm_at = warm.map_or(warm_at, |at| Some(warm_at.map_or(at, |w| w.min(at))));
             let ahead = f64::from(runner.limit.waiting_before(query.urgency, query.request));
             rates += rate;
             waiting += ahead;
@@ -192,10 +199,13 @@
         }
         let time =
             Duration::try_from_secs_f64(waiting / rates * WAIT_MARGIN).unwrap_or(MAX_RETRY_AFTER);
+        // A runner that is warm takes what waits without permits.
+        let time = warm_at.map_or(time, |at| time.min(at.saturating_sub(now)));
         let is_recent = now < answered_at + DEMAND_KNOWN_FOR;
         PermitWait {
             time: time.min(MAX_RETRY_AFTER),
             is_known: is_cut_off || is_recent || wanted_since.is_some_and(|at| answered_at >= at),
+            is_cold,
         }
     }
 
--- a/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
@@ -50,9 +50,14 @@
         query: &PlacementQuery<'_>,
     ) -> Result<Placement, NotPlaced> {
         self.resample_candidates(now);
+        self.watch_for_pause(now);
         self.advance_limits(now);
         self.placements = self.placements.wrapping_add(1);
-        let open = self.open_runners(now, query)?;
+        let mut open = self.open_runners(now, query)?;
+        open.retain(|c| !self.is_held_back(c.key));
+        if open.is_empty() {
+            return Err(NotPlaced::Busy);
+        }
         let context = self.selection_context(now, query);
         let (allowed, exhausted): (Vec<_>, Vec<_>) = open
             .iter()
@@ -103,7 +108,11 @@
         let Ok(mut open) = self.open_runners(now, query) else {
             return false;
         };
-        open.retain(|c| self.is_allowed(now, query, c.key) && !self.is_suspected(c.key));
+        open.retain(|c| {
+            self.is_allowed(now, query, c.key)
+                && !self.is_suspected(c.key)
+                && !self.is_held_back(c.key)
+        });
         let context = self.selection_context(now, query);
         self.choose(now, query, &context, open).is_ok()
     }
--- a/crates/dotterelrudder_gateway/src/limits/permit_wait.rs
+++ b/crates/dotterelrudder_gateway/src/limits/permit_wait.rs
@@ -10,4 +10,6 @@
     /// Whether the estimate rests on what the leader knows of the demand at all entries. Without it
     /// the request has to wait for the answer to a report, which takes milliseconds.
     pub is_known: bool,
+    /// Whether one of the runners that the request waits for is cold.
+    pub is_cold: bool,
 }
--- a/crates/dotterelrudder_gateway/src/runners/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runners/runner_state.rs
@@ -11,6 +11,7 @@
 use crate::RunnerCondition;
 use crate::RunnerHealth;
 use crate::RunnerLimit;
+use crate::SlowStart;
 use crate::WarmConnections;
 
 /// The age at which a load report expires: several reporting periods.
@@ -41,6 +42,8 @@
     pub suspected: bool,
     /// The request limit of the runner, with this entry's permits and demand.
     pub limit: RunnerLimit,
+    /// Bounds the requests in flight after the runner returned, until it has shown that it works.
+    pub slow_start: Option<SlowStart>,
     /// The last load report and when it arrived.
     load: Option<(RunnerLoad, Duration)>,
     /// When this entry last sent a request of each session.
@@ -66,6 +69,7 @@
             sampling_rank: 0,
             suspected: false,
             limit: RunnerLimit::default(),
+            slow_start: None,
             load: None,
             sessions: HashMap::new(),
             in_flight: 0,
@@ -87,6 +91,7 @@
                 in_flight: self.in_flight,
                 unread: self.unread,
                 limit: std::mem::take(&mut self.limit),
+                slow_start: self.slow_start,
                 ..Self::new(record)
             };
             return;
@@ -114,6 +119,9 @@
         self.sent_tokens_since_report = 0.0;
         self.unread_since_report = 0.0;
         self.suspected = false;
+        if load.reading.answers {
+            self.limit.on_load_report(now);
+        }
         self.load = Some((load, now));
     }
 
@@ -291,8 +299,26 @@
         self.unread = (self.unread - unread).max(0.0);
     }
 
+    /// Begins a slow start: the runner returned.
+    pub fn begin_slow_start(&mut self) {
+        self.slow_start = Some(SlowStart::new(self.in_flight));
+    }
+
+    /// Counts an answer of the runner that begins.
+    pub fn on_answer_begun(&mut self) {
+        self.slow_start.take_if(SlowStart::on_answer);
+    }
+
+    /// Returns whether the slow start after the runner's return admits no further request now.
+    pub fn is_held_back(&self) -> bool {
+        self.slow_start.is_some_and(|s| !s.allows(self.in_flight))
+    }
+
     /// Counts a request that ended.
     pub fn ended(&mut self) {
+        if let Some(slow_start) = &mut self.slow_start {
+            slow_start.on_end();
+        }
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 }
--- a/crates/dotterelrudder_gateway/src/runners/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runners/runner_table.rs
@@ -29,6 +29,9 @@
     failure_detector: FailureDetector,
     /// The request limits that the leader announced, by the identity of the runner.
     announced_limits: HashMap<CompactString, f64>,
+    /// The rates of cold runners that the leader announced and until when they are cold, by the identity
+    /// of the runner.
+    announced_cold: HashMap<CompactString, (f64, Duration)>,
     /// The runners with a request limit. They are few, and looked up for each request.
     limited: Vec<RunnerKey>,
 }
@@ -54,6 +57,10 @@
                         Duration::ZERO,
                         self.announced_limits.get(&identity).copied(),
                     );
+                    if let Some((rate, until)) = self.announced_cold.get(&identity) {
+                        runner.limit.announce_cold(Some(*rate), *until);
+                        runner.begin_slow_start();
+                    }
                     let key = self.runners.insert(runner);
                     self.track_limit(key);
                     self.by_identity.insert(identity, key);
@@ -172,6 +179,85 @@
         }
     }
 
+    /// Applies the leader's announcement that a runner is cold until a time, or warm. It is kept for
+    /// runners that are not listed yet. Returns whether it is new.
+    pub fn announce_cold(
+        &mut self,
+        now: Duration,
+        identity: &CompactString,
+        rate: Option<f64>,
+        until: Duration,
+    ) -> bool {
+        self.announced_cold.retain(|_, (_, until)| now < *until);
+        let before = match rate {
+            Some(rate) => {
+                let announced = self.announced_cold.insert(identity.clone(), (rate, until));
+                announced.map(|(rate, _)| rate)
+            }
+            None => self.announced_cold.remove(identity).map(|(rate, _)| rate),
+        };
+        let key = self.by_identity.get(identity).copied();
+        if let Some((key, runner)) = key.and_then(|k| Some((k, self.runners.get_mut(k)?))) {
+            runner.limit.announce_cold(rate, until);
+            if rate.is_some() && before.is_none() {
+                runner.begin_slow_start();
+            }
+            self.track_limit(key);
+        }
+        before != rate
+    }
+
+    /// Records a connection that a runner refused or closed, which takes `rate` requests a second when
+    /// it is cold. Returns whether the runner counts as cold from now on.
+    pub fn on_connection_lost(&mut self, now: Duration, key: RunnerKey, rate: f64) -> bool {
+        let Some(runner) = self.runners.get_mut(key) else {
+            return false;
+        };
+        let became_cold = runner.limit.on_connection_lost(now, rate);
+        // It may return empty.
+        runner.begin_slow_start();
+        self.track_limit(key);
+        became_cold
+    }
+
+    /// Records that this entry stood still, and may not know which runners of services that warm up are
+    /// cold; `rates` are what their runners take then.
+    pub fn on_pause(&mut self, now: Duration, rates: &HashMap<ServiceName, f64>) {
+        let mut keys = Vec::new();
+        for (key, runner) in &mut self.runners {
+            if let Some(rate) = rates.get(&runner.record.service) {
+                runner.limit.on_pause(now, *rate);
+                keys.push(key);
+            }
+        }
+        for key in keys {
+            self.track_limit(key);
+        }
+    }
+
+    /// Ends the warm-ups of runners whose service declares none.
+    pub fn end_other_warm_ups(&mut self, rates: &HashMap<ServiceName, f64>) {
+        for runner in self.runners.values_mut() {
+            if !rates.contains_key(&runner.record.service) {
+                runner.limit.end_warm_up();
+                runner.slow_start = None;
+            }
+        }
+        if rates.is_empty() {
+            self.announced_cold.clear();
+        }
+        self.forget_ended_limits();
+    }
+
+    /// Removes runners whose limit has ended from the set of those with one.
+    pub fn forget_ended_limits(&mut self) {
+        let runners = &self.runners;
+        self.limited.retain(|key| {
+            let runner = runners.get(*key);
+            runner.is_some_and(|r| r.limit.rate().is_some())
+        });
+    }
+
     /// Updates the set of runners with a request limit after a change of one runner's limit.
     pub fn track_limit(&mut self, key: RunnerKey) {
         let runner = self.runners.get(key);
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -147,6 +147,7 @@
         weights: weights(1),
         software: None,
         born_ms: 1,
+        cold_left: None,
     }
 }
 
--- a/crates/dotterelrudder_wire/src/fleet/runner_record.rs
+++ b/crates/dotterelrudder_wire/src/fleet/runner_record.rs
@@ -1,6 +1,7 @@
 //! A backend server in the platform's instance list.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use dotterelrudder_types::DataCentre;
@@ -33,4 +34,9 @@
     pub software: Option<CompactString>,
     /// The start time of the server, in milliseconds since the epoch; 0 when it is not reported.
     pub born_ms: u64,
+    /// How long the server stays cold, as the platform's list stated when it was read; zero if it is
+    /// warm, `None` if the list didn't state it. It isn't part of the encoding; entries are told by
+    /// [`super::RunnerWarmUps`].
+    #[serde(skip)]
+    pub cold_left: Option<Duration>,
 }
--- a/crates/dotterelrudder_wire/tests/frames.rs
+++ b/crates/dotterelrudder_wire/tests/frames.rs
@@ -273,6 +273,7 @@
                 weights: Vec::new(),
                 software: None,
                 born_ms: 0,
+                cold_left: None,
             };
             Box::new(move |n| Message::Runners(vec![runner.clone(); n]))
         }),
--- a/crates/dotterelrudder_wire/tests/last_release.rs
+++ b/crates/dotterelrudder_wire/tests/last_release.rs
@@ -55,6 +55,7 @@
             }],
             software: None,
             born_ms: 1_700_000_000_000,
+            cold_left: None,
         }]),
         Message::FleetQuery(FleetQuery {
             asked: 7,
