Replay cold runners and the crash loop in the simulated fleet

Cause: the bound of cold runners and the end of the crash loop were derived, not shown. Change: the simulated fleet gets runners that are cold after a start and crash above their rate, the platform's lagging list, load reports and queries. One start counts once though a report and the list show it, and a report's earlier sight of it dates the end of the cold time.

--- a/crates/dotterelrudder/tests/limit_fleet/mod.rs
+++ b/crates/dotterelrudder/tests/limit_fleet/mod.rs
@@ -1,5 +1,8 @@
 //! Many entries, one leader and runners with request limits, in simulated time: the decisions of
 //! [`Gateway`] and [`LimitLedger`] without sockets.
+#![allow(dead_code)]
+
+pub mod cold_world;
 
 #[path = "../../../dotterelrudder_gateway/tests/support/mod.rs"]
 pub mod support;
@@ -9,6 +12,8 @@
 use std::time::Instant;
 
 use bytes::BytesMut;
+use cold_world::ColdWorld;
+use cold_world::Reception;
 use compact_str::CompactString;
 use dotterelrudder_control::LimitLedger;
 use dotterelrudder_gateway::AnswerLimit;
@@ -27,6 +32,9 @@
 use dotterelrudder_wire::LimitReport;
 use dotterelrudder_wire::LimitUpdate;
 use dotterelrudder_wire::Message;
+use dotterelrudder_wire::RunnerLoad;
+use dotterelrudder_wire::RunnerRecord;
+use dotterelrudder_wire::RunnerWarmUps;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -50,6 +58,8 @@
 const TOLD_FOR: Duration = Duration::from_millis(500);
 /// The most answers in a row that name another limit than the true one.
 const MAX_UNTRUE_ANSWERS: u32 = 2;
+/// The interval of an entry's queries to the leader.
+const QUERY_INTERVAL: Duration = Duration::from_millis(500);
 /// The interval of the leader's ticks.
 const LEADER_TICK: Duration = Duration::from_millis(20);
 
@@ -72,19 +82,30 @@
     at: Duration,
     runner: RunnerKey,
     limit: Option<f64>,
+    /// The process that got the request, if it may end.
+    process: Option<(usize, Reception)>,
+    /// The request, which is sent again if its process ends.
+    urgency: u8,
+    until: Duration,
 }
 
 /// A message on its way between an entry and the leader.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 enum Packet {
     Report(LimitReport),
     Grants(LimitGrants),
     Updates(Vec<LimitUpdate>),
+    WarmUps(RunnerWarmUps),
+    List(Vec<RunnerRecord>),
+    Loads(Vec<RunnerLoad>),
+    /// A query of an entry, or the answer to it, with the time at which it was sent.
+    Query(Duration),
+    State(Duration),
 }
 
 /// One entry.
 pub struct SimEntry {
-    gateway: Gateway,
+    pub gateway: Gateway,
     wait_queue: WaitQueue,
     waiting: Vec<Waiting>,
     answers: Vec<Answer>,
@@ -95,6 +116,9 @@
     pub frozen: bool,
     /// When the entry first heard of a limit, from an answer or from the leader.
     told_at: Option<Duration>,
+    /// Whether the entry stood still until now, and goes on with what waited before it reads.
+    just_woke: bool,
+    queried_at: Duration,
     inbox: Vec<(Duration, Packet)>,
     outbox: Vec<(Duration, Packet)>,
 }
@@ -140,6 +164,8 @@
     pub bytes: u64,
     /// The processor time of the leader's decisions.
     pub leader_time: Duration,
+    /// The runners of a service with a warm-up; none for runners that name limits.
+    pub cold: Option<ColdWorld>,
     runners: u16,
     next_number: u64,
     next_tick: Duration,
@@ -175,6 +201,8 @@
             connected: true,
             frozen: false,
             told_at: None,
+            just_woke: false,
+            queried_at: Duration::ZERO,
             inbox: Vec::new(),
             outbox: Vec::new(),
         }
@@ -200,6 +228,7 @@
             messages: 0,
             bytes: 0,
             leader_time: Duration::ZERO,
+            cold: None,
             runners,
             next_number: 0,
             next_tick: now,
@@ -211,6 +240,38 @@
         fleet
     }
 
+    /// Creates a deployment of runners with a warm-up that take `rate` requests a second while they are
+    /// cold.
+    pub fn with_warm_up(entries: usize, runners: u16, rate: f64, declared: bool) -> Self {
+        let mut fleet = Self::new(entries, runners, entries as u64);
+        let mut world = ColdWorld::new(runners, rate, fleet.now);
+        world.declared = declared;
+        world.begin_leadership(fleet.now);
+        fleet.cold = Some(world);
+        fleet
+    }
+
+    /// Ends a stand-still of an entry.
+    pub fn thaw(&mut self, entry: usize) {
+        self.entries[entry].just_woke |= self.entries[entry].frozen;
+        self.entries[entry].frozen = false;
+    }
+
+    /// Adds requests that wait at an entry.
+    pub fn burst(&mut self, entry: usize, urgency: u8, count: u32) {
+        for _ in 0..count {
+            self.next_number += 1;
+            self.entries[entry].waiting.push(Waiting {
+                number: self.next_number,
+                urgency,
+                until: self.now + MAX_WAIT,
+                accepted: false,
+                ticket: None,
+                next_try: self.now,
+            });
+        }
+    }
+
     /// Sets the limit that the first `count` runners name.
     pub fn limit(&mut self, count: u16, limit: Option<f64>) {
         for n in 1..=count {
@@ -231,6 +292,12 @@
         let mut started = SimEntry::new(count, self.runners, seed, self.now);
         started.told_at = (!limits.is_empty()).then_some(self.now);
         started.gateway.on_limit_updates(self.now, limits);
+        if let Some(world) = &self.cold {
+            if let Some(warm_ups) = world.runners.announcement(self.now) {
+                started.gateway.on_warm_ups(self.now, warm_ups);
+            }
+            started.gateway.on_runners(world.listed.clone());
+        }
         self.entries[entry] = started;
     }
 
@@ -248,6 +315,10 @@
     pub fn change_leader(&mut self, gap: Duration) {
         self.ledger = None;
         self.leads_at = self.now + gap;
+        let leads_at = self.leads_at;
+        if let Some(world) = &mut self.cold {
+            world.begin_leadership(leads_at);
+        }
     }
 
     fn count(&mut self, packet: &Packet) {
@@ -255,6 +326,9 @@
             Packet::Report(report) => Message::LimitReport(report.clone()),
             Packet::Grants(grants) => Message::LimitGrants(grants.clone()),
             Packet::Updates(updates) => Message::RunnerLimits(updates.clone()),
+            Packet::WarmUps(warm_ups) => Message::RunnerWarmUps(warm_ups.clone()),
+            // They are sent without limits too.
+            Packet::List(_) | Packet::Loads(_) | Packet::Query(_) | Packet::State(_) => return,
         };
         let mut buf = BytesMut::new();
         encode_frame(&message, &mut buf).expect("a message fits into a frame");
@@ -276,6 +350,10 @@
         let end = self.now + length;
         while self.now < end {
             self.now += STEP;
+            let now = self.now;
+            if let Some(world) = &mut self.cold {
+                world.step(now);
+            }
             for (urgency, rate) in rates {
                 let mean = rate * STEP.as_secs_f64();
                 let mut arriving = mean.floor() as u32;
@@ -304,7 +382,19 @@
 
     fn step_entry(&mut self, n: usize) {
         let now = self.now;
+        if std::mem::take(&mut self.entries[n].just_woke) {
+            self.place_waiting(n);
+        }
+        let has_warm_ups = self.cold.is_some();
+        let entry_count = self.entries.len() as u32;
         let entry = &mut self.entries[n];
+        if has_warm_ups {
+            entry.gateway.watch_for_pause(now);
+            if now >= entry.queried_at + QUERY_INTERVAL {
+                entry.queried_at = now;
+                entry.outbox.push((now + LINK_DELAY, Packet::Query(now)));
+            }
+        }
         if entry.connected {
             let arrived = entry.inbox.extract_if(.., |(at, _)| *at <= now);
             for (_, packet) in arrived.collect::<Vec<_>>() {
@@ -314,18 +404,64 @@
                         entry.told_at = entry.told_at.or(Some(now));
                         entry.gateway.on_limit_updates(now, updates);
                     }
-                    Packet::Report(_) => {}
+                    Packet::WarmUps(warm_ups) => {
+                        entry.gateway.on_warm_ups(now, warm_ups);
+                    }
+                    Packet::List(records) => entry.gateway.on_runners(records),
+                    Packet::Loads(loads) => {
+                        entry.gateway.on_load_reports(now, loads);
+                    }
+                    Packet::State(queried_at) => {
+                        let mut state = support::fleet_state(1);
+                        state.entries = entry_count;
+                        entry.gateway.on_fleet_state(now, state, Some(queried_at));
+                    }
+                    Packet::Report(_) | Packet::Query(_) => {}
                 }
             }
         }
         let answered = entry.answers.extract_if(.., |a| a.at <= now);
+        let mut again = Vec::new();
         for answer in answered.collect::<Vec<_>>() {
+            if let Some((process, reception)) = answer.process {
+                let world = self.cold.as_mut().expect("a process belongs to a world");
+                let process = &mut world.processes[process];
+                let (gateway, runner) = (&mut entry.gateway, answer.runner);
+                let is_there = now >= process.down_until;
+                match reception {
+                    Reception::Accepted(born_ms) if is_there && process.born_ms == born_ms => {
+                        process.in_flight -= 1;
+                    }
+                    Reception::Misdirected => {
+                        gateway.ended(now, runner, RunOutcome::Misdirected);
+                        again.push(answer);
+                        continue;
+                    }
+                    Reception::Accepted(_) | Reception::Refused => {
+                        gateway.on_connection_lost(now, runner);
+                        gateway.ended(now, runner, RunOutcome::Unreachable);
+                        again.push(answer);
+                        continue;
+                    }
+                }
+            }
             let limit = answer.limit.map_or(AnswerLimit::Absent, AnswerLimit::Named);
             let (gateway, runner) = (&mut entry.gateway, answer.runner);
             gateway.on_answer_limit(now, runner, limit);
             gateway.ended(now, runner, RunOutcome::Answered);
             entry.told_at = entry.told_at.or(answer.limit.map(|_| now));
         }
+        for answer in again {
+            self.next_number += 1;
+            entry.waiting.push(Waiting {
+                number: self.next_number,
+                urgency: answer.urgency,
+                until: answer.until,
+                accepted: false,
+                ticket: None,
+                next_try: now,
+            });
+        }
         self.place_waiting(n);
         let entry = &mut self.entries[n];
         let since = now.saturating_sub(entry.reported_at);
@@ -369,6 +505,7 @@
                         continue;
                     }
                     Err(NotPlaced::Limited(wait)) => Some(wait),
+                    Err(NotPlaced::Busy | NotPlaced::Refused(_)) if self.cold.is_some() => None,
                     Err(placed) => panic!("not limited: {placed:?}"),
                 }
             } else {
@@ -402,10 +539,15 @@
             entry.wait_queue.leave(ticket);
         }
         entry.gateway.sent(now, placement.runner, None);
+        let world = self.cold.as_mut();
+        let process = world.map(|world| world.receive(&placement.identity, now));
         entry.answers.push(Answer {
             at: now + ANSWER_DELAY,
             runner: placement.runner,
             limit,
+            process,
+            urgency: w.urgency,
+            until: w.until,
         });
         let told = entry.told_at.is_some_and(|at| now >= at + TOLD_FOR);
         let arrivals = self.arrivals.entry(placement.identity).or_default();
@@ -430,6 +572,33 @@
             .map(|l| l * 10.0)
     }
 
+    /// Lets the leader read the list and pass load reports on. Cold runners are announced first.
+    fn step_cold_runners(&mut self) {
+        let now = self.now;
+        let (Some(world), Some(ledger)) = (&mut self.cold, &mut self.ledger) else {
+            return;
+        };
+        let mut packets = Vec::new();
+        if let Some((changes, list_changed)) = world.poll(now) {
+            packets.extend(changes.map(Packet::WarmUps));
+            if list_changed {
+                packets.extend(world.runners.announcement(now).map(Packet::WarmUps));
+                packets.push(Packet::List(world.listed.clone()));
+            }
+            ledger.set_cold(now, world.runners.rates());
+        }
+        if let Some((changes, loads)) = world.push_loads(now) {
+            packets.extend(changes.map(Packet::WarmUps));
+            packets.push(Packet::Loads(loads));
+            ledger.set_cold(now, world.runners.rates());
+        }
+        for entry in 0..self.entries.len() {
+            for packet in packets.clone() {
+                self.post(entry, packet);
+            }
+        }
+    }
+
     fn step_leader(&mut self) {
         let now = self.now;
         if self.ledger.is_none() && now >= self.leads_at {
@@ -437,6 +606,7 @@
             ledger.begin_leadership(now);
             self.ledger = Some(ledger);
         }
+        self.step_cold_runners();
         let mut replies = Vec::new();
         for (n, entry) in self.entries.iter_mut().enumerate() {
             if !entry.connected {
@@ -444,8 +614,13 @@
             }
             let arrived = entry.outbox.extract_if(.., |(at, _)| *at <= now);
             for (_, packet) in arrived.collect::<Vec<_>>() {
-                let (Some(ledger), Packet::Report(report)) = (&mut self.ledger, packet) else {
-                    continue;
+                let (ledger, report) = match (&mut self.ledger, packet) {
+                    (Some(ledger), Packet::Report(report)) => (ledger, report),
+                    (Some(_), Packet::Query(sent_at)) => {
+                        replies.push((n, Packet::State(sent_at)));
+                        continue;
+                    }
+                    _ => continue,
                 };
                 let name = name(n);
                 let began = Instant::now();
--- a/crates/dotterelrudder_control/src/fleet/cold_runners.rs
+++ b/crates/dotterelrudder_control/src/fleet/cold_runners.rs
@@ -186,14 +186,28 @@
         if started.is_some() {
             self.count_start(&record.identity, warm_up, now);
         }
-        // The list's own statement is the more accurate one.
-        match (record.cold_left, started) {
-            (Some(left), _) if !left.is_zero() => {
-                self.begin(&record.identity, now + left, Evidence::Listed, now);
+        let starts = self.starts.get(&record.address);
+        let seen_at = starts.and_then(|s| s.seen_at(record.born_ms));
+        // A report shows a start before the list does.
+        let warm_at = seen_at.map(|at| at + warm_up.time);
+        let until_listed = record.cold_left.map(|left| now + left);
+        match (until_listed, warm_at) {
+            // What the list states is older than the report, and about the same start.
+            (Some(until), Some(warm_at)) if now < until && until < warm_at + LIST_LAG => {
+                self.begin(&record.identity, until.min(warm_at), Evidence::Listed, now);
+            }
+            (Some(until), _) if now < until => {
+                self.begin(&record.identity, until, Evidence::Listed, now);
+            }
+            (_, Some(warm_at)) if started.is_some() => {
+                self.begin(&record.identity, warm_at, Evidence::Started, now);
+            }
+            (Some(_), _) if started.is_none() => self.end_if_warm(&record.identity, now),
+            _ => {
+                if let Some(time) = started {
+                    self.begin(&record.identity, now + time, Evidence::Started, now);
+                }
             }
-            (_, Some(time)) => self.begin(&record.identity, now + time, Evidence::Started, now),
-            (Some(_), None) => self.end_if_warm(&record.identity, now),
-            (None, None) => {}
         }
     }
 
@@ -232,7 +246,8 @@
     fn count_start(&mut self, identity: &CompactString, warm_up: WarmUp, now: Duration) {
         if let Some(runner) = self.runners.get_mut(identity) {
             let starts = self.starts.entry(runner.address).or_default();
-            runner.rate = warm_up.requests_per_s * starts.add(now);
+            starts.add(runner.born_ms, now);
+            runner.rate = warm_up.requests_per_s * starts.share();
         }
     }
 
