Test which runners count as cold at the leader and at an entry, and the order of announcements

Cause: a runner whose start a new leader's first list dated was taken to be cold for the full time. Change: the shorter one of both times counts.

--- a/crates/dotterelrudder_control/src/fleet/cold_runners.rs
+++ b/crates/dotterelrudder_control/src/fleet/cold_runners.rs
@@ -199,13 +199,11 @@
             (Some(until), _) if now < until => {
                 self.begin(&record.identity, until, Evidence::Listed, now);
             }
-            (_, Some(warm_at)) if started.is_some() => {
-                self.begin(&record.identity, warm_at, Evidence::Started, now);
-            }
             (Some(_), _) if started.is_none() => self.end_if_warm(&record.identity, now),
             _ => {
                 if let Some(time) = started {
-                    self.begin(&record.identity, now + time, Evidence::Started, now);
+                    let until = warm_at.map_or(now + time, |at| at.min(now + time));
+                    self.begin(&record.identity, until, Evidence::Started, now);
                 }
             }
         }
--- a/crates/dotterelrudder_control/tests/fleet.rs
+++ b/crates/dotterelrudder_control/tests/fleet.rs
@@ -10,6 +10,7 @@
 use dotterelrudder_config::deployment::DeploymentConfiguration;
 use dotterelrudder_config::deployment::ServiceEndpoint;
 use dotterelrudder_config::deployment::StoreTraits;
+use dotterelrudder_config::deployment::WarmUp;
 use dotterelrudder_control::ControlCore;
 use dotterelrudder_control::ControlSettings;
 use dotterelrudder_control::Input;
@@ -32,6 +33,7 @@
 use dotterelrudder_wire::RunnerAttributes;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerLoadSample;
+use dotterelrudder_wire::RunnerRecord;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -508,3 +510,164 @@
     assert_eq!(snapshots.len(), 100);
     assert!(snapshots.iter().all(|w| Arc::ptr_eq(w, &snapshots[0])));
 }
+
+/// A listed runner of the service that warms up.
+fn listed(identity: &str, born_ms: u64, cold_ms: u64) -> RunnerRecord {
+    RunnerRecord {
+        identity: identity.into(),
+        service: "engines".into(),
+        address: runner(),
+        data_centre: "north".into(),
+        slots: 1,
+        leaving: false,
+        weights: Vec::new(),
+        software: None,
+        born_ms,
+        cold_left: Some(ms(cold_ms)),
+    }
+}
+
+/// Publishes a configuration whose service warms up, or doesn't.
+fn publish_service(leader: &mut Leader, warm_up: Option<WarmUp>) {
+    let service = ServiceEndpoint {
+        name: "engines".into(),
+        health_path: "/healthz".into(),
+        max_connections: 0,
+        engine: None,
+        store: None,
+        warm_up,
+    };
+    let configuration = Box::new(DeploymentConfiguration {
+        version: 1,
+        services: vec![service],
+        ..DeploymentConfiguration::default()
+    });
+    let document = Bytes::from_static(b"one");
+    let extension = configuration.extension();
+    let command = if extension.is_empty() {
+        Command::PublishWhole {
+            configuration,
+            document,
+            at_ms: 0,
+        }
+    } else {
+        Command::PublishExtended {
+            configuration,
+            extension,
+            document,
+            at_ms: 0,
+        }
+    };
+    assert_eq!(leader.propose(command), CommandResult::Done);
+}
+
+/// Returns the kinds of the messages to an entry that matter here, and the rates of cold runners.
+fn kinds_and_rates(sent: &[Message]) -> (Vec<&'static str>, Vec<Option<f64>>) {
+    let mut rates = Vec::new();
+    let kinds = sent.iter().filter_map(|m| match m {
+        Message::RunnerWarmUps(warm_ups) => {
+            rates.extend(warm_ups.runners.iter().map(|r| r.rate));
+            Some("warm-ups")
+        }
+        Message::Runners(_) => Some("list"),
+        Message::Fleet(_) => Some("state"),
+        Message::RunnerLoadUpdate(_) => Some("loads"),
+        _ => None,
+    });
+    let kinds = kinds.collect();
+    (kinds, rates)
+}
+
+/// Guards against an entry that uses a runner before it was told that the runner is cold.
+#[test]
+fn cold_runners_are_announced_before_the_list_the_loads_and_the_state_that_show_them() {
+    let mut leader = Leader::start(Vec::new());
+    let warm_up = WarmUp {
+        time: ms(3_000),
+        requests_per_s: 20.0,
+    };
+    publish_service(&mut leader, Some(warm_up));
+    leader.receive("entry", fleet_query(1, 0, None));
+    let sent = leader.take_sent("entry");
+    assert_eq!(kinds_and_rates(&sent).0, ["warm-ups", "state"]);
+    // The runner of the first list did not start just now.
+    leader.handle(Input::WallClock { at_ms: 1_000_000 });
+
+    let rows = vec![listed("a", 5, 2_000)];
+    leader.handle(Input::RunnersListed { rows });
+    let (kinds, rates) = kinds_and_rates(&leader.take_sent("entry"));
+    assert_eq!(kinds.first(), Some(&"warm-ups"));
+    assert_eq!(kinds.last(), Some(&"list"));
+    assert!(rates.iter().all(|r| *r == Some(20.0)), "{rates:?}");
+
+    // A cold time that decreases is no new list, and its end is announced.
+    leader.advance(500);
+    let rows = vec![listed("a", 5, 1_500)];
+    leader.handle(Input::RunnersListed { rows });
+    assert!(kinds_and_rates(&leader.take_sent("entry")).0.is_empty());
+    leader.advance(1_600);
+    let (kinds, rates) = kinds_and_rates(&leader.take_sent("entry"));
+    assert_eq!((kinds, rates), (vec!["warm-ups"], vec![None]));
+
+    // A side's report of another start.
+    leader.receive("side", fleet_query(1, 1, Some(runner())));
+    let mut restarted = load(1);
+    restarted.traits.born_ms = 6;
+    leader.receive("side", Message::RunnerLoads(vec![restarted]));
+    leader.advance(300);
+    let (kinds, rates) = kinds_and_rates(&leader.take_sent("entry"));
+    assert_eq!(
+        (kinds, rates),
+        (vec!["warm-ups", "loads"], vec![Some(20.0)])
+    );
+
+    // An entry that is new hears of it before it is ready.
+    leader.receive("late", fleet_query(1, 0, None));
+    let (kinds, rates) = kinds_and_rates(&leader.take_sent("late"));
+    assert_eq!(kinds, ["warm-ups", "warm-ups", "list", "state", "loads"]);
+    assert!(rates.iter().all(|r| *r == Some(20.0)), "{rates:?}");
+    let (kinds, _) = kinds_and_rates(&leader.take_sent("side"));
+    assert!(!kinds.contains(&"warm-ups"), "sides need no rates");
+}
+
+/// Guards against new messages in a deployment whose services declare no warm-up.
+#[test]
+fn a_service_without_a_warm_up_is_announced_as_before() {
+    let mut leader = Leader::start(Vec::new());
+    publish_service(&mut leader, None);
+    leader.receive("entry", fleet_query(1, 0, None));
+    for left_ms in [2_000, 1_500, 0] {
+        let rows = vec![listed("a", 5, left_ms)];
+        leader.handle(Input::RunnersListed { rows });
+        leader.advance(500);
+    }
+    leader.receive("side", fleet_query(1, 1, Some(runner())));
+    let mut restarted = load(1);
+    restarted.traits.born_ms = 6;
+    leader.receive("side", Message::RunnerLoads(vec![restarted]));
+    leader.advance(300);
+    let (kinds, _) = kinds_and_rates(&leader.take_sent("entry"));
+    assert_eq!(kinds, ["state", "list", "loads"]);
+}
+
+/// The end of an evacuation leaves runners that nothing was sent to.
+#[test]
+fn the_runners_of_a_data_centre_can_be_presumed_cold() {
+    let mut leader = Leader::start(Vec::new());
+    let warm_up = WarmUp {
+        time: ms(3_000),
+        requests_per_s: 20.0,
+    };
+    publish_service(&mut leader, Some(warm_up));
+    leader.receive("entry", fleet_query(1, 0, None));
+    let rows = vec![listed("a", 5, 0)];
+    leader.handle(Input::RunnersListed { rows });
+    leader.advance(3_000);
+    leader.receive("entry", fleet_query(2, 1, None));
+    leader.take_sent("entry");
+    let now = leader.now;
+    let (core, out) = (&mut leader.core, &mut leader.out);
+    core.presume_cold(&"north".into(), now, out);
+    let (kinds, rates) = kinds_and_rates(&leader.take_sent("entry"));
+    assert_eq!((kinds, rates), (vec!["warm-ups"], vec![Some(20.0)]));
+}
