--- a/crates/dotterelrudder_gateway/src/runners/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runners/runner_table.rs
@@ -16,6 +16,10 @@
 use crate::RunnerState;
 use crate::SuspicionChange;
 
+/// How long an announced cold time is kept after its end, so that the leader's word that the runner is
+/// warm is recognised as news.
+const ANNOUNCED_COLD_TTL: Duration = Duration::from_secs(10);
+
 slotmap::new_key_type! {
     /// The key of a runner in an entry's runner table.
     pub struct RunnerKey;
@@ -188,18 +192,18 @@
         rate: Option<f64>,
         until: Duration,
     ) -> bool {
-        self.announced_cold.retain(|_, (_, until)| now < *until);
+        self.announced_cold
+            .retain(|_, (_, until)| now < *until + ANNOUNCED_COLD_TTL);
         let before = match rate {
-            Some(rate) => {
-                let announced = self.announced_cold.insert(identity.clone(), (rate, until));
-                announced.map(|(rate, _)| rate)
-            }
-            None => self.announced_cold.remove(identity).map(|(rate, _)| rate),
+            Some(rate) => self.announced_cold.insert(identity.clone(), (rate, until)),
+            None => self.announced_cold.remove(identity),
         };
+        let was_cold = before.is_some_and(|(_, until)| now < until);
+        let before = before.map(|(rate, _)| rate);
         let key = self.by_identity.get(identity).copied();
         if let Some((key, runner)) = key.and_then(|k| Some((k, self.runners.get_mut(k)?))) {
             runner.limit.announce_cold(rate, until);
-            if rate.is_some() && before.is_none() {
+            if rate.is_some() && !was_cold {
                 runner.begin_slow_start();
             }
             self.track_limit(key);
