Keep a runner cold whose start only a load report shows, and while the leader is silent

Cause: random schedules gave a runner that restarted under its identity up to 11 requests in a second where 8 are allowed: an entry that was cut off ended a cold time by itself though the runner had started once more, and a new leader did not know of a start before the list showed it. Change: a cold time ends by itself only while the leader answers; a load report with another start time than the listed one makes a runner count as cold at the entry. The refusal says that servers are cold.

--- a/crates/dotterelrudder/tests/cold_runners.rs
+++ b/crates/dotterelrudder/tests/cold_runners.rs
@@ -7,6 +7,8 @@
 
 use limit_fleet::support::ms;
 use limit_fleet::LimitFleet;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -268,3 +270,85 @@
     );
     assert!(late > 0, "the replay doesn't show the loop: {crashes:?}");
 }
+
+/// A disturbance between two stretches of load.
+#[derive(Debug, Clone)]
+enum Disturbance {
+    CrashAll,
+    Crash(usize),
+    Cut(usize),
+    Heal,
+    Freeze(usize),
+    Thaw,
+    Restart(usize),
+    ChangeLeader(u64),
+    Load(f64),
+}
+
+fn disturbance() -> impl Strategy<Value = Disturbance> {
+    prop_oneof![
+        Just(Disturbance::CrashAll),
+        (0..64usize).prop_map(Disturbance::Crash),
+        (0..64usize).prop_map(Disturbance::Cut),
+        Just(Disturbance::Heal),
+        (0..64usize).prop_map(Disturbance::Freeze),
+        Just(Disturbance::Thaw),
+        (0..64usize).prop_map(Disturbance::Restart),
+        (300..1_500u64).prop_map(Disturbance::ChangeLeader),
+        (0.05..12.0f64).prop_map(Disturbance::Load),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None,
+        rng_seed: RngSeed::Fixed(29), ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_cold_runner_gets_more_than_its_service_allows_whatever_happens(
+        entries in 2..12usize,
+        runners in 1..5u16,
+        rate in prop_oneof![Just(2.0f64), 8.0..30.0f64],
+        keeps_identity in any::<bool>(),
+        list_states_cold in any::<bool>(),
+        steps in prop::collection::vec((disturbance(), 50..1_500u64), 1..16),
+    ) {
+        let mut fleet = LimitFleet::with_warm_up(entries, runners, rate, true);
+        let world = fleet.cold.as_mut().expect("runners warm up");
+        world.keeps_identity = keeps_identity;
+        world.list_states_cold = list_states_cold;
+        // What is sent beyond the bound is counted, and has no further consequence.
+        world.crashes_enabled = false;
+        let load = |load: f64| [(1, load * rate * f64::from(runners))];
+        let mut current = 3.0;
+        fleet.run(ms(1_500), &load(current), spread(entries));
+        let from = fleet.now;
+        for (disturbance, length) in steps {
+            match disturbance {
+                Disturbance::CrashAll => crash_all(&mut fleet),
+                Disturbance::Crash(n) => {
+                    let now = fleet.now;
+                    let world = fleet.cold.as_mut().expect("runners warm up");
+                    world.crash(n % usize::from(runners), now);
+                }
+                Disturbance::Cut(n) => fleet.entries[n % entries].connected = false,
+                Disturbance::Heal => fleet.entries.iter_mut().for_each(|e| e.connected = true),
+                Disturbance::Freeze(n) => fleet.entries[n % entries].frozen = true,
+                Disturbance::Thaw => (0..entries).for_each(|n| fleet.thaw(n)),
+                Disturbance::Restart(n) => fleet.restart(n % entries),
+                Disturbance::ChangeLeader(gap) => fleet.change_leader(ms(gap)),
+                Disturbance::Load(l) => current = l,
+            }
+            fleet.run(ms(length), &load(current), spread(entries));
+        }
+        let most = most_in_a_second(&fleet, from);
+        prop_assert!(most <= allowed(rate), "{most} of {}", allowed(rate));
+        (0..entries).for_each(|n| fleet.thaw(n));
+        fleet.entries.iter_mut().for_each(|e| e.connected = true);
+        fleet.run(ms(12_000), &load(0.5), spread(entries));
+        let world = fleet.cold.as_ref().expect("runners warm up");
+        let warm = world.warm(fleet.now);
+        prop_assert_eq!(warm, usize::from(runners));
+        let cold = fleet.entries.iter().map(|e| e.gateway.cold_runners()).max();
+        prop_assert_eq!(cold, Some(0), "runners stay cold at an entry");
+    }
+}
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -240,7 +240,7 @@
         let mut gateway = self.gateway();
         gateway.forget_demand(query.request);
         self.limit_report_due.notify_one();
-        gateway.limit_refusal(query.service, wait.time)
+        gateway.limit_refusal(query.service, wait)
     }
 
     /// Chooses a runner for the request. Has demand for permits reported soon if there is any.
--- a/crates/dotterelrudder_gateway/src/gateway/admission_control.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/admission_control.rs
@@ -6,6 +6,7 @@
 use super::MIN_RETRY_AFTER;
 use crate::Admission;
 use crate::CallerRequest;
+use crate::PermitWait;
 use compact_str::format_compact;
 use dotterelrudder_config::deployment::AccountEntry;
 use dotterelrudder_config::deployment::RouteRule;
@@ -88,12 +89,18 @@
 
     /// Builds the refusal of a request that can't get a permit in time; `wait` is the estimated time
     /// until there is one.
-    pub fn limit_refusal(&mut self, service: &ServiceName, wait: Duration) -> Refusal {
-        let detail = format_compact!(
-            "the request limits of the backend servers of service \"{service}\" are used up"
-        );
+    pub fn limit_refusal(&mut self, service: &ServiceName, wait: PermitWait) -> Refusal {
+        let detail = match wait.is_cold {
+            true => format_compact!(
+                "the backend servers of service \"{service}\" are cold and the requests that they \
+                 take are used up"
+            ),
+            false => format_compact!(
+                "the request limits of the backend servers of service \"{service}\" are used up"
+            ),
+        };
         let mut refusal = Refusal::new(ErrorKind::Overloaded, detail);
-        refusal.retry_after = Some(self.add_jitter(wait.max(MIN_RETRY_AFTER)));
+        refusal.retry_after = Some(self.add_jitter(wait.time.max(MIN_RETRY_AFTER)));
         refusal
     }
 
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -203,6 +203,9 @@
         now: Duration,
         loads: Vec<RunnerLoad>,
     ) -> Vec<SuspicionChange> {
+        if self.has_warm_ups() {
+            self.runners.note_other_starts(now, &loads, &self.warm_ups);
+        }
         self.runners.on_load_reports(loads, now)
     }
 
--- a/crates/dotterelrudder_gateway/src/gateway/request_limits.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_limits.rs
@@ -113,8 +113,14 @@
         let entries = self.entries.get();
         let is_cut_off = self.limit_reports.is_cut_off(now);
         let phase = self.reserve_phase;
-        self.runners
-            .for_each_limited(|r| r.limit.advance(now, entries, is_cut_off, phase));
+        let confirmed_at = self
+            .lease
+            .age(now)
+            .map_or(Duration::ZERO, |age| now.saturating_sub(age));
+        self.runners.for_each_limited(|r| {
+            r.limit
+                .advance(now, entries, is_cut_off, phase, confirmed_at);
+        });
         self.runners.forget_ended_limits();
     }
 
--- a/crates/dotterelrudder_gateway/src/limits/runner_limit.rs
+++ b/crates/dotterelrudder_gateway/src/limits/runner_limit.rs
@@ -219,9 +219,17 @@
     }
 
     /// Removes expired permits and demand, and refills the reserve, which is divided among `entries`
-    /// entries. `phase`, from 0 to 1, differs between entries.
-    pub fn advance(&mut self, now: Duration, entries: u32, is_cut_off: bool, phase: f64) {
-        self.warm_up.advance(now);
+    /// entries. `phase`, from 0 to 1, differs between entries. `confirmed_at` is when the last query was
+    /// sent that the leader answered.
+    pub fn advance(
+        &mut self,
+        now: Duration,
+        entries: u32,
+        is_cut_off: bool,
+        phase: f64,
+        confirmed_at: Duration,
+    ) {
+        self.warm_up.advance(now, confirmed_at);
         self.permits.retain(|p| now < p.expires);
         self.demand.retain(|_, d| now < d.at + DEMAND_TTL);
         let cold = self.cold_rate().is_some();
--- a/crates/dotterelrudder_gateway/src/limits/warm_up_limit.rs
+++ b/crates/dotterelrudder_gateway/src/limits/warm_up_limit.rs
@@ -12,6 +12,10 @@
 /// It has announced by then that the runner started, if it did.
 const WITHOUT_REPORTS: Duration = Duration::from_secs(10);
 
+/// How old the leader's last answer may be when an announced cold time ends by itself: a few intervals of
+/// queries.
+const CONFIRMED_FOR: Duration = Duration::from_millis(1_500);
+
 /// A connection that was refused or lost, since which the runner may have started again.
 #[derive(Debug, Clone, Copy)]
 struct LostConnection {
@@ -96,9 +100,14 @@
         self.unsure = self.unsure.filter(|(_, since)| queried_at < *since);
     }
 
-    /// Removes what is over.
-    pub fn advance(&mut self, now: Duration) {
-        self.announced = self.announced.filter(|(_, until)| now < *until);
+    /// Removes what is over. A cold time that ends while the leader hasn't answered for a while does so
+    /// only once it answers: it may have announced a further start meanwhile.
+    pub fn advance(&mut self, now: Duration, confirmed_at: Duration) {
+        if let Some((rate, _)) = self.announced.take_if(|(_, until)| now >= *until) {
+            if now >= confirmed_at + CONFIRMED_FOR {
+                self.unsure = Some((rate, now));
+            }
+        }
         self.lost = self.lost.filter(|(_, lost)| !lost.is_over(now));
     }
 }
--- a/crates/dotterelrudder_gateway/src/runners/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runners/runner_table.rs
@@ -224,6 +224,40 @@
         became_cold
     }
 
+    /// Records load reports that show another start of a runner than the list: it started again, and takes
+    /// what `rates` state for its service. The leader may be a new one that does not know this.
+    pub fn note_other_starts(
+        &mut self,
+        now: Duration,
+        loads: &[RunnerLoad],
+        rates: &HashMap<ServiceName, f64>,
+    ) {
+        let mut found = Vec::new();
+        for (key, runner) in &self.runners {
+            let Some(rate) = rates.get(&runner.record.service) else {
+                continue;
+            };
+            let is_other = |load: &RunnerLoad| {
+                let (reported, listed) = (load.traits.born_ms, runner.record.born_ms);
+                load.reading.address == runner.record.address
+                    && reported != 0
+                    && listed != 0
+                    && reported != listed
+            };
+            if runner.listed && loads.iter().any(is_other) {
+                found.push((key, *rate));
+            }
+        }
+        for (key, rate) in found {
+            if let Some(runner) = self.runners.get_mut(key) {
+                if runner.limit.on_connection_lost(now, rate) {
+                    runner.begin_slow_start();
+                }
+            }
+            self.track_limit(key);
+        }
+    }
+
     /// Records that this entry stood still, and may not know which runners of services that warm up are
     /// cold; `rates` are what their runners take then.
     pub fn on_pause(&mut self, now: Duration, rates: &HashMap<ServiceName, f64>) {
--- a/crates/dotterelrudder_gateway/tests/cold_runners.rs
+++ b/crates/dotterelrudder_gateway/tests/cold_runners.rs
@@ -103,12 +103,27 @@
         gateway.on_answer_limit(ms(101_000 + at * 100), runner, AnswerLimit::Absent);
     }
     stay_awake(&mut gateway, 100_010, 103_000);
+    confirm(&mut gateway, 102_000);
     assert!(needs_permit(&mut gateway, 103_000));
     // No leader said so: the time that it announced is over.
     assert!(try_place(&mut gateway, 103_010).is_ok());
     assert_eq!(gateway.cold_runners(), 0);
 }
 
+/// Guards against an entry that takes a runner to be warm though it may have started again since the
+/// entry was cut off.
+#[test]
+fn a_cold_time_does_not_end_by_itself_while_the_leader_does_not_answer() {
+    let mut gateway = warming();
+    gateway.on_warm_ups(ms(100_010), announced(Some(20.0), 3_000));
+    stay_awake(&mut gateway, 100_010, 104_000);
+    confirm(&mut gateway, 101_000);
+    assert!(needs_permit(&mut gateway, 103_020));
+    assert!(needs_permit(&mut gateway, 104_000));
+    confirm(&mut gateway, 104_010);
+    assert!(try_place(&mut gateway, 104_020).is_ok());
+}
+
 #[test]
 fn a_runner_counts_as_cold_after_a_lost_connection_until_later_reports_show_it_to_be_the_same() {
     let mut gateway = warming();
@@ -144,6 +159,17 @@
     assert!(needs_permit(&mut gateway, 103_000));
 }
 
+/// Guards against a restart that a new leader did not see, since the runner wasn't listed then.
+#[test]
+fn a_report_of_another_start_shows_that_a_runner_may_be_cold() {
+    let mut gateway = warming();
+    assert!(try_place(&mut gateway, 100_000).is_ok());
+    let mut other = load(1, 0, 0);
+    other.traits.born_ms = 2;
+    gateway.on_load_reports(ms(100_100), vec![other]);
+    assert!(needs_permit(&mut gateway, 100_110));
+}
+
 #[test]
 fn a_lost_connection_changes_nothing_where_no_warm_up_is_declared() {
     let mut gateway = gateway(1);
