--- a/crates/dotterelrudder_gateway/src/runners/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runners/runner_table.rs
@@ -16,6 +16,10 @@
 use crate::RunnerState;
 use crate::SuspicionChange;
 
+/// How long an announced cold time is kept after its end, so that the leader's word that the runner is
+/// warm is recognised as news.
+const ANNOUNCED_COLD_TTL: Duration = Duration::from_secs(10);
+
 slotmap::new_key_type! {
     /// The key of a runner in an entry's runner table.
     pub struct RunnerKey;
@@ -29,6 +33,9 @@
     failure_detector: FailureDetector,
     /// The request limits that the leader announced, by the identity of the runner.
     announced_limits: HashMap<CompactString, f64>,
+    /// The rates of cold runners that the leader announced and until when they are cold, by the identity
+    /// of the runner.
+    announced_cold: HashMap<CompactString, (f64, Duration)>,
     /// The runners with a request limit. They are few, and looked up for each request.
     limited: Vec<RunnerKey>,
 }
@@ -54,6 +61,10 @@
                         Duration::ZERO,
                         self.announced_limits.get(&identity).copied(),
                     );
+                    if let Some((rate, until)) = self.announced_cold.get(&identity) {
+                        runner.limit.announce_cold(Some(*rate), *until);
+                        runner.begin_slow_start();
+                    }
                     let key = self.runners.insert(runner);
                     self.track_limit(key);
                     self.by_identity.insert(identity, key);
@@ -172,6 +183,119 @@
         }
     }
 
+    /// Applies the leader's announcement that a runner is cold until a time, or warm. It is kept for
+    /// runners that are not listed yet. Returns whether it is new.
+    pub fn announce_cold(
+        &mut self,
+        now: Duration,
+        identity: &CompactString,
+        rate: Option<f64>,
+        until: Duration,
+    ) -> bool {
+        self.announced_cold
+            .retain(|_, (_, until)| now < *until + ANNOUNCED_COLD_TTL);
+        let before = match rate {
+            Some(rate) => self.announced_cold.insert(identity.clone(), (rate, until)),
+            None => self.announced_cold.remove(identity),
+        };
+        let was_cold = before.is_some_and(|(_, until)| now < until);
+        let before = before.map(|(rate, _)| rate);
+        let key = self.by_identity.get(identity).copied();
+        if let Some((key, runner)) = key.and_then(|k| Some((k, self.runners.get_mut(k)?))) {
+            runner.limit.announce_cold(rate, until);
+            if rate.is_some() && !was_cold {
+                runner.begin_slow_start();
+            }
+            self.track_limit(key);
+        }
+        before != rate
+    }
+
+    /// Records a connection that a runner refused or closed, which takes `rate` requests a second when
+    /// it is cold. Returns whether the runner counts as cold from now on.
+    pub fn on_connection_lost(&mut self, now: Duration, key: RunnerKey, rate: f64) -> bool {
+        let Some(runner) = self.runners.get_mut(key) else {
+            return false;
+        };
+        let became_cold = runner.limit.on_connection_lost(now, rate);
+        // It may return empty.
+        runner.begin_slow_start();
+        self.track_limit(key);
+        became_cold
+    }
+
+    /// Records load reports that show another start of a runner than the list: it started again, and takes
+    /// what `rates` state for its service. The leader may be a new one that does not know this.
+    pub fn note_other_starts(
+        &mut self,
+        now: Duration,
+        loads: &[RunnerLoad],
+        rates: &HashMap<ServiceName, f64>,
+    ) {
+        let mut found = Vec::new();
+        for (key, runner) in &self.runners {
+            let Some(rate) = rates.get(&runner.record.service) else {
+                continue;
+            };
+            let is_other = |load: &RunnerLoad| {
+                let (reported, listed) = (load.traits.born_ms, runner.record.born_ms);
+                load.reading.address == runner.record.address
+                    && reported != 0
+                    && listed != 0
+                    && reported != listed
+            };
+            if runner.listed && loads.iter().any(is_other) {
+                found.push((key, *rate));
+            }
+        }
+        for (key, rate) in found {
+            if let Some(runner) = self.runners.get_mut(key) {
+                if runner.limit.on_connection_lost(now, rate) {
+                    runner.begin_slow_start();
+                }
+            }
+            self.track_limit(key);
+        }
+    }
+
+    /// Records that this entry stood still, and may not know which runners of services that warm up are
+    /// cold; `rates` are what their runners take then.
+    pub fn on_pause(&mut self, now: Duration, rates: &HashMap<ServiceName, f64>) {
+        let mut keys = Vec::new();
+        for (key, runner) in &mut self.runners {
+            if let Some(rate) = rates.get(&runner.record.service) {
+                runner.limit.on_pause(now, *rate);
+                keys.push(key);
+            }
+        }
+        for key in keys {
+            self.track_limit(key);
+        }
+    }
+
+    /// Ends the warm-ups of runners whose service declares none.
+    pub fn end_other_warm_ups(&mut self, rates: &HashMap<ServiceName, f64>) {
+        for runner in self.runners.values_mut() {
+            if !rates.contains_key(&runner.record.service) {
+                runner.limit.end_warm_up();
+                runner.slow_start = None;
+            }
+        }
+        if rates.is_empty() {
+            self.announced_cold.clear();
+        }
+        self.forget_ended_limits();
+    }
+
+    /// Removes runners whose limit has ended from the set of those with one.
+    pub fn forget_ended_limits(&mut self) {
+        let runners = &self.runners;
+        self.limited.retain(|key| {
+            let runner = runners.get(*key);
+            runner.is_some_and(|r| r.limit.rate().is_some())
+        });
+    }
+
     /// Updates the set of runners with a request limit after a change of one runner's limit.
     pub fn track_limit(&mut self, key: RunnerKey) {
         let runner = self.runners.get(key);
