Evacuate a data centre: operators' calls, announcement by the leader, exclusion of its runners at entries

The leader refuses names that it doesn't know, sends the evacuated data centres to entries before each fleet state that follows a change or a new connection, and notices the end of an evacuation in one place. Entries count the runners there as not open; a request does not return to a runner there that was given up.

--- a/crates/dotterelrudder_control/src/control_core/fleet.rs
+++ b/crates/dotterelrudder_control/src/control_core/fleet.rs
@@ -58,6 +58,7 @@
             });
             return;
         }
+        self.handle_ended_evacuations(now, out);
         let controls = self.control_instances();
         self.fleet_publisher
             .answer_query(from, query, &self.state, controls, now, out);
@@ -207,6 +208,7 @@
         if !self.was_leader || !self.holds_leader_lease(now) {
             return;
         }
+        self.handle_ended_evacuations(now, out);
         let directory = &mut self.fleet_publisher.directory;
         let named = self.state.named_weights();
         directory.configure(self.state.deployment_configuration());
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -2,6 +2,7 @@
 //! subscribers, fleet clients and weight orders behind one interface.
 
 mod bootstrap;
+mod evacuations;
 mod fleet;
 mod proposing;
 mod subscriptions;
@@ -12,6 +13,7 @@
 
 use dotterelrudder_types::AttemptId;
 use dotterelrudder_types::ClientAccount;
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Revision;
 use dotterelrudder_wire::Command;
@@ -82,6 +84,11 @@
     /// Peers whose agreement the bootstrap needs: those of the settings at the start.
     bootstrap_peers: Vec<InstanceName>,
     fleet_publisher: FleetPublisher,
+    /// The data centres of the control instances seen so far.
+    control_data_centres: BTreeSet<DataCentre>,
+    /// Evacuations that ended a short time ago, and when, which this replica has not handled as the
+    /// leader.
+    ended_evacuations: Vec<(DataCentre, Duration)>,
     /// Whether this replica led at the last tick.
     was_leader: bool,
     /// Subscribers without a configuration, each with the log index to apply before the answer.
@@ -144,6 +151,8 @@
             bootstrap_agreed,
             bootstrap_peers: settings_peers,
             fleet_publisher: FleetPublisher::default(),
+            control_data_centres: BTreeSet::new(),
+            ended_evacuations: Vec::new(),
             was_leader: false,
             starting_subscribers: Vec::new(),
             demand: Demand::default(),
@@ -166,6 +175,9 @@
             }
             Input::Synced { sequence } => self.raft.synced(sequence),
             Input::Peers { peers } => self.settings.peers = peers,
+            Input::ControlSeen { data_centre } => {
+                self.control_data_centres.insert(data_centre);
+            }
             Input::Store(report) => self.on_store_report(report, now),
             Input::RunnersListed { rows } => self.on_runners_listed(rows, now, out),
             Input::Stop => {
@@ -228,6 +240,7 @@
             commit: self.raft.commit(),
             fresh: self.is_fresh(now),
             revision: self.state.configuration().revision,
+            evacuated: self.state.evacuated(),
             members: members
                 .map(|m| (m.instance.clone(), format!("{:016x}", m.id), m.voter))
                 .collect(),
@@ -451,7 +464,9 @@
     fn apply(&mut self, entry: LogEntry, now: Duration, out: &mut Vec<Output>) {
         let before = self.state.configuration().revision;
         let versions_before = self.fleet_versions();
+        let evacuated_before = self.state.evacuated();
         let result = self.state.apply(&entry);
+        self.on_evacuations_applied(&evacuated_before, &entry.command, now, out);
         if self.raft.is_leader() {
             if let Command::IssueOrder { side, version, .. } = &entry.command {
                 let message = Message::Order {
@@ -476,7 +491,8 @@
             self.answer(origin, result, out);
         }
         self.announce_new_revision(before, now, out);
-        if self.fleet_versions() != versions_before {
+        let evacuations_changed = self.state.evacuated() != evacuated_before;
+        if self.fleet_versions() != versions_before || evacuations_changed {
             self.push_fleet_state(now, out);
         }
         self.answer_starting_subscribers(out);
@@ -484,9 +500,11 @@
 
     fn restore(&mut self, data: &[u8], now: Duration, out: &mut Vec<Output>) {
         let before = self.state.configuration().revision;
+        let evacuated_before = self.state.evacuated();
         if let Some(state) = ReplicatedState::decode(data) {
             self.state = state;
         }
+        self.report_evacuations(&evacuated_before, out);
         self.announce_new_revision(before, now, out);
     }
 
--- a/crates/dotterelrudder_control/src/control_core/proposing.rs
+++ b/crates/dotterelrudder_control/src/control_core/proposing.rs
@@ -34,6 +34,10 @@
         }
         self.stamp_wall_clock(&mut command);
         if self.raft.is_leader() {
+            if let Err(refusal) = self.check_evacuation(&command, now) {
+                self.answer(origin, CommandResult::Refused(refusal), out);
+                return;
+            }
             if let Some(position) = self.raft.propose(command, now) {
                 self.proposals.track_logged(position, origin, now);
             }
--- a/crates/dotterelrudder_control/src/fleet/fleet_client.rs
+++ b/crates/dotterelrudder_control/src/fleet/fleet_client.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dotterelrudder_types::DataCentre;
+
 /// A process that sends fleet queries to the leader: an entry, or the side of a runner.
 #[derive(Debug, Clone)]
 pub(crate) struct FleetClient {
@@ -22,6 +24,8 @@
     pub(crate) directory_at_query: u64,
     /// Number of the list of backend servers last sent to the client; 0 for none.
     pub(crate) runner_list_sent: u64,
+    /// The evacuated data centres last sent to the client; `None` if none were sent.
+    pub(crate) evacuations_sent: Option<Vec<DataCentre>>,
 }
 
 impl FleetClient {
--- a/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
+++ b/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::FleetQuery;
 use dotterelrudder_wire::FleetState;
@@ -68,6 +69,7 @@
     ) {
         let previous = self.clients.get(&from);
         let runner_list_sent = previous.map_or(0, |f| f.runner_list_sent);
+        let evacuations_sent = previous.and_then(|f| f.evacuations_sent.clone());
         let entry_is_new = previous.is_none() && query.beside.is_none();
         let directory_sent = previous.map_or(query.directory, |f| {
             f.directory_after_delivery(query.directory)
@@ -81,8 +83,11 @@
             directory_held_at_query: query.directory,
             directory_at_query: self.directory.number(),
             runner_list_sent,
+            evacuations_sent,
         };
         self.clients.insert(from.clone(), client);
+        // Evacuations go before the list, which may name backend servers in other data centres.
+        self.send_evacuations(&from, state, out);
         // The fleet state makes an entry ready, which has to know limits and blocks by then.
         if entry_is_new {
             send_limits(&from, self.limits.limits(), out);
@@ -107,6 +112,7 @@
         now: Duration,
         out: &mut Vec<Output>,
     ) {
+        self.send_evacuations(to, state, out);
         let clock = self.directory.engine_clock_ms(now);
         let entries = self.entry_count();
         let Some(client) = self.clients.get_mut(to) else {
@@ -131,6 +137,44 @@
         });
     }
 
+    /// Sends the evacuated data centres to an entry that was sent others, or none. Nothing is sent
+    /// until a data centre is evacuated for the first time.
+    fn send_evacuations(
+        &mut self,
+        to: &InstanceName,
+        state: &ReplicatedState,
+        out: &mut Vec<Output>,
+    ) {
+        if !state.had_evacuations() {
+            return;
+        }
+        let clients = &mut self.clients;
+        let entry = clients.get_mut(to).filter(|f| f.colocated_runner.is_none());
+        let Some(entry) = entry else {
+            return;
+        };
+        let evacuated = state.evacuated();
+        if entry.evacuations_sent.as_ref() == Some(&evacuated) {
+            return;
+        }
+        entry.evacuations_sent = Some(evacuated.clone());
+        out.push(Output::Send {
+            to: to.clone(),
+            message: Message::Evacuations(evacuated),
+        });
+    }
+
+    /// Returns whether the list of backend servers is known.
+    pub(crate) fn has_runner_list(&self) -> bool {
+        !self.runner_records.is_empty()
+    }
+
+    /// Returns the number of listed backend servers in a data centre.
+    pub(crate) fn count_runners_in(&self, data_centre: &DataCentre) -> usize {
+        let listed = self.runner_records.iter();
+        listed.filter(|r| r.data_centre == *data_centre).count()
+    }
+
     fn send_runner_list(&mut self, to: &InstanceName, out: &mut Vec<Output>) {
         let Some(client) = self.clients.get_mut(to) else {
             return;
--- a/crates/dotterelrudder_control/src/input.rs
+++ b/crates/dotterelrudder_control/src/input.rs
@@ -1,5 +1,6 @@
 //! Inputs of the control role: the events that it handles, and the origins of commands.
 
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::Message;
@@ -68,6 +69,11 @@
     },
     /// A store was read, or did not answer.
     Store(StoreReport),
+    /// A control instance, this one or another, runs in a data centre.
+    ControlSeen {
+        /// The data centre.
+        data_centre: DataCentre,
+    },
     /// The platform's list of backend servers was read.
     RunnersListed {
         /// The complete list.
--- a/crates/dotterelrudder_control/src/output.rs
+++ b/crates/dotterelrudder_control/src/output.rs
@@ -1,5 +1,6 @@
 //! Outputs of the control role: the effects that its driver carries out.
 
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Revision;
 use dotterelrudder_wire::CommandResult;
@@ -46,6 +47,18 @@
         /// Its revision.
         revision: Revision,
     },
+    /// The set of evacuated data centres changed at this replica.
+    Evacuations {
+        /// All evacuated data centres.
+        evacuated: Vec<DataCentre>,
+    },
+    /// This replica leads and noticed that the evacuation of a data centre ended.
+    EvacuationEnded {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// The number of backend servers that the platform lists there.
+        runners: usize,
+    },
     /// The disk was found rolled back, damaged or replaced; the replica took a new identity.
     NewIdentity {
         /// The previous identity; 0 when the disk held none.
--- a/crates/dotterelrudder_control/src/state/extension.rs
+++ b/crates/dotterelrudder_control/src/state/extension.rs
@@ -15,6 +15,9 @@
     pub(super) deployment: DeploymentExtension,
     /// The data centres whose backend servers get no requests.
     pub(super) evacuated: BTreeSet<DataCentre>,
+    /// The data centres that were evacuated before and aren't now. Entries may not have heard yet of
+    /// the end, and a repeated call that ends the evacuation is not about an unknown data centre.
+    pub(super) formerly_evacuated: BTreeSet<DataCentre>,
 }
 
 impl StateExtension {
--- a/crates/dotterelrudder_control/src/state/mod.rs
+++ b/crates/dotterelrudder_control/src/state/mod.rs
@@ -97,6 +97,22 @@
         self.extension.evacuated.iter().cloned().collect()
     }
 
+    /// Returns whether a data centre is evacuated or was.
+    pub fn had_evacuation(&self, data_centre: &DataCentre) -> bool {
+        let StateExtension {
+            evacuated,
+            formerly_evacuated,
+            ..
+        } = &self.extension;
+        evacuated.contains(data_centre) || formerly_evacuated.contains(data_centre)
+    }
+
+    /// Returns whether any data centre is evacuated or was.
+    pub fn had_evacuations(&self) -> bool {
+        let extension = &self.extension;
+        !extension.evacuated.is_empty() || !extension.formerly_evacuated.is_empty()
+    }
+
     /// Returns the index of the last entry applied.
     pub fn index(&self) -> u64 {
         self.index
@@ -269,10 +285,20 @@
     }
 
     fn set_evacuation(&mut self, data_centre: &DataCentre, evacuated: bool, at_ms: u64) {
-        let set = &mut self.extension.evacuated;
-        let changed = match evacuated {
-            true => set.insert(data_centre.clone()),
-            false => set.remove(data_centre),
+        let StateExtension {
+            evacuated: set,
+            formerly_evacuated,
+            ..
+        } = &mut self.extension;
+        let changed = if evacuated {
+            formerly_evacuated.remove(data_centre);
+            set.insert(data_centre.clone())
+        } else {
+            let removed = set.remove(data_centre);
+            if removed {
+                formerly_evacuated.insert(data_centre.clone());
+            }
+            removed
         };
         let what = if evacuated { "on" } else { "off" };
         let line = format!("evacuation of \"{data_centre}\" {what}");
--- a/crates/dotterelrudder_control/src/status.rs
+++ b/crates/dotterelrudder_control/src/status.rs
@@ -1,5 +1,6 @@
 //! The status report of a control replica, shown by the operators' `status` command.
 
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Revision;
 use serde::Serialize;
@@ -40,6 +41,8 @@
     pub fresh: bool,
     /// The configuration revision in force at this replica.
     pub revision: Revision,
+    /// The data centres whose backend servers get no requests.
+    pub evacuated: Vec<DataCentre>,
     /// The Raft members: instance, disk identity, and whether it votes.
     pub members: Vec<(InstanceName, String, bool)>,
     /// Number of claims in any state, including tombstones.
--- a/crates/dotterelrudder_daemon/src/control/actor.rs
+++ b/crates/dotterelrudder_daemon/src/control/actor.rs
@@ -17,6 +17,7 @@
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::Revision;
+use dotterelrudder_types::Role;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::CommandResult;
 use dotterelrudder_wire::RunnerRecord;
@@ -33,6 +34,7 @@
 use super::ReplicationStatus;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
+use crate::logging;
 use crate::metrics::Metrics;
 use crate::system_clock::wall_ms;
 use crate::system_clock::SystemClock;
@@ -138,7 +140,19 @@
                 state.handle_input(Input::WallClock { at_ms });
                 state.handle_input(Input::Tick);
             }
-            ControlMessage::Link(event) => state.handle_input(link_input(event)),
+            ControlMessage::Link(event) => {
+                if let LinkEvent::Opened {
+                    role: Role::Control,
+                    data_centre,
+                    ..
+                } = &event
+                {
+                    state.handle_input(Input::ControlSeen {
+                        data_centre: data_centre.clone(),
+                    });
+                }
+                state.handle_input(link_input(event));
+            }
             ControlMessage::Synced { sequence, took } => {
                 state.metrics.record_sync(took.as_secs_f64());
                 state.handle_input(Input::Synced { sequence });
@@ -250,6 +264,18 @@
                     // stay in the store.
                     let _no_store_reader = self.free_orders.send(order).is_err();
                 }
+                Output::Evacuations { evacuated } => {
+                    info!(self.log, "evacuated data centres changed";
+                        "evacuated" => logging::join_names(&evacuated));
+                    self.metrics.set_evacuated_data_centres(evacuated.len());
+                }
+                Output::EvacuationEnded {
+                    data_centre,
+                    runners,
+                } => {
+                    info!(self.log, "evacuation ended, backend servers there may be cold";
+                        "data_centre" => data_centre.as_str(), "servers" => runners);
+                }
                 Output::NewIdentity { old, new } => {
                     warn!(self.log, "disk rolled back, damaged or replaced; joining with new identity";
                         "old" => format!("{old:016x}"), "new" => format!("{new:016x}"));
--- a/crates/dotterelrudder_daemon/src/control/replica.rs
+++ b/crates/dotterelrudder_daemon/src/control/replica.rs
@@ -11,7 +11,9 @@
 
 use dotterelrudder_control::ControlCore;
 use dotterelrudder_control::ControlSettings;
+use dotterelrudder_control::ControlStatus;
 use dotterelrudder_control::FreePartsOrder;
+use dotterelrudder_control::Input;
 use dotterelrudder_control::StoreReport;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::ErrorKind;
@@ -78,11 +80,15 @@
             warn!(log, "journal is damaged";
                 "file" => %folder_path, "damage" => format!("{damage:?}"));
         }
+        let data_centre = hello.data_centre.clone();
         let (hub, slot) = build_hub(hello, log.clone(), ControlMessage::Link);
         let clock = SystemClock::default();
         let mut initial_outputs = Vec::new();
         let seed = rand::random();
-        let core = ControlCore::new(settings, recovered, seed, clock.now(), &mut initial_outputs);
+        let now = clock.now();
+        let mut core = ControlCore::new(settings, recovered, seed, now, &mut initial_outputs);
+        let seen = Input::ControlSeen { data_centre };
+        core.handle(now, seen, &mut initial_outputs);
         let (replication_status, status_receiver) = watch::channel(ReplicationStatus::default());
         let (free_orders, free_order_receiver) = mpsc::unbounded_channel();
         let (writes, queue) = std::sync::mpsc::channel();
@@ -146,6 +152,14 @@
         })
     }
 
+    /// Returns the status of the replica; `None` while the process is stopping.
+    pub async fn status(&self) -> Option<ControlStatus> {
+        let (reply, status) = oneshot::channel();
+        let sent = self.actor.send_message(ControlMessage::Status(reply));
+        sent.ok()?;
+        status.await.ok()
+    }
+
     /// Sets the other control instances that are known.
     pub fn set_peers(&self, peers: Vec<InstanceName>) {
         self.send_to_actor(ControlMessage::Peers(peers));
--- a/crates/dotterelrudder_daemon/src/fleet/follower.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -59,6 +59,8 @@
     LimitGrants(LimitGrants),
     /// Request limits of runners that changed.
     RunnerLimits(Vec<LimitUpdate>),
+    /// All evacuated data centres, whose runners get no requests.
+    Evacuations(Vec<DataCentre>),
     /// Verdicts on parts of prompts that may crash runners.
     PartVerdicts(Arc<PartVerdicts>),
     /// A connection to a control instance opened, which may have been restarted.
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -244,6 +244,9 @@
                 Message::RunnerLimits(limits) => {
                     (self.on_update)(FleetUpdate::RunnerLimits(limits));
                 }
+                Message::Evacuations(evacuated) => {
+                    (self.on_update)(FleetUpdate::Evacuations(evacuated));
+                }
                 Message::PartVerdicts(verdicts) => {
                     (self.on_update)(FleetUpdate::PartVerdicts(verdicts));
                 }
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -113,7 +113,7 @@
 
     /// Returns where the request is sent next: to the runner that it returns to, or to one with room.
     /// If there is none, it returns to a runner that was given up for its silence alone, unless the
-    /// request was blocked meanwhile.
+    /// request was blocked or the runner's data centre evacuated meanwhile.
     ///
     /// # Errors
     ///
@@ -123,7 +123,9 @@
         request: &ActiveRequest,
         log: &mut AttemptLog,
     ) -> Result<Arc<Placement>, Refusal> {
-        if let Some(given_up) = log.returns_to.take() {
+        let may_return =
+            |given_up: &Arc<Placement>| !self.gateway().is_evacuated(&given_up.data_centre);
+        if let Some(given_up) = log.returns_to.take().filter(may_return) {
             return Ok(given_up);
         }
         let query = self.placement_query(request, log);
@@ -132,7 +134,8 @@
             Err(refusal) => refusal,
         };
         let is_blocked = self.refuse_blocked(request).is_some();
-        log.given_up.take().filter(|_| !is_blocked).ok_or(refusal)
+        let given_up = log.given_up.take().filter(may_return);
+        given_up.filter(|_| !is_blocked).ok_or(refusal)
     }
 
     /// Builds the query for the next runner of a request.
@@ -459,7 +462,7 @@
     let age = placement.load_age.map_or(-1, |a| a.as_millis() as i64);
     format!(
         "{} {} expected {} ms (reads {} behind {}, fetch {} ms, batch {}, memory {}%), \
-         load {} ms old, {} fetched, {} saved{}: {}",
+         load {} ms old, {} fetched, {} saved{}{}: {}",
         placement.identity,
         placement.address,
         e.expected.as_millis(),
@@ -472,10 +475,20 @@
         placement.cache.fetch.iter().flatten().count(),
         placement.cache.save.iter().flatten().count(),
         limit_note(&placement.limit),
+        evacuation_note(placement),
         text
     )
 }
 
+/// Describes the evacuations that bore on a placement; empty without any.
+fn evacuation_note(placement: &Placement) -> String {
+    let names: Vec<&str> = placement.evacuated.iter().map(|d| d.as_str()).collect();
+    match names.is_empty() {
+        true => String::new(),
+        false => format!(", {} evacuated", names.join(" and ")),
+    }
+}
+
 /// Describes the request limits that bore on a placement; empty without any.
 fn limit_note(limit: &AppliedLimit) -> String {
     let mut note = String::new();
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -283,6 +283,14 @@
             }
             gateway.on_limit_updates(now, limits);
         }
+        FleetUpdate::Evacuations(evacuated) => {
+            let names = logging::join_names(&evacuated);
+            if gateway.on_evacuations(evacuated) {
+                info!(server.log, "evacuated data centres changed"; "evacuated" => names);
+                let evacuated = gateway.evacuated_data_centres();
+                server.metrics.set_evacuated_data_centres(evacuated);
+            }
+        }
         FleetUpdate::ControlConnected(control) => {
             let kept = gateway.kept_stream_origins(now);
             if let Some(follower) = server.origin_queries.follower.get() {
--- a/crates/dotterelrudder_daemon/src/logging.rs
+++ b/crates/dotterelrudder_daemon/src/logging.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use dotterelrudder_types::DataCentre;
 use slog::b;
 use slog::o;
 use slog::record;
@@ -192,3 +193,9 @@
         Ok(())
     }
 }
+
+/// Returns the names of data centres as one text.
+pub fn join_names(data_centres: &[DataCentre]) -> String {
+    let names: Vec<&str> = data_centres.iter().map(|d| d.as_str()).collect();
+    names.join(", ")
+}
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -45,6 +45,7 @@
     block_refusals: Counter<u64>,
     runners: Gauge<u64>,
     unreadable_list_entries: Gauge<u64>,
+    evacuated_data_centres: Gauge<u64>,
     leads: Gauge<u64>,
     term: Gauge<u64>,
     confirmation_age: Gauge<f64>,
@@ -107,6 +108,7 @@
             block_refusals: counter("dotterelrudder_block_refusals"),
             runners: gauge("dotterelrudder_runners"),
             unreadable_list_entries: gauge("dotterelrudder_unreadable_list_entries"),
+            evacuated_data_centres: gauge("dotterelrudder_evacuated_data_centres"),
             leads: gauge("dotterelrudder_leads"),
             term: gauge("dotterelrudder_term"),
             confirmation_age: meter
@@ -215,6 +217,11 @@
             .record(runners as u64, &[KeyValue::new("state", state)]);
     }
 
+    /// Sets the number of evacuated data centres.
+    pub fn set_evacuated_data_centres(&self, data_centres: usize) {
+        self.evacuated_data_centres.record(data_centres as u64, &[]);
+    }
+
     /// Sets whether the control instance is the leader, and its current term.
     pub fn set_leadership(&self, leads: bool, term: u64) {
         self.leads.record(u64::from(leads), &[]);
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 use dotterelrudder_config::deployment::AccountEntry;
 use dotterelrudder_config::deployment::DeploymentConfiguration;
 use dotterelrudder_types::AccountKeyHash;
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::ServiceName;
 use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::FleetState;
@@ -174,6 +175,22 @@
         self.runners.update_list(records);
     }
 
+    /// Replaces the evacuated data centres, whose runners get no further requests. Requests that run
+    /// there complete. Returns whether they changed.
+    pub fn on_evacuations(&mut self, evacuated: Vec<DataCentre>) -> bool {
+        self.runners.set_evacuated(evacuated.into_iter().collect())
+    }
+
+    /// Returns whether a data centre is evacuated.
+    pub fn is_evacuated(&self, data_centre: &DataCentre) -> bool {
+        self.runners.evacuated().contains(data_centre)
+    }
+
+    /// Returns the number of evacuated data centres.
+    pub fn evacuated_data_centres(&self) -> usize {
+        self.runners.evacuated().len()
+    }
+
     /// Applies an update of the directory of stored parts.
     pub fn on_directory(&mut self, update: DirectoryUpdate) {
         self.stored_parts.update(update);
--- a/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
@@ -26,6 +26,7 @@
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::RoutingPolicy;
+use dotterelrudder_types::ServiceName;
 use dotterelrudder_wire::cache_salt;
 use dotterelrudder_wire::RunnerRecord;
 use dotterelrudder_wire::FETCH_LIMIT;
@@ -86,6 +87,8 @@
         Ok(Placement {
             runner: key,
             address: record.address,
+            data_centre: record.data_centre,
+            evacuated: self.runners.evacuated().iter().cloned().collect(),
             identity: record.identity,
             software: record.software,
             weights,
@@ -182,6 +185,7 @@
         let mut earliest_open: Option<Duration> = None;
         let mut loading = false;
         let mut has_version = false;
+        let (mut any_evacuated, mut all_evacuated) = (false, true);
         for (key, runner) in self.runners.of_service(query.service) {
             if query
                 .software
@@ -190,6 +194,8 @@
                 continue;
             }
             has_version = true;
+            any_evacuated |= runner.evacuated;
+            all_evacuated &= runner.evacuated;
             if query.tried.contains(&key) {
                 continue;
             }
@@ -203,7 +209,7 @@
             }
             if !runner.is_open(now) || !serves_weights {
                 let until = runner.health.cooldown_until();
-                if runner.listed && !runner.record.leaving && until > now {
+                if runner.listed && !runner.record.leaving && !runner.evacuated && until > now {
                     earliest_open = Some(earliest_open.map_or(until, |o| o.min(until)));
                 }
                 continue;
@@ -228,13 +234,30 @@
         if loading {
             return Err(NotPlaced::Busy);
         }
-        let detail = format_compact!("no open backend server of \"{}\"", query.service);
+        let detail = match any_evacuated && all_evacuated {
+            true => self.evacuation_detail(query.service),
+            false => format_compact!("no open backend server of \"{}\"", query.service),
+        };
         let mut refusal = Refusal::new(ErrorKind::NoBackendServer, detail);
         let wait = earliest_open.map_or(DEFAULT_RETRY_AFTER, |at| at.saturating_sub(now));
         refusal.retry_after = Some(self.add_jitter(wait.max(MIN_RETRY_AFTER)));
         Err(NotPlaced::Refused(refusal))
     }
 
+    /// Returns the text of a refusal because all runners of a service are in evacuated data centres.
+    fn evacuation_detail(&self, service: &ServiceName) -> CompactString {
+        let names: Vec<&str> = self
+            .runners
+            .evacuated()
+            .iter()
+            .map(|d| d.as_str())
+            .collect();
+        format_compact!(
+            "all backend servers of \"{service}\" are in evacuated data centres ({})",
+            names.join(", ")
+        )
+    }
+
     /// Draws a new random sample of candidate runners when the last one is older than
     /// [`CANDIDATE_SAMPLING_PERIOD`].
     fn resample_candidates(&mut self, now: Duration) {
--- a/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
@@ -166,7 +166,7 @@
         };
         let runners = self.runners.of_service(query.service);
         let mut ranked: Vec<((bool, u64), RunnerKey)> = runners
-            .filter(|(_, r)| !r.record.leaving)
+            .filter(|(_, r)| !r.record.leaving && !r.evacuated)
             .map(|(key, r)| {
                 let score = rendezvous_score(&part.id, &r.record.identity);
                 (
--- a/crates/dotterelrudder_gateway/src/health/runner_condition.rs
+++ b/crates/dotterelrudder_gateway/src/health/runner_condition.rs
@@ -1,7 +1,7 @@
 //! The condition of a runner as an entry sees it.
 
 /// Whether a runner takes requests, and if not, why. If several conditions apply, the entry uses
-/// the first in this order: leaving, unresponsive, in cooldown, loading.
+/// the first in this order: leaving, evacuated, unresponsive, in cooldown, loading.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RunnerCondition {
     /// The runner takes requests.
@@ -15,16 +15,19 @@
     Unresponsive,
     /// The runner is leaving, or is no longer listed.
     Leaving,
+    /// The runner's data centre is evacuated.
+    Evacuated,
 }
 
 impl RunnerCondition {
     /// All conditions, in the order of their declaration.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Open,
         Self::Loading,
         Self::InCooldown,
         Self::Unresponsive,
         Self::Leaving,
+        Self::Evacuated,
     ];
 
     /// Returns the label used in metrics.
@@ -35,6 +38,7 @@
             Self::InCooldown => "spared",
             Self::Unresponsive => "silent",
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
         }
     }
 }
--- a/crates/dotterelrudder_gateway/src/placement/placed_request.rs
+++ b/crates/dotterelrudder_gateway/src/placement/placed_request.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use dotterelrudder_types::DataCentre;
 
 use crate::AppliedLimit;
 use crate::CachePlan;
@@ -17,6 +18,10 @@
     pub runner: RunnerKey,
     /// The address that the runner listens on.
     pub address: SocketAddr,
+    /// The data centre of the runner.
+    pub data_centre: DataCentre,
+    /// The data centres that were evacuated when the runner was chosen.
+    pub evacuated: Vec<DataCentre>,
     /// The identity of the runner, which is one start of a backend server.
     pub identity: CompactString,
     /// The version of the runner's software, if known.
--- a/crates/dotterelrudder_gateway/src/runners/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runners/runner_state.rs
@@ -31,6 +31,8 @@
     pub record: RunnerRecord,
     /// Whether the newest list contains the runner.
     pub listed: bool,
+    /// Whether the runner's data centre is evacuated.
+    pub evacuated: bool,
     /// The outcomes of this entry's requests to the runner.
     pub health: RunnerHealth,
     /// The idle connections to the runner.
@@ -61,6 +63,7 @@
         Self {
             record,
             listed: true,
+            evacuated: false,
             health: RunnerHealth::default(),
             connections: WarmConnections::default(),
             sampling_rank: 0,
@@ -152,6 +155,8 @@
     pub fn condition(&self, now: Duration) -> RunnerCondition {
         if !self.listed || self.record.leaving {
             RunnerCondition::Leaving
+        } else if self.evacuated {
+            RunnerCondition::Evacuated
         } else if !self.answers_side(now) {
             RunnerCondition::Unresponsive
         } else if !self.health.is_open(now) {
--- a/crates/dotterelrudder_gateway/src/runners/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runners/runner_table.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::ServiceName;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRecord;
@@ -29,6 +30,8 @@
     failure_detector: FailureDetector,
     /// The request limits that the leader announced, by the identity of the runner.
     announced_limits: HashMap<CompactString, f64>,
+    /// The data centres whose runners get no requests.
+    evacuated: BTreeSet<DataCentre>,
     /// The runners with a request limit. They are few, and looked up for each request.
     limited: Vec<RunnerKey>,
 }
@@ -60,12 +63,32 @@
                 }
             }
         }
+        self.mark_evacuated();
         self.runners.retain(|_, r| r.listed || r.in_flight() > 0);
         let runners = &self.runners;
         self.by_identity.retain(|_, key| runners.contains_key(*key));
         self.limited.retain(|key| runners.contains_key(*key));
     }
 
+    /// Replaces the evacuated data centres. Returns whether they changed.
+    pub fn set_evacuated(&mut self, evacuated: BTreeSet<DataCentre>) -> bool {
+        let changed = self.evacuated != evacuated;
+        self.evacuated = evacuated;
+        self.mark_evacuated();
+        changed
+    }
+
+    /// Returns the data centres whose runners get no requests.
+    pub fn evacuated(&self) -> &BTreeSet<DataCentre> {
+        &self.evacuated
+    }
+
+    fn mark_evacuated(&mut self) {
+        for runner in self.runners.values_mut() {
+            runner.evacuated = self.evacuated.contains(&runner.record.data_centre);
+        }
+    }
+
     /// Applies load reports. Returns the runners that became suspected, or are no longer suspected.
     pub fn on_load_reports(
         &mut self,
