--- a/crates/dotterelrudder_daemon/src/fleet/follower.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -62,6 +62,8 @@
     RunnerLimits(Vec<LimitUpdate>),
     /// Runners that became cold or warm, and the services whose runners warm up.
     RunnerWarmUps(RunnerWarmUps),
+    /// All evacuated data centres, whose runners get no requests.
+    Evacuations(Vec<DataCentre>),
     /// Verdicts on parts of prompts that may crash runners.
     PartVerdicts(Arc<PartVerdicts>),
     /// A connection to a control instance opened, which may have been restarted.
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -247,6 +247,9 @@
                 Message::RunnerWarmUps(warm_ups) => {
                     (self.on_update)(FleetUpdate::RunnerWarmUps(warm_ups));
                 }
+                Message::Evacuations(evacuated) => {
+                    (self.on_update)(FleetUpdate::Evacuations(evacuated));
+                }
                 Message::PartVerdicts(verdicts) => {
                     (self.on_update)(FleetUpdate::PartVerdicts(verdicts));
                 }
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -113,7 +113,7 @@
 
     /// Returns where the request is sent next: to the runner that it returns to, or to one with room.
     /// If there is none, it returns to a runner that was given up for its silence alone, unless the
-    /// request was blocked meanwhile.
+    /// request was blocked or the runner's data centre evacuated meanwhile.
     ///
     /// # Errors
     ///
@@ -123,8 +123,12 @@
         request: &ActiveRequest,
         log: &mut AttemptLog,
     ) -> Result<Arc<Placement>, Refusal> {
-        let returns_to = log.returns_to.take();
-        if let Some(given_up) = returns_to.filter(|p| !self.gateway().is_cold(p.runner)) {
+        let may_return = |given_up: &Arc<Placement>| {
+            let gateway = self.gateway();
+            // A runner that is cold by now needs a permit, which only a new placement takes.
+            !gateway.is_evacuated(&given_up.data_centre) && !gateway.is_cold(given_up.runner)
+        };
+        if let Some(given_up) = log.returns_to.take().filter(may_return) {
             return Ok(given_up);
         }
         let query = self.placement_query(request, log);
@@ -132,11 +136,9 @@
             Ok(placement) => return Ok(Arc::new(placement)),
             Err(refusal) => refusal,
         };
-        // A runner that is cold by now needs a permit, which only a new placement takes.
-        let is_cold = |p: &Arc<Placement>| self.gateway().is_cold(p.runner);
         let is_blocked = self.refuse_blocked(request).is_some();
-        let given_up = log.given_up.take().filter(|p| !is_blocked && !is_cold(p));
-        given_up.ok_or(refusal)
+        let given_up = log.given_up.take().filter(may_return);
+        given_up.filter(|_| !is_blocked).ok_or(refusal)
     }
 
     /// Builds the query for the next runner of a request.
@@ -468,7 +470,7 @@
     let age = placement.load_age.map_or(-1, |a| a.as_millis() as i64);
     format!(
         "{} {} expected {} ms (reads {} behind {}, fetch {} ms, batch {}, memory {}%), \
-         load {} ms old, {} fetched, {} saved{}: {}",
+         load {} ms old, {} fetched, {} saved{}{}: {}",
         placement.identity,
         placement.address,
         e.expected.as_millis(),
@@ -481,10 +483,20 @@
         placement.cache.fetch.iter().flatten().count(),
         placement.cache.save.iter().flatten().count(),
         limit_note(&placement.limit),
+        evacuation_note(placement),
         text
     )
 }
 
+/// Describes the evacuations that bore on a placement; empty without any.
+fn evacuation_note(placement: &Placement) -> String {
+    let names: Vec<&str> = placement.evacuated.iter().map(|d| d.as_str()).collect();
+    match names.is_empty() {
+        true => String::new(),
+        false => format!(", {} evacuated", names.join(" and ")),
+    }
+}
+
 /// Describes the request limits that bore on a placement; empty without any.
 fn limit_note(limit: &AppliedLimit) -> String {
     let mut note = String::new();
