Answer requests read late in a planned stop before the process ends

Callers saw: a request whose head ended 4.2 s after SIGTERM, at a runner that takes longer than the rest of the grace period, was cut off after 7.5 s without a response.

Cause: `run_entry` returns half a second before the end of the grace period, which drops the handlers of open requests, while a request's deadline was its caller's wait or the limit of its route alone.

Ruled out: a takeover because of the runner's silence (none is tried for a request that may not be repeated), the closed listener (the connection was open before), SIGKILL (the process ended by itself).

Requests read from then on have it as their own, also towards the runner. Requests in progress are answered at it. Nothing ends a response sooner.

Not done: streams that run at the end of the grace period are still cut off.

--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -8,6 +8,7 @@
 
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Gateway;
+use dotterelrudder_gateway::StopDeadline;
 use dotterelrudder_gateway::LIMIT_REPORT_INTERVAL;
 use dotterelrudder_gateway::PART_REPORT_INTERVAL;
 use dotterelrudder_types::Clock;
@@ -64,7 +65,7 @@
     let log = logging::logger(Role::Entry.as_str(), file.name.as_str());
     let clock = SystemClock::default();
     let metrics = Metrics::new()?;
-    let (shutdown, shutting_down) = watch::channel(false);
+    let (shutdown, shutting_down) = watch::channel(None);
     let server = Arc::new(EntryServer {
         dialect,
         gateway: Mutex::new(Gateway::new(file.gateway_settings(), rand::random())),
@@ -105,7 +106,7 @@
     let (ready_server, ready_path) = (server.clone(), file.ready_path.clone());
     let is_ready = Arc::new(move || {
         let now = ready_server.clock.now();
-        !*ready_server.shutting_down.borrow() && ready_server.gateway().is_ready(now)
+        ready_server.shutting_down.borrow().is_none() && ready_server.gateway().is_ready(now)
     });
     let (_never, no_stop) = watch::channel(false);
     let ready_now = is_ready.clone();
@@ -177,11 +178,13 @@
 
     stop_signal().await?;
     info!(log, "stopping");
-    let _watched = shutdown.send(true);
+    let grace = Duration::from_secs_f64(file.stop_grace_s);
+    let open_time = grace.saturating_sub(READINESS_PROPAGATION + STOP_MARGIN);
+    let exit_at = clock.now() + READINESS_PROPAGATION + open_time;
+    let _watched = shutdown.send(Some(StopDeadline::new(exit_at)));
     tokio::time::sleep(READINESS_PROPAGATION).await;
     let _watched = close.send(true);
-    let grace = Duration::from_secs_f64(file.stop_grace_s);
-    let left = grace.saturating_sub(READINESS_PROPAGATION + STOP_MARGIN);
+    let left = exit_at.saturating_sub(clock.now());
     if timeout(left, callers.closed()).await.is_err() {
         warn!(log, "grace period ended before all responses were complete");
     }
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -20,6 +20,7 @@
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::RequestFingerprint;
+use dotterelrudder_gateway::StopDeadline;
 use dotterelrudder_gateway::WaitQueue;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::ErrorKind;
@@ -62,8 +63,8 @@
     pub(super) clock: SystemClock,
     pub(super) metrics: Metrics,
     pub(super) log: Logger,
-    /// Whether a planned stop has begun.
-    pub(super) shutting_down: watch::Receiver<bool>,
+    /// The time by which the entry has to respond, once a planned stop has begun.
+    pub(super) shutting_down: watch::Receiver<Option<StopDeadline>>,
     /// Limits on the size of responses from backend servers.
     pub(super) answer_limits: AnswerLimits,
     pub(super) answer_buffers: AnswerBuffers,
@@ -122,7 +123,11 @@
         };
         let audit = &mut guard.audit;
         let mut closes = false;
-        let mut response = match self.read_request(head, body, began, audit).await {
+        let prepared = tokio::select! {
+            prepared = self.read_request(head, body, began, audit) => prepared,
+            stop = self.until_stop_deadline() => Err(stop.refusal()),
+        };
+        let mut response = match prepared {
             Ok(mut request) => match self.find_origin(&mut request).await {
                 Ok(()) => self.respond(Arc::new(request), audit).await,
                 Err(refusal) => self.refuse(&refusal, audit),
@@ -134,13 +139,25 @@
         };
         audit.status = response.status().as_u16();
         drop(guard);
-        if closes || *self.shutting_down.borrow() {
+        if closes || self.shutting_down.borrow().is_some() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
         response
     }
 
+    /// Waits until the entry has to respond because it is stopping; forever without a stop.
+    async fn until_stop_deadline(&self) -> StopDeadline {
+        let mut shutting_down = self.shutting_down.clone();
+        let begun = shutting_down.wait_for(Option::is_some).await;
+        let Some(stop) = begun.ok().and_then(|stop| *stop) else {
+            return std::future::pending().await;
+        };
+        let left = stop.respond_by().saturating_sub(self.now());
+        tokio::time::sleep(left).await;
+        stop
+    }
+
     /// Counts a finished request and writes its log line, unless it is a routine request that is
     /// not sampled.
     pub(super) fn finish_audit(&self, audit: &RequestAudit) {
@@ -181,7 +198,11 @@
             }
         };
         let max_wait = call.max_wait.unwrap_or(DEFAULT_MAX_WAIT);
-        let deadline = began + max_wait.min(admission.route.time_limit);
+        let mut deadline = began + max_wait.min(admission.route.time_limit);
+        let stop = *self.shutting_down.borrow();
+        if let Some(stop) = stop {
+            deadline = stop.limit(self.now(), deadline, admission.route.objective)?;
+        }
         let fingerprint = RequestFingerprint::new(&admission, &call, &head, &body);
         Ok(ActiveRequest {
             head,
@@ -220,10 +241,12 @@
     ) -> Response<ResponseBody> {
         let mut log = AttemptLog::default();
         let left = request.deadline.saturating_sub(self.now());
-        let result = match timeout(left, self.run_attempts(&request, &mut log, None)).await {
-            Ok(result) => result,
-            Err(_) => ServeResult::Refused(timeout_refusal(&log)),
+        // Requests that were read before a stop began have a deadline that may lie behind its end.
+        let result = tokio::select! {
+            result = timeout(left, self.run_attempts(&request, &mut log, None)) => result.ok(),
+            _stop = self.until_stop_deadline() => None,
         };
+        let result = result.unwrap_or_else(|| ServeResult::Refused(timeout_refusal(&log)));
         audit.attempts.append(&mut log.notes);
         match result {
             ServeResult::Complete(head, body) => self.relay_response(head, full_body(body)),
--- a/crates/dotterelrudder_gateway/src/admission/mod.rs
+++ b/crates/dotterelrudder_gateway/src/admission/mod.rs
@@ -8,11 +8,13 @@
 mod confirmed_lease;
 mod not_placed;
 mod retry_budget;
+mod stop_deadline;
 mod wait_queue;
 
 pub use admitted_request::Admission;
 pub use confirmed_lease::ConfirmedLease;
 pub use not_placed::NotPlaced;
 pub use retry_budget::RetryBudget;
+pub use stop_deadline::StopDeadline;
 pub use wait_queue::CapacityRequest;
 pub use wait_queue::WaitQueue;
--- a/crates/dotterelrudder_gateway/src/lib.rs
+++ b/crates/dotterelrudder_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub use admission::ConfirmedLease;
 pub use admission::NotPlaced;
 pub use admission::RetryBudget;
+pub use admission::StopDeadline;
 pub use admission::WaitQueue;
 pub use cache::fetch_time_limit;
 pub(crate) use cache::CacheGroups;
