Send nothing new to a runner that states that it is leaving

Cause: the header was read nowhere; entries knew of a leaving server from the list, and from the report of its side if it has one.

Ruled out: the lag of the list alone (below 0.8 s); a late report of the side (there is none).

Change: the dialect reads the header from every response. The entry marks the runner by identity and start time, and from then on gives it nothing new on any path, also no return to a runner that had been given up. It reports the mark to all connected control instances (`Message::LeavingRunners`, message set 3, not sent to peers of the previous release); the leader announces it to all entries, and to a starting one before its first fleet state. Entries repeat their marks over each new connection to a control instance. Neither list nor a later start under the same identity nor a successor at the address is mixed up with it.

Without such a response no message is sent and nothing changes.

--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -378,6 +378,9 @@
                 let message = Message::OriginReply { number, origin };
                 out.push(Output::Send { to: from, message });
             }
+            Message::LeavingRunners(runners) => {
+                self.fleet_publisher.on_leaving_runners(&from, runners, out);
+            }
             Message::RunnerLoads(loads) => self.fleet_publisher.record_loads(loads),
             Message::Load(load) => self.subscribers.get_or_insert(&from).load = Some(load),
             Message::OrderDone { version, .. } => {
--- a/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
+++ b/crates/dotterelrudder_control/src/fleet/fleet_publisher.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::LeavingRunner;
+use dotterelrudder_types::LeavingRunners;
 use dotterelrudder_wire::FleetQuery;
 use dotterelrudder_wire::FleetState;
 use dotterelrudder_wire::LimitReport;
@@ -52,6 +54,8 @@
     pub(crate) directory: CacheDirectory,
     pub(crate) limits: LimitLedger,
     pub(crate) parts: PartLedger,
+    /// Reported by entries to all control instances, so that a new leader knows them.
+    leaving: LeavingRunners,
 }
 
 impl FleetPublisher {
@@ -87,6 +91,7 @@
         if entry_is_new {
             send_limits(&from, self.limits.limits(), out);
             self.send_verdicts(&from, now, out);
+            send_leaving(&from, self.leaving.all(), out);
         }
         self.send_directory(&from, out);
         // The fleet state confirms the list, which has to be there by then.
@@ -258,6 +263,22 @@
         self.push_verdicts(now, out);
     }
 
+    /// Records backend servers that are leaving, and announces those that were not known to all entries
+    /// but the one that reported them. Only a leader has clients.
+    pub(crate) fn on_leaving_runners(
+        &mut self,
+        from: &InstanceName,
+        mut runners: Vec<LeavingRunner>,
+        out: &mut Vec<Output>,
+    ) {
+        runners.retain(|runner| self.leaving.add(runner.clone()));
+        let clients = self.clients.iter();
+        let entries = clients.filter(|(_, f)| f.colocated_runner.is_none());
+        for (name, _) in entries.filter(|(name, _)| *name != from) {
+            send_leaving(name, runners.clone(), out);
+        }
+    }
+
     fn send_verdicts(&self, to: &InstanceName, now: Duration, out: &mut Vec<Output>) {
         out.push(Output::Send {
             to: to.clone(),
@@ -300,7 +321,10 @@
     /// Clears the soft state when leadership ends.
     pub(crate) fn reset(&mut self) {
         let runner_list_number = self.runner_list_number;
+        let leaving = std::mem::take(&mut self.leaving);
         *self = Self::default();
+        // A server that is leaving stays so under the next leader.
+        self.leaving = leaving;
         // The number keeps increasing, so that a list from an earlier leadership of this replica
         // does not count as the current one.
         self.runner_list_number = runner_list_number;
@@ -402,3 +426,13 @@
         });
     }
 }
+
+/// Sends backend servers that are leaving to an entry, unless there are none.
+fn send_leaving(to: &InstanceName, runners: Vec<LeavingRunner>, out: &mut Vec<Output>) {
+    if !runners.is_empty() {
+        out.push(Output::Send {
+            to: to.clone(),
+            message: Message::LeavingRunners(runners),
+        });
+    }
+}
--- a/crates/dotterelrudder_control/tests/fleet.rs
+++ b/crates/dotterelrudder_control/tests/fleet.rs
@@ -20,6 +20,7 @@
 use dotterelrudder_control::StoreReport;
 use dotterelrudder_follow::RunnerLoadTable;
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::LeavingRunner;
 use dotterelrudder_wire::encode_frame;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::CommandResult;
@@ -29,6 +30,7 @@
 use dotterelrudder_wire::Message;
 use dotterelrudder_wire::ModelWeights;
 use dotterelrudder_wire::PartKey;
+use dotterelrudder_wire::RaftMessage;
 use dotterelrudder_wire::RunnerAttributes;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerLoadSample;
@@ -249,6 +251,60 @@
     assert_eq!(sent, [Message::NotLeader { leader: None }]);
 }
 
+/// Only the entry that got a runner's response knew that it is leaving. Others have to hear of it at
+/// once, and a starting entry before the state that makes it ready.
+#[test]
+fn a_leaving_runner_is_announced_to_all_entries() {
+    let mut leader = Leader::start(Vec::new());
+    leader.propose(publish(1, "one"));
+    for entry in ["entry-0", "entry-1"] {
+        leader.receive(entry, fleet_query(1, 0, None));
+        leader.take_sent(entry);
+    }
+    leader.receive("side", fleet_query(1, 1, Some(runner())));
+    leader.take_sent("side");
+    let runners = vec![LeavingRunner {
+        identity: "i-1".into(),
+        born_ms: 7,
+    }];
+    let announced = Message::LeavingRunners(runners);
+    leader.receive("entry-0", announced.clone());
+    let sent = leader.take_sent("entry-1");
+    assert!(sent.len() == 1 && sent[0] == announced, "{sent:?}");
+    assert_eq!(leader.take_sent("entry-0"), []);
+    assert_eq!(leader.take_sent("side"), []);
+    // Other entries saw it too, or repeat it after a new connection.
+    leader.receive("entry-1", announced.clone());
+    assert_eq!(leader.take_sent("entry-0"), []);
+
+    leader.receive("entry-2", fleet_query(1, 0, None));
+    let sent = leader.take_sent("entry-2");
+    let told = sent.iter().position(|m| *m == announced);
+    let state = sent.iter().position(|m| matches!(m, Message::Fleet(_)));
+    assert!(told.is_some() && told < state, "{sent:?}");
+}
+
+/// A new leader did not know the runners that had stated to entries that they are leaving.
+#[test]
+fn a_replica_that_does_not_lead_keeps_leaving_runners() {
+    let mut replica = Leader::start(vec!["b".into()]);
+    let runners = vec![LeavingRunner {
+        identity: "i-1".into(),
+        born_ms: 7,
+    }];
+    replica.receive("entry-0", Message::LeavingRunners(runners.clone()));
+    let reply = Message::Raft {
+        from: 2,
+        to: 0,
+        message: Box::new(RaftMessage::JoinReply { empty: true }),
+    };
+    replica.receive("b", reply);
+    replica.advance(2_000);
+    replica.receive("entry-1", fleet_query(1, 0, None));
+    let sent = replica.take_sent("entry-1");
+    assert!(sent.contains(&Message::LeavingRunners(runners)), "{sent:?}");
+}
+
 /// A weight order's fencing number is its log index, so that it increases across leaders. Only the
 /// runner's own side gets the order.
 #[test]
--- a/crates/dotterelrudder_daemon/src/fleet/follower.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower.rs
@@ -10,6 +10,7 @@
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::LeavingRunner;
 use dotterelrudder_types::Role;
 use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::FleetState;
@@ -61,6 +62,8 @@
     RunnerLimits(Vec<LimitUpdate>),
     /// Verdicts on parts of prompts that may crash runners.
     PartVerdicts(Arc<PartVerdicts>),
+    /// Backend servers that stated to other entries that they are leaving.
+    LeavingRunners(Vec<LeavingRunner>),
     /// A connection to a control instance opened, which may have been restarted.
     ControlConnected(InstanceName),
     /// A control instance's reply to a query for the origin of a stream.
@@ -143,6 +146,24 @@
             .is_err();
     }
 
+    /// Reports backend servers that are leaving to all connected control instances.
+    pub fn report_leaving(&self, runners: Vec<LeavingRunner>) {
+        // The actor ends only with the process.
+        let _stopped = self
+            .actor
+            .send_message(FollowerMessage::Leaving(runners))
+            .is_err();
+    }
+
+    /// Reports backend servers that are leaving to one control instance again.
+    pub fn repeat_leaving(&self, control: InstanceName, runners: Vec<LeavingRunner>) {
+        // The actor ends only with the process.
+        let _stopped = self
+            .actor
+            .send_message(FollowerMessage::RepeatLeaving(control, runners))
+            .is_err();
+    }
+
     /// Asks all control instances for the origin of a stream.
     pub fn query_origin(&self, number: u64, stream: StreamKey) {
         // The actor ends only with the process.
--- a/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/follower_actor.rs
@@ -10,6 +10,7 @@
 use dotterelrudder_follow::RunnerLoadTable;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::LeavingRunner;
 use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::FleetState;
 use dotterelrudder_wire::LimitReport;
@@ -55,6 +56,10 @@
     Origins(Vec<(StreamKey, StreamOrigin)>),
     /// Origins of streams to send to one control instance again.
     RepeatOrigins(InstanceName, Vec<(StreamKey, StreamOrigin)>),
+    /// Backend servers that are leaving, to be reported to all control instances.
+    Leaving(Vec<LeavingRunner>),
+    /// Backend servers that are leaving, to be reported to one control instance again.
+    RepeatLeaving(InstanceName, Vec<LeavingRunner>),
     /// A query for the origin of a stream to send to all control instances.
     OriginQuery {
         /// The number that replies repeat.
@@ -124,6 +129,18 @@
             FollowerMessage::RepeatOrigins(control, streams) => {
                 state.repeat_origins(&control, streams);
             }
+            FollowerMessage::Leaving(runners) => {
+                for control in state.connected_controls() {
+                    state
+                        .hub
+                        .send(&control, Message::LeavingRunners(runners.clone()));
+                }
+            }
+            FollowerMessage::RepeatLeaving(control, runners) => {
+                if !runners.is_empty() {
+                    state.hub.send(&control, Message::LeavingRunners(runners));
+                }
+            }
             FollowerMessage::OriginQuery { number, stream } => {
                 for control in state.connected_controls() {
                     let query = Message::OriginQuery { number, stream };
@@ -247,6 +264,9 @@
                 Message::PartVerdicts(verdicts) => {
                     (self.on_update)(FleetUpdate::PartVerdicts(verdicts));
                 }
+                Message::LeavingRunners(runners) => {
+                    (self.on_update)(FleetUpdate::LeavingRunners(runners));
+                }
                 Message::OriginReply { number, origin } => {
                     let controls = self.follower.controls().len();
                     (self.on_update)(FleetUpdate::StreamOrigin(OriginReply {
--- a/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
@@ -12,6 +12,7 @@
 use dotterelrudder_gateway::BackendRequest;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Placement;
+use dotterelrudder_types::LeavingRunner;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -63,14 +64,17 @@
             now,
         );
         let answered = answered.await;
-        let limit = match &answered {
-            Ok((_, limit, ..)) => Some(*limit),
-            Err(failure) => failure.limit,
+        let (limit, leaving) = match &answered {
+            Ok((_, limit, leaving, ..)) => (Some(*limit), *leaving),
+            Err(failure) => (failure.limit, failure.leaving),
         };
+        if leaving {
+            self.record_leaving_runner(placement);
+        }
         if let Some(limit) = limit {
             self.record_answer_limit(placement, limit);
         }
-        let (head, _, mut body, mut upstream) = answered?;
+        let (head, _, _, mut body, mut upstream) = answered?;
         upstream.keep_alive = keep_alive(&head.headers);
         if !(stream && head.status.is_success()) {
             let is_closed_by_end = !body.is_end_stream() && !is_framed(&head.headers);
@@ -98,6 +102,24 @@
         }
     }
 
+    /// Records that a runner stated that it is leaving, and reports this to control instances the first
+    /// time.
+    fn record_leaving_runner(&self, placement: &Placement) {
+        let runner = LeavingRunner {
+            identity: placement.identity.clone(),
+            born_ms: placement.born_ms,
+        };
+        if !self.gateway().add_leaving_runner(runner.clone()) {
+            return;
+        }
+        slog::info!(self.log, "runner states that it is leaving";
+            "runner" => placement.identity.as_str(), "address" => %placement.address,
+            "born_ms" => placement.born_ms);
+        if let Some(follower) = self.origin_queries.follower.get() {
+            follower.report_leaving(vec![runner]);
+        }
+    }
+
     /// Returns a connection to the pool once its response has been read completely.
     pub(super) fn return_connection(self: &Arc<Self>, mut upstream: UpstreamConnection) {
         if upstream.is_usable() {
--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use dotterelrudder_gateway::AnswerLimit;
+use dotterelrudder_gateway::BackendAnswerHead;
 use dotterelrudder_gateway::BackendRequest;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Placement;
@@ -46,6 +47,8 @@
     pub(super) requested_backoff: Option<Duration>,
     /// The limit that the runner's response names; none without a valid response.
     pub(super) limit: Option<AnswerLimit>,
+    /// Whether the runner stated that it is leaving.
+    pub(super) leaving: bool,
     /// The cause, for the log and the refusal.
     pub(super) reason: String,
 }
@@ -61,6 +64,7 @@
             outcome: RunOutcome::Failed,
             requested_backoff: None,
             limit: None,
+            leaving: false,
             reason: reason.into(),
         }
     }
@@ -89,10 +93,12 @@
     }
 }
 
-/// The head and the unread body of a response, with the limit that it names and its connection.
+/// The head and the unread body of a response, with the limit that it names, whether its runner stated
+/// that it is leaving, and its connection.
 pub(super) type AnswerHead = (
     http::response::Parts,
     AnswerLimit,
+    bool,
     Incoming,
     UpstreamConnection,
 );
@@ -153,9 +159,11 @@
     match sent {
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
-            match check_answer_head(dialect, outgoing.id, placement, &head) {
-                Err(failure) => Err(failure),
-                Ok(limit) => Ok((head, limit, body, upstream)),
+            let facts = dialect.read_answer(&head);
+            let leaving = states_leaving(&facts, outgoing.id, placement);
+            match check_answer_head(&facts, outgoing.id, placement, &head) {
+                Err(failure) => Err(AttemptFailure { leaving, ..failure }),
+                Ok(limit) => Ok((head, limit, leaving, body, upstream)),
             }
         }
         Ok(Err(SendError::NotSent)) => Err(AttemptFailure {
@@ -163,6 +171,7 @@
             outcome: RunOutcome::Failed,
             requested_backoff: None,
             limit: None,
+            leaving: false,
             reason: "the connection closed before the request was sent".into(),
         }),
         Ok(Err(SendError::Broken(reason))) => {
@@ -184,6 +193,7 @@
         outcome: RunOutcome::Unreachable,
         requested_backoff: None,
         limit: None,
+        leaving: false,
         reason,
     }
 }
@@ -209,22 +219,29 @@
     req
 }
 
+/// Returns whether a response states that the runner it was expected from is leaving. A response of a
+/// successor at the same address names another identity; one without an identity counts only if it
+/// names this request.
+fn states_leaving(facts: &BackendAnswerHead, id: &str, placement: &Placement) -> bool {
+    let is_same_runner = match &facts.identity {
+        Some(identity) => *identity == placement.identity,
+        None => facts.request_id.as_deref() == Some(id),
+    };
+    facts.leaving && is_same_runner
+}
+
 /// Checks that the response belongs to this request and that the request was run. Returns the
 /// limit that the head names.
 ///
 /// # Errors
 ///
 /// Returns the failure of the attempt if a check fails.
-fn check_answer_head<D>(
-    dialect: &D,
+fn check_answer_head(
+    facts: &BackendAnswerHead,
     id: &str,
     placement: &Placement,
     head: &http::response::Parts,
-) -> Result<AnswerLimit, AttemptFailure>
-where
-    D: Dialect,
-{
-    let facts = dialect.read_answer(head);
+) -> Result<AnswerLimit, AttemptFailure> {
     let status = head.status.as_u16();
     let other_request = facts.request_id.as_deref().is_some_and(|r| r != id);
     let other_server = facts
@@ -249,6 +266,7 @@
             outcome,
             requested_backoff: facts.requested_backoff,
             limit: (!other_server).then_some(facts.limit),
+            leaving: false,
             reason,
         })
     };
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -123,7 +123,9 @@
         request: &ActiveRequest,
         log: &mut AttemptLog,
     ) -> Result<Arc<Placement>, Refusal> {
-        if let Some(given_up) = log.returns_to.take() {
+        // A runner that is leaving is not returned to either.
+        let is_leaving = |p: &Arc<Placement>| self.gateway().is_leaving(p.runner);
+        if let Some(given_up) = log.returns_to.take().filter(|p| !is_leaving(p)) {
             return Ok(given_up);
         }
         let query = self.placement_query(request, log);
@@ -132,7 +134,8 @@
             Err(refusal) => refusal,
         };
         let is_blocked = self.refuse_blocked(request).is_some();
-        log.given_up.take().filter(|_| !is_blocked).ok_or(refusal)
+        let given_up = log.given_up.take().filter(|p| !is_leaving(p));
+        given_up.filter(|_| !is_blocked).ok_or(refusal)
     }
 
     /// Builds the query for the next runner of a request.
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -286,9 +286,19 @@
             }
             gateway.on_limit_updates(now, limits);
         }
+        FleetUpdate::LeavingRunners(runners) => {
+            for runner in runners {
+                let (identity, born_ms) = (runner.identity.clone(), runner.born_ms);
+                if gateway.add_leaving_runner(runner) {
+                    info!(server.log, "leaving runner announced"; "runner" => identity.as_str(),
+                        "born_ms" => born_ms);
+                }
+            }
+        }
         FleetUpdate::ControlConnected(control) => {
             let kept = gateway.kept_stream_origins(now);
             if let Some(follower) = server.origin_queries.follower.get() {
+                follower.repeat_leaving(control.clone(), gateway.leaving_runners());
                 follower.repeat_origins(control, kept);
             }
         }
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 use dotterelrudder_config::deployment::AccountEntry;
 use dotterelrudder_config::deployment::DeploymentConfiguration;
 use dotterelrudder_types::AccountKeyHash;
+use dotterelrudder_types::LeavingRunner;
 use dotterelrudder_types::ServiceName;
 use dotterelrudder_wire::DirectoryUpdate;
 use dotterelrudder_wire::FleetState;
@@ -205,6 +206,17 @@
         runner.is_some_and(|r| r.record.leaving)
     }
 
+    /// Records that a runner is leaving: from now on nothing new is sent to it, whatever the list says
+    /// of this start of it. Returns whether this was not known.
+    pub fn add_leaving_runner(&mut self, runner: LeavingRunner) -> bool {
+        self.runners.add_leaving(runner)
+    }
+
+    /// Returns the runners that stated to any entry that they are leaving.
+    pub fn leaving_runners(&self) -> Vec<LeavingRunner> {
+        self.runners.leaving()
+    }
+
     /// Returns the number of runners in each condition.
     pub fn count_runners(
         &self,
--- a/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
@@ -87,6 +87,7 @@
             runner: key,
             address: record.address,
             identity: record.identity,
+            born_ms: record.born_ms,
             software: record.software,
             weights,
             cache_salt: salt,
--- a/crates/dotterelrudder_gateway/src/heads/backend_answer_head.rs
+++ b/crates/dotterelrudder_gateway/src/heads/backend_answer_head.rs
@@ -20,6 +20,8 @@
     pub requested_backoff: Option<Duration>,
     /// The request limit that the backend server names.
     pub limit: AnswerLimit,
+    /// Whether the backend server states that it is leaving and takes nothing new.
+    pub leaving: bool,
     /// The identity of the runner that responded, if given.
     pub identity: Option<CompactString>,
     /// Whether the body has a content encoding, which was not requested.
--- a/crates/dotterelrudder_gateway/src/placement/placed_request.rs
+++ b/crates/dotterelrudder_gateway/src/placement/placed_request.rs
@@ -19,6 +19,8 @@
     pub address: SocketAddr,
     /// The identity of the runner, which is one start of a backend server.
     pub identity: CompactString,
+    /// The time of the runner's start, in milliseconds since the Unix epoch; 0 if it is not known.
+    pub born_ms: u64,
     /// The version of the runner's software, if known.
     pub software: Option<CompactString>,
     /// The version that the runner serves of the request's model.
--- a/crates/dotterelrudder_gateway/src/runners/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runners/runner_table.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use dotterelrudder_types::LeavingRunner;
+use dotterelrudder_types::LeavingRunners;
 use dotterelrudder_types::ServiceName;
 use dotterelrudder_wire::RunnerLoad;
 use dotterelrudder_wire::RunnerRecord;
@@ -31,6 +33,8 @@
     announced_limits: HashMap<CompactString, f64>,
     /// The runners with a request limit. They are few, and looked up for each request.
     limited: Vec<RunnerKey>,
+    /// The runners that stated that they are leaving, whatever the list says of them.
+    leaving: LeavingRunners,
 }
 
 impl RunnerTable {
@@ -40,7 +44,12 @@
         for runner in self.runners.values_mut() {
             runner.listed = false;
         }
-        for record in records {
+        for mut record in records {
+            let start = LeavingRunner {
+                identity: record.identity.clone(),
+                born_ms: record.born_ms,
+            };
+            record.leaving |= self.leaving.contains(&start);
             match self.by_identity.get(&record.identity) {
                 Some(key) => {
                     if let Some(runner) = self.runners.get_mut(*key) {
@@ -103,6 +112,21 @@
         was_suspected.then_some(runner)
     }
 
+    /// Records that a runner stated that it is leaving, also one that is not listed. Returns whether
+    /// this was not known.
+    pub fn add_leaving(&mut self, runner: LeavingRunner) -> bool {
+        let key = self.by_identity.get(&runner.identity).copied();
+        if let Some(state) = key.and_then(|key| self.runners.get_mut(key)) {
+            state.record.leaving |= state.record.born_ms == runner.born_ms;
+        }
+        self.leaving.add(runner)
+    }
+
+    /// Returns the runners that stated that they are leaving.
+    pub fn leaving(&self) -> Vec<LeavingRunner> {
+        self.leaving.all()
+    }
+
     /// Draws new random sampling ranks for all runners.
     pub fn resample_ranks<R>(&mut self, rng: &mut R)
     where
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -11,6 +11,7 @@
 use dotterelrudder_types::ClientAccount;
 use dotterelrudder_types::DataCentre;
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_types::LeavingRunner;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::Revision;
 use dotterelrudder_types::Tier;
@@ -275,6 +276,9 @@
     RunnerWarmUps(RunnerWarmUps),
     /// Sends all data centres that are evacuated to entries, before the fleet state.
     Evacuations(Vec<DataCentre>),
+    /// Names backend servers that stated that they are leaving: from an entry to all control instances,
+    /// and from the leader to entries.
+    LeavingRunners(Vec<LeavingRunner>),
 }
 
 impl Message {
@@ -297,7 +301,7 @@
                 _ => 0,
             },
             Self::Propose { command, .. } => command.message_set(),
-            Self::RunnerWarmUps(_) | Self::Evacuations(_) => 3,
+            Self::RunnerWarmUps(_) | Self::Evacuations(_) | Self::LeavingRunners(_) => 3,
             _ => 0,
         }
     }
--- a/crates/dotterelrudder_wire/tests/last_release.rs
+++ b/crates/dotterelrudder_wire/tests/last_release.rs
@@ -214,6 +214,7 @@
     let of_set_three = [
         Message::RunnerWarmUps(RunnerWarmUps::default()),
         Message::Evacuations(Vec::new()),
+        Message::LeavingRunners(Vec::new()),
         Message::Raft {
             from: 1,
             to: 2,
