--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -394,6 +394,9 @@
             Message::RunnerLoads(loads) => {
                 self.fleet_publisher.record_loads(loads, now, out);
             }
+            Message::LeavingRunners(runners) => {
+                self.fleet_publisher.on_leaving_runners(&from, runners, out);
+            }
             Message::Load(load) => self.subscribers.get_or_insert(&from).load = Some(load),
             Message::OrderDone { version, .. } => {
                 if let Some(load) = &mut self.subscribers.get_or_insert(&from).load {
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -124,9 +124,11 @@
         log: &mut AttemptLog,
     ) -> Result<Arc<Placement>, Refusal> {
         let may_return = |given_up: &Arc<Placement>| {
-            let gateway = self.gateway();
+            let (gateway, runner) = (self.gateway(), given_up.runner);
             // A runner that is cold by now needs a permit, which only a new placement takes.
-            !gateway.is_evacuated(&given_up.data_centre) && !gateway.is_cold(given_up.runner)
+            !gateway.is_evacuated(&given_up.data_centre)
+                && !gateway.is_cold(runner)
+                && !gateway.is_leaving(runner)
         };
         if let Some(given_up) = log.returns_to.take().filter(may_return) {
             return Ok(given_up);
--- a/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/request_placement.rs
@@ -97,6 +97,7 @@
             data_centre: record.data_centre,
             evacuated: self.runners.evacuated().iter().cloned().collect(),
             identity: record.identity,
+            born_ms: record.born_ms,
             software: record.software,
             weights,
             cache_salt: salt,
