Send requests that never left the entry to another runner, and refuse them as not run

Cause: an attempt whose time ended while its connection was still being established, or whose first write failed, counted as one that may have run. Its caller got 502 or 504, and requests that may not be repeated were offered to no other runner.

Change: the socket to a runner records whether any byte of the request was written and can withdraw what was not. Such an attempt is followed by one at another runner, and ends as 503 otherwise, with the time until a runner is open in Retry-After. A connection may take half of the time left, so that another runner can still be tried. What may have been written stays 502 or 504.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at one runner, until the head of its response arrived and was checked.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use tokio::time::timeout;
 
 use super::connection_pool::ConnectionPool;
+use super::send_mark::SendMark;
 use super::upstream::SendError;
 use super::upstream::UpstreamConnection;
 
@@ -76,6 +78,17 @@
         }
     }
 
+    /// Returns the failure as one of a request that was not sent, if nothing of it was written.
+    pub(super) fn or_not_sent(self, mark: &SendMark) -> Self {
+        let is_not_sent = self.kind != FailureKind::Declined && mark.withdraw();
+        let kind = if is_not_sent {
+            FailureKind::NotSent
+        } else {
+            self.kind
+        };
+        Self { kind, ..self }
+    }
+
     /// Builds the failure of an attempt that was cancelled after a retry was taken from the budget.
     pub(super) fn retry_reserved<S>(outcome: RunOutcome, reason: S) -> Self
     where
@@ -108,6 +121,8 @@
     pub(super) id: &'a str,
     /// Whether the request may be sent again after a failure.
     pub(super) may_repeat: bool,
+    /// Tells whether bytes of the request were written.
+    pub(super) mark: &'a SendMark,
 }
 
 /// Sends a request to the chosen runner, over an idle connection if there is one. `head_limit` is
@@ -133,22 +148,22 @@
     let was_pooled = pooled.is_some();
     let mut upstream = match pooled {
         Some(upstream) => upstream,
-        None => match pool.connect(address).await {
+        None => match connect(pool, address, head_limit).await {
             Ok(upstream) => upstream,
             Err(reason) => return Err(unreachable(pool, placement, reason)),
         },
     };
     let req = build_request(dialect, outgoing, backend_request);
-    let mut sent = timeout(head_limit, upstream.send(req)).await;
+    let mut sent = timeout(head_limit, upstream.send(req, outgoing.mark)).await;
     if was_pooled && matches!(sent, Ok(Err(SendError::NotSent))) {
         // The server closed the idle connection, or sent unrequested bytes, before the request was
         // written; sending it over a new connection is not a retry.
-        upstream = match pool.connect(address).await {
+        upstream = match connect(pool, address, head_limit).await {
             Ok(upstream) => upstream,
             Err(reason) => return Err(unreachable(pool, placement, reason)),
         };
         let req = build_request(dialect, outgoing, backend_request);
-        sent = timeout(head_limit, upstream.send(req)).await;
+        sent = timeout(head_limit, upstream.send(req, outgoing.mark)).await;
     }
     match sent {
         Ok(Ok(response)) => {
@@ -176,6 +191,24 @@
     }
 }
 
+/// Opens a connection to a runner. `time_left` is the time until the attempt ends; half of it is left
+/// for an attempt at another runner.
+///
+/// # Errors
+///
+/// Returns the cause if the connection could not be opened in time.
+async fn connect(
+    pool: &ConnectionPool,
+    address: SocketAddr,
+    time_left: Duration,
+) -> Result<UpstreamConnection, String> {
+    let limit = time_left / 2;
+    match timeout(limit, pool.connect(address)).await {
+        Ok(connected) => connected,
+        Err(_) => Err(format!("no connection within {} ms", limit.as_millis())),
+    }
+}
+
 /// Closes the idle connections to an unreachable runner and builds the failure.
 fn unreachable(pool: &ConnectionPool, placement: &Placement, reason: String) -> AttemptFailure {
     pool.close_idle(placement.address);
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -32,6 +32,7 @@
 use super::request::QueuePlace;
 use super::request::ServeResult;
 use super::request::StartedStream;
+use super::send_mark::SendMark;
 use super::server::EntryServer;
 
 /// The maximum number of runners tried for one request, including those that could not be reached.
@@ -65,7 +66,7 @@
             let now = self.now();
             let left = request.deadline.saturating_sub(now);
             if left < MIN_TIME_LEFT {
-                return ServeResult::Refused(timeout_refusal(log));
+                return ServeResult::Refused(self.timeout_refusal(request, log));
             }
             let placement = match self.next_placement(request, log).await {
                 Ok(placement) => placement,
@@ -104,11 +105,28 @@
                 && self.may_repeat_after(&failure, &request.admission.service);
             if !allowed {
                 let refusal = failure_refusal(error_kind, failure.reason, log);
+                let refusal = self.with_retry_after(request, refusal);
                 return log.failed_answer_or(refusal);
             }
         }
         let reason = "no runner took the request".to_string();
-        ServeResult::Refused(failure_refusal(ErrorKind::Overloaded, reason, log))
+        let refusal = failure_refusal(ErrorKind::Overloaded, reason, log);
+        log.failed_answer_or(self.with_retry_after(request, refusal))
+    }
+
+    /// Builds the refusal of a request whose deadline passed.
+    pub(super) fn timeout_refusal(&self, request: &ActiveRequest, log: &AttemptLog) -> Refusal {
+        self.with_retry_after(request, timeout_refusal(log))
+    }
+
+    /// Sets when the caller of a request that did not run may retry.
+    fn with_retry_after(&self, request: &ActiveRequest, mut refusal: Refusal) -> Refusal {
+        if refusal.is_not_run() {
+            let service = &request.admission.service;
+            let after = self.gateway().time_until_open(self.now(), service);
+            refusal.retry_after = Some(after);
+        }
+        refusal
     }
 
     /// Returns where the request is sent next: to the runner that it returns to, or to one with room.
@@ -267,11 +285,14 @@
         let route = &request.admission.route;
         let may_repeat = route.kind.may_repeat();
         let backend_request = self.backend_request(request, placement, left, resume_after);
+        let mark = Arc::new(SendMark::default());
+        log.in_progress = Some(mark.clone());
         let outgoing = OutgoingRequest {
             head: &request.head,
             body: &request.body,
             id: &request.call.id,
             may_repeat,
+            mark: &mark,
         };
         let can_retry = request.may_run_again(log);
         // The attempt times out before the request's deadline, so that the failure is recorded
@@ -309,7 +330,8 @@
             }
         };
         let took = self.now().saturating_sub(began);
-        match first {
+        log.in_progress = None;
+        match first.map_err(|failure| failure.or_not_sent(&mark)) {
             Err(failure) => {
                 guard.end(failure.outcome);
                 if failure.kind == FailureKind::ConnectionLost {
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod refusals;
 mod request;
 mod response_body;
+mod send_mark;
 mod server;
 mod state_metrics;
 mod streaming;
--- a/crates/dotterelrudder_daemon/src/gateway/refusals.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/refusals.rs
@@ -7,10 +7,10 @@
 
 /// Builds the refusal of a request whose deadline passed.
 pub(super) fn timeout_refusal(log: &AttemptLog) -> Refusal {
-    if log.tried.is_empty() {
+    if log.withdraw() {
         return Refusal::new(
             ErrorKind::Overloaded,
-            "the request deadline passed before the request was sent to a runner",
+            "the request deadline passed before a runner took the request",
         );
     }
     let detail = "the request deadline passed before an answer arrived";
--- a/crates/dotterelrudder_daemon/src/gateway/request.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/request.rs
@@ -1,6 +1,7 @@
 //! A request in progress, with its place in the wait queue and its attempts.
 
 use super::attempt::FailureKind;
+use super::send_mark::SendMark;
 use super::upstream::UpstreamConnection;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -159,6 +160,8 @@
     pub(super) tried: Vec<RunnerKey>,
     /// The number of failed attempts at which the request may have run.
     pub(super) may_have_run: usize,
+    /// Whether bytes of the attempt in progress were written; none while there is no attempt.
+    pub(super) in_progress: Option<Arc<SendMark>>,
     /// The description of each attempt, for the request's log line.
     pub(super) notes: Vec<String>,
     /// The runner that was last given up for its silence alone. It may still be sound.
@@ -174,6 +177,12 @@
 }
 
 impl AttemptLog {
+    /// Returns whether no attempt ran the request, and keeps the one in progress from running it.
+    pub(super) fn withdraw(&self) -> bool {
+        let in_progress = self.in_progress.as_ref();
+        self.may_have_run == 0 && in_progress.is_none_or(|mark| mark.withdraw())
+    }
+
     /// Returns the time from which the wait for a runner counts.
     pub(super) fn waits_since(&self, request: &ActiveRequest) -> Duration {
         self.broke_off_at.unwrap_or(request.began)
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -43,7 +43,6 @@
 use tokio::time::timeout;
 
 use super::bodies::CallerBody;
-use super::refusals::timeout_refusal;
 use super::request::ActiveRequest;
 use super::request::AttemptLog;
 use super::request::ServeResult;
@@ -222,7 +221,7 @@
         let left = request.deadline.saturating_sub(self.now());
         let result = match timeout(left, self.run_attempts(&request, &mut log, None)).await {
             Ok(result) => result,
-            Err(_) => ServeResult::Refused(timeout_refusal(&log)),
+            Err(_) => ServeResult::Refused(self.timeout_refusal(&request, &log)),
         };
         audit.attempts.append(&mut log.notes);
         match result {
--- a/crates/dotterelrudder_daemon/src/gateway/upstream.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::send_mark::SendMark;
 use super::upstream_socket::UnreadCheck;
 use super::upstream_socket::UpstreamSocket;
 
@@ -131,7 +132,8 @@
         self.sender.ready().await.is_ok()
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response. `mark` tells whether bytes of the
+    /// request were written, also if this future is dropped.
     ///
     /// # Errors
     ///
@@ -139,8 +141,10 @@
     pub(super) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
+        mark: &SendMark,
     ) -> Result<Response<Incoming>, SendError> {
         self.unread_check.arm();
+        mark.given_to(&self.unread_check);
         match self.sender.try_send_request(req).await {
             Ok(response) => Ok(response),
             Err(_) if self.unread_check.has_failed() => Err(SendError::NotSent),
--- a/crates/dotterelrudder_daemon/src/gateway/upstream_socket.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream_socket.rs
@@ -15,11 +15,12 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// The check is not due.
+/// The check is not due: bytes may have been written since it was armed.
 const PASSED: u8 = 0;
-/// The next write looks for unread bytes first.
+/// The next write looks for unread bytes first. Nothing was written yet.
 const DUE: u8 = 1;
-/// There were unread bytes, and nothing was written.
+/// Nothing was written, and nothing will be: there were unread bytes, the first write failed, or the
+/// request was withdrawn.
 const FAILED: u8 = 2;
 
 /// Controls the check of an [`UpstreamSocket`] for unread bytes; clones share it.
@@ -34,10 +35,19 @@
         self.state.store(DUE, Ordering::Release);
     }
 
-    /// Returns whether the socket refused to write since the check was armed.
+    /// Returns whether the socket wrote nothing since the check was armed, and never will.
     pub fn has_failed(&self) -> bool {
         self.state.load(Ordering::Acquire) == FAILED
     }
+
+    /// Keeps the socket from writing if it has not written anything since the check was armed.
+    /// Returns whether nothing was written.
+    pub fn withdraw(&self) -> bool {
+        let withdrawn =
+            self.state
+                .compare_exchange(DUE, FAILED, Ordering::AcqRel, Ordering::Acquire);
+        matches!(withdrawn, Ok(_) | Err(FAILED))
+    }
 }
 
 /// A TCP stream to a backend server that writes no request while bytes wait to be read.
@@ -57,20 +67,22 @@
         Self { tcp, check }
     }
 
-    /// Runs the check if it is due.
+    /// Runs the check if it is due, and returns whether it was.
     ///
     /// # Errors
     ///
-    /// Returns an error if bytes or the end of the stream wait to be read.
-    fn check_unread(&self) -> io::Result<()> {
+    /// Returns an error if bytes or the end of the stream wait to be read, or if the check failed
+    /// before.
+    fn check_unread(&self) -> io::Result<bool> {
         let state = &self.check.state;
-        let due = state.compare_exchange(DUE, PASSED, Ordering::AcqRel, Ordering::Acquire);
-        if due.is_err() {
-            return Ok(());
+        match state.compare_exchange(DUE, PASSED, Ordering::AcqRel, Ordering::Acquire) {
+            Ok(_) => {}
+            Err(FAILED) => return Err(io::ErrorKind::ConnectionAborted.into()),
+            Err(_) => return Ok(false),
         }
         let mut byte = [MaybeUninit::uninit()];
         match SockRef::from(&self.tcp).peek(&mut byte) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(true),
             Ok(_) | Err(_) => {
                 state.store(FAILED, Ordering::Release);
                 let detail = "the connection holds unread bytes or was closed";
@@ -78,6 +90,17 @@
             }
         }
     }
+
+    /// Records the result of the first write since the check was armed. A write that fails or has to
+    /// wait has written nothing.
+    fn record_first_write(&self, written: &Poll<io::Result<usize>>) {
+        let state = match written {
+            Poll::Ready(Ok(_)) => return,
+            Poll::Ready(Err(_)) => FAILED,
+            Poll::Pending => DUE,
+        };
+        self.check.state.store(state, Ordering::Release);
+    }
 }
 
 impl AsyncRead for UpstreamSocket {
@@ -96,8 +119,12 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.check_unread()?;
-        Pin::new(&mut self.tcp).poll_write(cx, buf)
+        let is_first = self.check_unread()?;
+        let written = Pin::new(&mut self.tcp).poll_write(cx, buf);
+        if is_first {
+            self.record_first_write(&written);
+        }
+        written
     }
 
     fn poll_write_vectored(
@@ -105,8 +132,12 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.check_unread()?;
-        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+        let is_first = self.check_unread()?;
+        let written = Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs);
+        if is_first {
+            self.record_first_write(&written);
+        }
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/dotterelrudder_daemon/tests/upstream_socket.rs
+++ b/crates/dotterelrudder_daemon/tests/upstream_socket.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
@@ -82,3 +83,31 @@
         "the request was written"
     );
 }
+
+/// A request that its caller gave up before the first write must not be written later, since the
+/// caller was told that it did not run; one that was written cannot be withdrawn.
+#[test]
+fn a_withdrawn_request_is_not_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+    let address = listener.local_addr().expect("an address");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    runtime.block_on(async {
+        let tcp = tokio::net::TcpStream::connect(address).await.unwrap();
+        let (mut server, _) = listener.accept().expect("a connection");
+        let check = UnreadCheck::default();
+        let mut socket = UpstreamSocket::new(tcp, check.clone());
+        check.arm();
+        socket.write_all(b"a").await.unwrap();
+        assert!(!check.withdraw(), "a written request was withdrawn");
+        check.arm();
+        assert!(check.withdraw() && check.withdraw());
+        assert!(socket.write_all(b"b").await.is_err());
+        drop(socket);
+        let mut read = Vec::new();
+        server.read_to_end(&mut read).expect("the end");
+        assert_eq!(read, b"a");
+    });
+}
--- a/crates/dotterelrudder_gateway/src/gateway/admission_control.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/admission_control.rs
@@ -6,6 +6,7 @@
 use super::MIN_RETRY_AFTER;
 use crate::Admission;
 use crate::CallerRequest;
+use crate::RunnerCondition;
 use compact_str::format_compact;
 use dotterelrudder_config::deployment::AccountEntry;
 use dotterelrudder_config::deployment::RouteRule;
@@ -86,6 +87,19 @@
         refusal
     }
 
+    /// Returns when a caller may retry that no runner served: when the first runner of the service is
+    /// open again.
+    pub fn time_until_open(&mut self, now: Duration, service: &ServiceName) -> Duration {
+        let runners = self.runners.of_service(service).map(|(_, r)| r);
+        let waits = runners.filter_map(|r| match r.condition(now) {
+            RunnerCondition::Open => Some(Duration::ZERO),
+            RunnerCondition::InCooldown => Some(r.health.cooldown_until().saturating_sub(now)),
+            _ => None,
+        });
+        let wait = waits.min().unwrap_or(DEFAULT_RETRY_AFTER);
+        self.add_jitter(wait.max(MIN_RETRY_AFTER))
+    }
+
     /// Builds the refusal of a request that can't get a permit in time; `wait` is the estimated time
     /// until there is one.
     pub fn limit_refusal(&mut self, service: &ServiceName, wait: Duration) -> Refusal {
