Decide during a shortage by the time for which a response is of use to its caller

Cause: every request waited for 2.5 objectives and was then refused with a constant Retry-After. Long prompts were refused with two thirds of their deadline left, others were held that could not be served in time, and nothing estimated when capacity becomes available.

Change: with the entry setting overload_control (default off), requests wait in ShortageQueue: by urgency, account (deficit round robin), whether they can be in time, and work, with a share for those that waited for half of their time. The rate of capacity is learned while requests wait. What gets no capacity in time is refused at the first look with the expected time. Long prompts leave the queues of runners free while more urgent ones wait. The request's log line, dotterelrudder explain and the counter dotterelrudder_admissions show the decisions.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -13,6 +13,7 @@
 use dotterelrudder_gateway::PermitWait;
 use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::PlacementQuery;
+use dotterelrudder_gateway::RoomRule;
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
@@ -47,7 +48,7 @@
 pub(super) const MAX_WAIT_OBJECTIVES: f64 = 2.5;
 /// The interval at which a queued request checks for capacity. Load reports arrive every few tenths
 /// of a second, and requests of this entry end in between.
-const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(15);
+pub(super) const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(15);
 
 impl<D> EntryServer<D>
 where
@@ -171,6 +172,7 @@
             software,
             urgency: self.gateway().urgency(admission),
             request: self.placements.fetch_add(1, Ordering::Relaxed),
+            room: RoomRule::Usual,
         }
     }
 
@@ -198,6 +200,9 @@
         query: &PlacementQuery<'_>,
         log: &AttemptLog,
     ) -> Result<Placement, Refusal> {
+        if let Some(queue) = &self.shortage_queue {
+            return self.wait_in_shortage(request, query, log, queue).await;
+        }
         let service = query.service;
         let need = capacity_request(request, query, log);
         let wait_limit = log.waits_since(request) + query.objective.mul_f64(MAX_WAIT_OBJECTIVES);
@@ -246,7 +251,11 @@
     }
 
     /// Builds the refusal of a request that can't get a permit in time, and removes its demand.
-    fn refuse_for_limits(&self, query: &PlacementQuery<'_>, wait: PermitWait) -> Refusal {
+    pub(super) fn refuse_for_limits(
+        &self,
+        query: &PlacementQuery<'_>,
+        wait: PermitWait,
+    ) -> Refusal {
         self.metrics.count_limit_refusal();
         let mut gateway = self.gateway();
         gateway.forget_demand(query.request);
--- a/crates/dotterelrudder_daemon/src/gateway/audit.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/audit.rs
@@ -1,5 +1,7 @@
 //! The log line of each request, with its route, attempts and result.
 
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -10,6 +12,7 @@
 use slog::Logger;
 
 use super::server::EntryServer;
+use super::shortage_note::ShortageNote;
 
 /// The logged reason if the caller disconnected before the response started.
 const CALLER_DISCONNECTED: &str = "the caller disconnected before the response started";
@@ -36,6 +39,8 @@
     pub(super) reason: CompactString,
     /// The time until the response started.
     pub(super) took: Duration,
+    /// How the request was delayed or refused while capacity was short.
+    pub(super) shortage: Arc<Mutex<Option<ShortageNote>>>,
 }
 
 impl RequestAudit {
@@ -49,6 +54,8 @@
             "status" => self.status, "reason" => self.reason.to_string(),
             "took_ms" => self.took.as_millis() as u64);
         let log = log.new(fields);
+        let shortage = self.shortage.lock().unwrap_or_else(|e| e.into_inner());
+        let log = shortage.as_ref().map_or(log.clone(), |s| s.add_to(&log));
         if self.is_routine() {
             info!(log, "request");
         } else {
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -69,6 +69,7 @@
         dialect,
         gateway: Mutex::new(Gateway::new(file.gateway_settings(), rand::random())),
         wait_queue: Mutex::default(),
+        shortage_queue: file.overload_control.then(Mutex::default),
         pool: ConnectionPool::new(file.answer_limits.head.get()),
         clock: clock.clone(),
         metrics: metrics.clone(),
@@ -169,7 +170,11 @@
                 .unwrap_or_else(|e| e.into_inner());
             let waiting = wait_queue.len();
             drop(wait_queue);
-            sweep_server.metrics.set_waiting(waiting);
+            let shortage = sweep_server.shortage_queue.as_ref();
+            let short = shortage.map(|q| q.lock().unwrap_or_else(|e| e.into_inner()).len());
+            sweep_server
+                .metrics
+                .set_waiting(waiting + short.unwrap_or(0));
             sweep_server.update_state_metrics();
         }
     });
--- a/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
@@ -61,6 +61,10 @@
     /// The policy by which a runner is chosen. All but the default are baselines for measurements.
     #[serde(default)]
     pub policy: RoutingPolicy,
+    /// Whether requests wait for capacity, or are refused, by what it costs their callers, instead of
+    /// for the same multiple of their objective.
+    #[serde(default)]
+    pub overload_control: bool,
     /// The secret that all processes of the deployment share. Empty if the network is closed.
     #[serde(default)]
     pub secret: CompactString,
@@ -135,6 +139,7 @@
         "answer_bytes",
         "gathered_answer_bytes",
         "policy",
+        "overload_control",
         "secret",
     ];
 }
--- a/crates/dotterelrudder_daemon/src/gateway/mod.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/mod.rs
@@ -22,6 +22,8 @@
 mod response_body;
 mod send_mark;
 mod server;
+mod shortage;
+mod shortage_note;
 mod state_metrics;
 mod streaming;
 mod takeover;
--- a/crates/dotterelrudder_daemon/src/gateway/request.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/request.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::FailureKind;
 use super::send_mark::SendMark;
+use super::shortage_note::ShortageNote;
 use super::upstream::UpstreamConnection;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -35,6 +36,8 @@
     pub(super) deadline: Duration,
     /// The software version at which the stream began that the caller takes up again.
     pub(super) software: Option<CompactString>,
+    /// How the request was delayed or refused while capacity was short; shared with its log line.
+    pub(super) shortage: Arc<Mutex<Option<ShortageNote>>>,
 }
 
 impl ActiveRequest {
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -20,6 +20,7 @@
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::RequestFingerprint;
+use dotterelrudder_gateway::ShortageQueue;
 use dotterelrudder_gateway::WaitQueue;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::ErrorKind;
@@ -57,6 +58,9 @@
     pub(super) gateway: Mutex<Gateway>,
     /// Requests that wait for capacity.
     pub(super) wait_queue: Mutex<WaitQueue>,
+    /// Requests that wait for capacity, with the setting `overload_control`; the wait queue is then
+    /// not used.
+    pub(super) shortage_queue: Option<Mutex<ShortageQueue>>,
     pub(super) pool: ConnectionPool,
     pub(super) clock: SystemClock,
     pub(super) metrics: Metrics,
@@ -191,6 +195,7 @@
             began,
             deadline,
             software: None,
+            shortage: audit.shortage.clone(),
         })
     }
 
--- a/crates/dotterelrudder_daemon/src/gateway/takeover.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/takeover.rs
@@ -17,7 +17,6 @@
 use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_gateway::StreamProgress;
 use dotterelrudder_types::ErrorKind;
-use dotterelrudder_types::ServiceName;
 
 use super::attempt::AttemptFailure;
 use super::attempt::FailureKind;
@@ -135,18 +134,29 @@
         let query = self.placement_query(request, log);
         let need = capacity_request(request, &query, log);
         !self.gateway().is_suspect(now, request.traits())
-            && self.may_skip_queue(now, query.service, &need)
+            && self.may_skip_queue(now, request, log, &need)
             && self.gateway().has_room_for(now, &query)
             && self.may_repeat(query.service)
     }
 
     /// Returns whether no request that waits goes before one that joins the wait queue now.
-    fn may_skip_queue(&self, now: Duration, service: &ServiceName, need: &CapacityRequest) -> bool {
+    fn may_skip_queue(
+        &self,
+        now: Duration,
+        request: &ActiveRequest,
+        log: &AttemptLog,
+        need: &CapacityRequest,
+    ) -> bool {
+        if let Some(queue) = &self.shortage_queue {
+            let demand = self.capacity_demand(request, log);
+            let mut queue = queue.lock().unwrap_or_else(|e| e.into_inner());
+            return queue.may_try(now, None, &demand).is_some();
+        }
         let queue_place = QueuePlace {
             wait_queue: &self.wait_queue,
             ticket: None,
         };
-        queue_place.may_try(now, service, need)
+        queue_place.may_try(now, &request.admission.service, need)
     }
 
     /// Begins the takeover of a stream if it stalled, another runner has room for it, and the retry
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -39,6 +39,7 @@
     limited_sends: Counter<u64>,
     limited_runners: Gauge<u64>,
     limit_refusals: Counter<u64>,
+    admissions: Counter<u64>,
     unused_permits: Gauge<u64>,
     part_blocks: Gauge<u64>,
     request_blocks: Gauge<u64>,
@@ -101,6 +102,7 @@
             limited_sends: counter("dotterelrudder_limited_sends"),
             limited_runners: gauge("dotterelrudder_limited_runners"),
             limit_refusals: counter("dotterelrudder_limit_refusals"),
+            admissions: counter("dotterelrudder_admissions"),
             unused_permits: gauge("dotterelrudder_unused_permits"),
             part_blocks: gauge("dotterelrudder_part_blocks"),
             request_blocks: gauge("dotterelrudder_request_blocks"),
@@ -203,6 +205,17 @@
         self.limit_refusals.add(1, &[]);
     }
 
+    /// Counts a request that `overload_control` decided on, by its priority, its client account and
+    /// what became of it.
+    pub fn count_admission(&self, priority: u8, account: &str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("priority", i64::from(priority)),
+            KeyValue::new("account", account.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.admissions.add(1, &labels);
+    }
+
     /// Sets the number of runners that name a request limit, and of unused permits for them.
     pub fn set_limited_runners(&self, runners: usize, permits: usize) {
         self.limited_runners.record(runners as u64, &[]);
--- a/crates/dotterelrudder_explain/src/story.rs
+++ b/crates/dotterelrudder_explain/src/story.rs
@@ -22,6 +22,18 @@
 ];
 /// The message of the line in which a control instance reports whether it is the leader.
 const REPLICATION_STATUS_MESSAGE: &str = "standing in the log";
+/// Fields of a request's line that describe how it was delayed or refused while capacity was short.
+const SHORTAGE_FIELDS: &[&str] = &[
+    "admission",
+    "priority",
+    "account",
+    "work",
+    "expected_wait_ms",
+    "ahead",
+    "waited_ms",
+    "wait_limit_ms",
+    "retry_after_ms",
+];
 /// How long after the end of a request lines about its runners are still included: a side detects
 /// an unresponsive runner after about a second, and the clocks of processes differ.
 const RUNNER_EVENT_DELAY: Duration = Duration::from_secs(3);
@@ -149,10 +161,18 @@
             let seconds = from.as_secs_f64();
             writeln!(f, "{sign}{seconds:9.3} s  {place}: {}", event.message)?;
             let attempts = event.text("attempts");
-            let details = event.details(&["id", "attempts"]);
+            let mut without = vec!["id", "attempts"];
+            let shortage = shortage_note(event);
+            if shortage.is_some() {
+                without.extend(SHORTAGE_FIELDS);
+            }
+            let details = event.details(&without);
             if !details.is_empty() {
                 writeln!(f, "              {}", details.join(", "))?;
             }
+            if let Some(note) = shortage {
+                writeln!(f, "              {note}")?;
+            }
             for attempt in attempts.split("; ").filter(|a| !a.is_empty()) {
                 writeln!(f, "              offered to {attempt}")?;
             }
@@ -161,6 +181,30 @@
     }
 }
 
+/// Describes how a request was delayed or refused while capacity was short, if it was.
+fn shortage_note(event: &Event) -> Option<String> {
+    let admission = event.text("admission");
+    if admission.is_empty() {
+        return None;
+    }
+    let ms = |name| event.number(name).unwrap_or(0);
+    let mut note = format!(
+        "capacity was short: {admission} after {} ms (expected {} ms behind {} requests, of use for {} \
+         ms), priority {}, account \"{}\", work {}",
+        ms("waited_ms"),
+        ms("expected_wait_ms"),
+        ms("ahead"),
+        ms("wait_limit_ms"),
+        ms("priority"),
+        event.text("account"),
+        ms("work")
+    );
+    if let Some(after) = event.number("retry_after_ms") {
+        note += &format!(", told to return after {after} ms");
+    }
+    Some(note)
+}
+
 impl Story {
     /// Writes how many lines were read and used, since a story from only some of them is partial.
     fn write_count(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/dotterelrudder_gateway/src/admission/mod.rs
+++ b/crates/dotterelrudder_gateway/src/admission/mod.rs
@@ -4,15 +4,30 @@
 //! return. The most urgent requests get room first, repeats draw on a shared budget, and a request
 //! that cannot be served is refused with the time after which its caller may return.
 
+mod account_shares;
+mod admission_verdict;
 mod admitted_request;
+mod capacity_demand;
+mod capacity_rate;
 mod confirmed_lease;
 mod not_placed;
 mod retry_budget;
+mod returning_callers;
+mod service_shortage;
+mod shortage_queue;
 mod wait_queue;
 
+pub use account_shares::AccountShares;
+pub use admission_verdict::AdmissionVerdict;
+pub use admission_verdict::RefusalCause;
 pub use admitted_request::Admission;
+pub use capacity_demand::CapacityDemand;
+pub use capacity_rate::CapacityRate;
 pub use confirmed_lease::ConfirmedLease;
 pub use not_placed::NotPlaced;
 pub use retry_budget::RetryBudget;
+pub use returning_callers::ReturningCallers;
+pub(crate) use service_shortage::ServiceShortage;
+pub use shortage_queue::ShortageQueue;
 pub use wait_queue::CapacityRequest;
 pub use wait_queue::WaitQueue;
--- a/crates/dotterelrudder_gateway/src/gateway/admission_control.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/admission_control.rs
@@ -4,8 +4,12 @@
 use super::Gateway;
 use super::DEFAULT_RETRY_AFTER;
 use super::MIN_RETRY_AFTER;
+use crate::placement::MAX_UTILISATION;
 use crate::Admission;
 use crate::CallerRequest;
+use crate::CapacityDemand;
+use crate::Prompt;
+use crate::RefusalCause;
 use crate::RunnerCondition;
 use compact_str::format_compact;
 use dotterelrudder_config::deployment::AccountEntry;
@@ -21,6 +25,10 @@
 /// retry at the same time.
 const RETRY_JITTER: f64 = 0.25;
 
+/// The longest time until a retry that a refusal names during a shortage. Shortages change within
+/// seconds, so that a longer estimate says nothing.
+const MAX_SHORTAGE_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 impl Gateway {
     /// Decides whether a request may be served, and by which service.
     ///
@@ -100,6 +108,60 @@
         self.add_jitter(wait.max(MIN_RETRY_AFTER))
     }
 
+    /// Estimates the rate at which the runners of a service free capacity for this entry, in the work of
+    /// [`CapacityDemand`] per second: their memory, or their slots, shared by all entries.
+    pub fn capacity_rate(&self, now: Duration, service: &ServiceName) -> f64 {
+        let runners = self.runners.of_service(service).map(|(_, r)| r);
+        let open = runners.filter(|r| r.is_open(now) && !r.suspected);
+        let capacity = open.map(|r| match r.total_tokens() {
+            Some(tokens) if tokens > 0 => tokens as f64 * MAX_UTILISATION,
+            _ => f64::from(r.record.slots),
+        });
+        capacity.sum::<f64>() / f64::from(self.entries.get())
+    }
+
+    /// Returns the demand of a request for capacity that waits since `since`, for the shortage queue.
+    pub fn capacity_demand(
+        &self,
+        admission: &Admission,
+        prompt: Option<&Prompt>,
+        since: Duration,
+        deadline: Duration,
+    ) -> CapacityDemand {
+        let engine = &self.engine_estimate;
+        let account = admission.account.as_ref();
+        CapacityDemand {
+            service: admission.service.clone(),
+            account: account.map_or_else(String::new, |a| a.name.to_string()),
+            urgency: self.urgency(admission),
+            work: CapacityDemand::work_of(engine, prompt),
+            arrived: since,
+            since,
+            objective: admission.route.objective,
+            latest_start: CapacityDemand::latest_start(engine, prompt, since, deadline),
+        }
+    }
+
+    /// Builds the refusal of a request for which capacity is expected only after `expected`.
+    pub fn shortage_refusal(
+        &mut self,
+        service: &ServiceName,
+        cause: RefusalCause,
+        expected: Duration,
+        ahead: usize,
+    ) -> Refusal {
+        let detail = format_compact!(
+            "no capacity at the backend servers of service \"{service}\" in time ({}): expected in \
+             {} ms, behind {ahead} requests",
+            cause.as_str(),
+            expected.as_millis()
+        );
+        let mut refusal = Refusal::new(ErrorKind::Overloaded, detail);
+        let after = expected.clamp(MIN_RETRY_AFTER, MAX_SHORTAGE_RETRY_AFTER);
+        refusal.retry_after = Some(self.add_jitter(after));
+        refusal
+    }
+
     /// Builds the refusal of a request that can't get a permit in time; `wait` is the estimated time
     /// until there is one.
     pub fn limit_refusal(&mut self, service: &ServiceName, wait: Duration) -> Refusal {
--- a/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
@@ -9,6 +9,7 @@
 use super::Gateway;
 use crate::candidate_set_size;
 use crate::memory_limit;
+use crate::placement::MAX_UTILISATION;
 use crate::placement::MAX_WARM_CANDIDATES;
 use crate::placement::SHORT_PROMPT_TOKENS;
 use crate::rendezvous_score;
@@ -16,6 +17,7 @@
 use crate::NotPlaced;
 use crate::PlacementQuery;
 use crate::Prompt;
+use crate::RoomRule;
 use crate::RunnerKey;
 use crate::RunnerState;
 use compact_str::CompactString;
@@ -153,7 +155,7 @@
                 is_candidate = runner.connections.is_warm(now, query.repeatable);
                 warm += usize::from(is_candidate);
             }
-            is_candidate && has_room(now, runner, prompt, context.mean_utilisation)
+            is_candidate && has_room(now, runner, prompt, query.room, context.mean_utilisation)
         });
     }
 
@@ -199,10 +201,23 @@
 
 /// Returns whether a runner has room for a prompt: enough memory to avoid preemption, and, for a
 /// long prompt, a short prefill backlog. An idle runner takes any prompt.
-fn has_room(now: Duration, runner: &RunnerState, prompt: &Prompt, mean_utilisation: f64) -> bool {
-    let full = runner.memory_utilisation(now, prompt.peak_tokens() as f64)
-        > memory_limit(prompt, mean_utilisation);
+fn has_room(
+    now: Duration,
+    runner: &RunnerState,
+    prompt: &Prompt,
+    rule: RoomRule,
+    mean_utilisation: f64,
+) -> bool {
+    let limit = match rule {
+        RoomRule::Due => MAX_UTILISATION,
+        RoomRule::Usual | RoomRule::Yielding => memory_limit(prompt, mean_utilisation),
+    };
+    let full = runner.memory_utilisation(now, prompt.peak_tokens() as f64) > limit;
+    let unread = match rule {
+        RoomRule::Yielding => runner.unread_tokens(prompt, now).min(MAX_BACKLOG_TOKENS),
+        RoomRule::Usual | RoomRule::Due => 0.0,
+    };
     let prefill_busy =
-        prompt.tokens > SHORT_PROMPT_TOKENS && runner.backlog(now) > MAX_BACKLOG_TOKENS;
+        prompt.tokens > SHORT_PROMPT_TOKENS && runner.backlog(now) + unread > MAX_BACKLOG_TOKENS;
     !(full || prefill_busy) || runner.batch(now) <= 0.0
 }
--- a/crates/dotterelrudder_gateway/src/placement/memory_limit.rs
+++ b/crates/dotterelrudder_gateway/src/placement/memory_limit.rs
@@ -12,7 +12,7 @@
 
 /// The memory utilisation up to which a runner is sent prompts, from 0 to 1. The rest is left for
 /// the growth of running responses and for requests that other entries send meanwhile.
-const MAX_UTILISATION: f64 = 0.9;
+pub(crate) const MAX_UTILISATION: f64 = 0.9;
 /// The same for long prompts while all runners are under memory pressure. The difference is the
 /// memory that eight short prompts per second and runner hold for most of a second.
 const MAX_UTILISATION_LONG_PROMPTS: f64 = 0.65;
--- a/crates/dotterelrudder_gateway/src/placement/placement_query.rs
+++ b/crates/dotterelrudder_gateway/src/placement/placement_query.rs
@@ -1,6 +1,7 @@
 //! Input of the placement of a request.
 
 use crate::Prompt;
+use crate::RoomRule;
 use crate::RunnerKey;
 use dotterelrudder_types::ServiceName;
 use dotterelrudder_wire::CacheGroup;
@@ -27,4 +28,6 @@
     pub software: Option<&'a str>,
     /// A number that tells the request from others of this entry.
     pub request: u64,
+    /// Which runners have room for the request.
+    pub room: RoomRule,
 }
--- a/crates/dotterelrudder_gateway/src/runners/runner_state.rs
+++ b/crates/dotterelrudder_gateway/src/runners/runner_state.rs
@@ -231,6 +231,11 @@
         }
     }
 
+    /// Returns the runner's KV-cache memory in tokens, by its last load report.
+    pub fn total_tokens(&self) -> Option<u64> {
+        self.load.as_ref().map(|(l, _)| l.traits.total_tokens)
+    }
+
     /// Returns the number of this entry's requests in progress at the runner.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
--- a/crates/dotterelrudder_gateway/tests/support/mod.rs
+++ b/crates/dotterelrudder_gateway/tests/support/mod.rs
@@ -19,6 +19,7 @@
 use dotterelrudder_gateway::PlacementQuery;
 use dotterelrudder_gateway::Prompt;
 use dotterelrudder_gateway::PromptPart;
+use dotterelrudder_gateway::RoomRule;
 use dotterelrudder_gateway::RunnerKey;
 use dotterelrudder_types::AccountKeyHash;
 use dotterelrudder_types::RoutingPolicy;
@@ -235,6 +236,7 @@
         urgency: 0,
         software: None,
         request: 0,
+        room: RoomRule::Usual,
     }
 }
 
