--- a/crates/dotterelrudder_daemon/src/gateway/audit.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/audit.rs
@@ -56,6 +56,7 @@
         let log = log.new(fields);
         let shortage = self.shortage.lock().unwrap_or_else(|e| e.into_inner());
         let log = shortage.as_ref().map_or(log.clone(), |s| s.add_to(&log));
+        drop(shortage);
         if self.is_routine() {
             info!(log, "request");
         } else {
@@ -63,6 +64,12 @@
         }
     }
 
+    /// Returns whether the request found no capacity at first.
+    pub(super) fn is_delayed(&self) -> bool {
+        let shortage = self.shortage.lock().unwrap_or_else(|e| e.into_inner());
+        shortage.is_some()
+    }
+
     /// Returns whether the request succeeded at its first attempt.
     pub(super) fn is_routine(&self) -> bool {
         (200..400).contains(&self.status) && self.reason.is_empty() && self.attempts.len() <= 1
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -144,11 +144,11 @@
         response
     }
 
-    /// Counts a finished request and writes its log line, unless it is a routine request that is
-    /// not sampled.
+    /// Counts a finished request and writes its log line, unless it is a routine request that found
+    /// capacity at once and is not sampled.
     pub(super) fn finish_audit(&self, audit: &RequestAudit) {
         self.metrics.count_answer(audit.status);
-        if audit.is_routine() {
+        if audit.is_routine() && !audit.is_delayed() {
             let before = self.routine_requests.fetch_add(1, Ordering::Relaxed);
             let every = u64::from(self.log_answered_every);
             if every == 0 || !before.is_multiple_of(every) {
--- a/crates/dotterelrudder_daemon/src/gateway/shortage.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/shortage.rs
@@ -93,7 +93,7 @@
         let returning = queue
             .lock()
             .unwrap_or_else(|e| e.into_inner())
-            .take_returning(began, &request.call.id);
+            .take_returning(began, &demand.account, &request.call.id);
         if let Some(arrived) = returning {
             demand.arrived = arrived.min(demand.since);
         }
--- a/crates/dotterelrudder_gateway/src/admission/shortage_queue.rs
+++ b/crates/dotterelrudder_gateway/src/admission/shortage_queue.rs
@@ -85,12 +85,14 @@
         demand: &CapacityDemand,
         retry_after: Duration,
     ) {
-        self.returning.refused(now, id, demand.arrived, retry_after);
+        let key = (demand.account.as_str(), id);
+        self.returning
+            .refused(now, key, demand.arrived, retry_after);
     }
 
     /// Returns when a request first arrived if its caller was refused before and has come back.
-    pub fn take_returning(&mut self, now: Duration, id: &str) -> Option<Duration> {
-        self.returning.take(now, id)
+    pub fn take_returning(&mut self, now: Duration, account: &str, id: &str) -> Option<Duration> {
+        self.returning.take(now, account, id)
     }
 
     /// Returns the number of requests that wait.
--- a/crates/dotterelrudder_gateway/tests/shortage_queue.rs
+++ b/crates/dotterelrudder_gateway/tests/shortage_queue.rs
@@ -215,11 +215,11 @@
         queue.join(now, &newcomer, CAPACITY);
     }
     assert!(!waits(queue.judge(now, None, &newcomer, CAPACITY)));
-    let arrived = queue.take_returning(now, "r1").expect("it is known");
+    let arrived = queue.take_returning(now, "a", "r1").expect("it is known");
     let returned = CapacityDemand {
         arrived,
         ..newcomer.clone()
     };
     assert!(waits(queue.judge(now, None, &returned, CAPACITY)));
-    assert_eq!(queue.take_returning(now, "r1"), None);
+    assert_eq!(queue.take_returning(now, "a", "r1"), None);
 }
--- a/crates/dotterelrudder_gateway/tests/shortage_replay.rs
+++ b/crates/dotterelrudder_gateway/tests/shortage_replay.rs
@@ -428,7 +428,9 @@
             for (_, mut job) in back {
                 let entry = self.return_rng.random_range(0..ENTRIES);
                 if let Queue::ByCost(q) = &mut self.queues[entry] {
-                    job.arrived = q.take_returning(now, &job.id).unwrap_or(job.arrived);
+                    job.arrived = q
+                        .take_returning(now, job.account, &job.id)
+                        .unwrap_or(job.arrived);
                 }
                 self.waiting[entry].push(job);
             }
