--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -13,6 +13,7 @@
 use dotterelrudder_gateway::PermitWait;
 use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::PlacementQuery;
+use dotterelrudder_gateway::RoomRule;
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
@@ -32,6 +33,7 @@
 use super::request::QueuePlace;
 use super::request::ServeResult;
 use super::request::StartedStream;
+use super::send_mark::SendMark;
 use super::server::EntryServer;
 
 /// The maximum number of runners tried for one request, including those that could not be reached.
@@ -46,7 +48,7 @@
 pub(super) const MAX_WAIT_OBJECTIVES: f64 = 2.5;
 /// The interval at which a queued request checks for capacity. Load reports arrive every few tenths
 /// of a second, and requests of this entry end in between.
-const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(15);
+pub(super) const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(15);
 
 impl<D> EntryServer<D>
 where
@@ -65,7 +67,7 @@
             let now = self.now();
             let left = request.deadline.saturating_sub(now);
             if left < MIN_TIME_LEFT {
-                return ServeResult::Refused(timeout_refusal(log));
+                return ServeResult::Refused(self.timeout_refusal(request, log));
             }
             let placement = match self.next_placement(request, log).await {
                 Ok(placement) => placement,
@@ -104,11 +106,28 @@
                 && self.may_repeat_after(&failure, &request.admission.service);
             if !allowed {
                 let refusal = failure_refusal(error_kind, failure.reason, log);
+                let refusal = self.with_retry_after(request, refusal);
                 return log.failed_answer_or(refusal);
             }
         }
         let reason = "no runner took the request".to_string();
-        ServeResult::Refused(failure_refusal(ErrorKind::Overloaded, reason, log))
+        let refusal = failure_refusal(ErrorKind::Overloaded, reason, log);
+        log.failed_answer_or(self.with_retry_after(request, refusal))
+    }
+
+    /// Builds the refusal of a request whose deadline passed.
+    pub(super) fn timeout_refusal(&self, request: &ActiveRequest, log: &AttemptLog) -> Refusal {
+        self.with_retry_after(request, timeout_refusal(log))
+    }
+
+    /// Sets when the caller of a request that did not run may retry.
+    fn with_retry_after(&self, request: &ActiveRequest, mut refusal: Refusal) -> Refusal {
+        if refusal.is_not_run() {
+            let service = &request.admission.service;
+            let after = self.gateway().time_until_open(self.now(), service);
+            refusal.retry_after = Some(after);
+        }
+        refusal
     }
 
     /// Returns where the request is sent next: to the runner that it returns to, or to one with room.
@@ -161,6 +180,7 @@
             software,
             urgency: self.gateway().urgency(admission),
             request: self.placements.fetch_add(1, Ordering::Relaxed),
+            room: RoomRule::Usual,
         }
     }
 
@@ -188,6 +208,9 @@
         query: &PlacementQuery<'_>,
         log: &AttemptLog,
     ) -> Result<Placement, Refusal> {
+        if let Some(queue) = &self.shortage_queue {
+            return self.wait_in_shortage(request, query, log, queue).await;
+        }
         let service = query.service;
         let need = capacity_request(request, query, log);
         let wait_limit = log.waits_since(request) + query.objective.mul_f64(MAX_WAIT_OBJECTIVES);
@@ -236,7 +259,11 @@
     }
 
     /// Builds the refusal of a request that can't get a permit in time, and removes its demand.
-    fn refuse_for_limits(&self, query: &PlacementQuery<'_>, wait: PermitWait) -> Refusal {
+    pub(super) fn refuse_for_limits(
+        &self,
+        query: &PlacementQuery<'_>,
+        wait: PermitWait,
+    ) -> Refusal {
         self.metrics.count_limit_refusal();
         if wait.is_cold {
             self.metrics.count_cold_refusal();
@@ -278,11 +305,14 @@
         let route = &request.admission.route;
         let may_repeat = route.kind.may_repeat();
         let backend_request = self.backend_request(request, placement, left, resume_after);
+        let mark = Arc::new(SendMark::default());
+        log.in_progress = Some(mark.clone());
         let outgoing = OutgoingRequest {
             head: &request.head,
             body: &request.body,
             id: &request.call.id,
             may_repeat,
+            mark: &mark,
         };
         let can_retry = request.may_run_again(log);
         // The attempt times out before the request's deadline, so that the failure is recorded
@@ -319,7 +349,8 @@
             }
         };
         let took = self.now().saturating_sub(began);
-        match first {
+        log.in_progress = None;
+        match first.map_err(|failure| failure.or_not_sent(&mark)) {
             Err(failure) => {
                 guard.end(failure.outcome);
                 if failure.shows_lost_runner() {
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -20,6 +20,7 @@
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Gateway;
 use dotterelrudder_gateway::RequestFingerprint;
+use dotterelrudder_gateway::ShortageQueue;
 use dotterelrudder_gateway::StopDeadline;
 use dotterelrudder_gateway::WaitQueue;
 use dotterelrudder_types::Clock;
@@ -44,7 +45,6 @@
 use tokio::time::timeout;
 
 use super::bodies::CallerBody;
-use super::refusals::timeout_refusal;
 use super::request::ActiveRequest;
 use super::request::AttemptLog;
 use super::request::ServeResult;
@@ -59,6 +59,9 @@
     pub(super) gateway: Mutex<Gateway>,
     /// Requests that wait for capacity.
     pub(super) wait_queue: Mutex<WaitQueue>,
+    /// Requests that wait for capacity, with the setting `overload_control`; the wait queue is then
+    /// not used.
+    pub(super) shortage_queue: Option<Mutex<ShortageQueue>>,
     pub(super) pool: ConnectionPool,
     pub(super) clock: SystemClock,
     pub(super) metrics: Metrics,
@@ -158,11 +161,11 @@
         stop
     }
 
-    /// Counts a finished request and writes its log line, unless it is a routine request that is
-    /// not sampled.
+    /// Counts a finished request and writes its log line, unless it is a routine request that found
+    /// capacity at once and is not sampled.
     pub(super) fn finish_audit(&self, audit: &RequestAudit) {
         self.metrics.count_answer(audit.status);
-        if audit.is_routine() {
+        if audit.is_routine() && !audit.is_delayed() {
             let before = self.routine_requests.fetch_add(1, Ordering::Relaxed);
             let every = u64::from(self.log_answered_every);
             if every == 0 || !before.is_multiple_of(every) {
@@ -213,6 +216,7 @@
             began,
             deadline,
             software: None,
+            shortage: audit.shortage.clone(),
         })
     }
 
@@ -246,7 +250,8 @@
             result = timeout(left, self.run_attempts(&request, &mut log, None)) => result.ok(),
             _stop = self.until_stop_deadline() => None,
         };
-        let result = result.unwrap_or_else(|| ServeResult::Refused(timeout_refusal(&log)));
+        let result =
+            result.unwrap_or_else(|| ServeResult::Refused(self.timeout_refusal(&request, &log)));
         audit.attempts.append(&mut log.notes);
         match result {
             ServeResult::Complete(head, body) => self.relay_response(head, full_body(body)),
--- a/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/runner_selection.rs
@@ -9,6 +9,7 @@
 use super::Gateway;
 use crate::candidate_set_size;
 use crate::memory_limit;
+use crate::placement::MAX_UTILISATION;
 use crate::placement::MAX_WARM_CANDIDATES;
 use crate::placement::SHORT_PROMPT_TOKENS;
 use crate::rendezvous_score;
@@ -16,6 +17,7 @@
 use crate::NotPlaced;
 use crate::PlacementQuery;
 use crate::Prompt;
+use crate::RoomRule;
 use crate::RunnerKey;
 use crate::RunnerState;
 use compact_str::CompactString;
@@ -31,6 +33,11 @@
 /// objective.
 const MAX_BACKLOG_TOKENS: f64 = 14_000.0;
 
+/// The largest prefill backlog of a runner, in tokens, to which a long prompt may raise it while more
+/// urgent ones find no capacity. It takes 0.39 s to prefill, so that a short prompt behind it still meets
+/// an objective of half a second.
+const MAX_FILLED_BACKLOG_TOKENS: f64 = 22_000.0;
+
 /// Inputs of the selection that are the same for all runners.
 #[derive(Debug)]
 pub(super) struct SelectionContext {
@@ -153,7 +160,7 @@
                 is_candidate = runner.connections.is_warm(now, query.repeatable);
                 warm += usize::from(is_candidate);
             }
-            is_candidate && has_room(now, runner, prompt, context.mean_utilisation)
+            is_candidate && has_room(now, runner, prompt, query.room, context.mean_utilisation)
         });
     }
 
@@ -199,10 +206,23 @@
 
 /// Returns whether a runner has room for a prompt: enough memory to avoid preemption, and, for a
 /// long prompt, a short prefill backlog. An idle runner takes any prompt.
-fn has_room(now: Duration, runner: &RunnerState, prompt: &Prompt, mean_utilisation: f64) -> bool {
-    let full = runner.memory_utilisation(now, prompt.peak_tokens() as f64)
-        > memory_limit(prompt, mean_utilisation);
+fn has_room(
+    now: Duration,
+    runner: &RunnerState,
+    prompt: &Prompt,
+    rule: RoomRule,
+    mean_utilisation: f64,
+) -> bool {
+    let limit = match rule {
+        RoomRule::Due => MAX_UTILISATION,
+        RoomRule::Usual | RoomRule::Yielding => memory_limit(prompt, mean_utilisation),
+    };
+    let full = runner.memory_utilisation(now, prompt.peak_tokens() as f64) > limit;
+    let backlog = runner.backlog(now);
+    let fills_queue = rule == RoomRule::Yielding
+        && backlog > 0.0
+        && backlog + runner.unread_tokens(prompt, now) > MAX_FILLED_BACKLOG_TOKENS;
     let prefill_busy =
-        prompt.tokens > SHORT_PROMPT_TOKENS && runner.backlog(now) > MAX_BACKLOG_TOKENS;
+        prompt.tokens > SHORT_PROMPT_TOKENS && (backlog > MAX_BACKLOG_TOKENS || fills_queue);
     !(full || prefill_busy) || runner.batch(now) <= 0.0
 }
