Limit what a process holds for callers, by bytes and by connections

Cause: bodies, responses that nobody reads, read buffers and connections were limited each by itself, never together, so that a few dozen clients within the limits of one request exhausted an entry's memory.

Change: crates/dotterelrudder_daemon/src/intake. ByteBudget and ConnectionTable decide without I/O and clock; IntakeGate and IntakePort apply it in the entry, the operators' API and the ports of sides and control. A body's capacity is granted before it is allocated, and released when the last reference to it is dropped. While the budget is exhausted a body is not read; after 0.5 s the request is refused with 503 (not run). Whoever made no progress for 0.25 s is cut off first, while others wait. Complete responses count until their caller has read them, events of a stream once its caller lags behind. At the limit of connections, the one that is longest without a request in progress is closed for a new one. The handler's future is allocated for each request, not for each connection. Limits come from the settings memory_mb and max_descriptors, or from the operating system.

--- a/crates/dotterelrudder_daemon/src/control/operator_api.rs
+++ b/crates/dotterelrudder_daemon/src/control/operator_api.rs
@@ -95,7 +95,7 @@
             req.method().as_str().to_owned(),
             req.uri().path().to_owned(),
         );
-        let body = read_body(req.into_body()).await?;
+        let body = read_body(req).await?;
         match (method.as_str(), path.as_str()) {
             ("GET", "/v1/configuration") => {
                 let (cfg, _) = self.read().await?;
--- a/crates/dotterelrudder_daemon/src/entry/request_handler.rs
+++ b/crates/dotterelrudder_daemon/src/entry/request_handler.rs
@@ -101,7 +101,7 @@
         req: Request<Incoming>,
         headers: RequestHeaders,
     ) -> Response<AnswerBody> {
-        let body = match read_body(req.into_body()).await {
+        let body = match read_body(req).await {
             Ok(body) => body,
             Err(refusal) => return refusal_answer(&refusal),
         };
@@ -132,7 +132,7 @@
             .map_or("/", |p| p.as_str())
             .into();
         let content_type = header_text(req.headers(), "content-type").unwrap_or_default();
-        let body = match read_body(req.into_body()).await {
+        let body = match read_body(req).await {
             Ok(body) => body,
             Err(refusal) => return refusal_answer(&refusal),
         };
--- a/crates/dotterelrudder_daemon/src/fleet/control.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/control.rs
@@ -29,6 +29,10 @@
 use crate::control::Replica;
 use crate::http_server;
 use crate::http_server::AnswerBody;
+use crate::http_server::OWN_PORT_CONNECTIONS;
+use crate::intake::IntakeGate;
+use crate::intake::IntakePort;
+use crate::intake::MachineLimits;
 use crate::logging;
 use crate::metrics::Metrics;
 use crate::start::new_hello;
@@ -44,6 +48,10 @@
 const FIRST_ELECTION_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a contact counts as fresh; shorter than `ELECTION_TIMEOUT` by a margin for clock drift.
 const LEASE_DURATION: Duration = Duration::from_millis(350);
+/// Connections of operators at most; a deployment has few operators.
+const MAX_OPERATOR_CONNECTIONS: usize = 256;
+/// Interval at which the gauge of held bytes is updated.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of log entries after which a snapshot replaces them. The number is small because an entry
 /// may hold a full configuration, which is large.
 const SNAPSHOT_ENTRIES: usize = 64;
@@ -157,13 +165,24 @@
     };
     tokio::spawn(poller.run());
     let replication_status = replica.watch_replication_status();
-    http_server::serve_admin(file.admin, metrics, move || {
+    let machine = MachineLimits::new(file.memory_mb, file.max_descriptors);
+    let gate = IntakeGate::new(machine, metrics.clone(), log.clone());
+    let admin = IntakePort::new(gate.clone(), "admin", OWN_PORT_CONNECTIONS);
+    let most = gate.limits().connections.min(MAX_OPERATOR_CONNECTIONS);
+    let operators = IntakePort::new(gate.clone(), "operators", most);
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(GAUGE_INTERVAL).await;
+            gate.update_metrics();
+        }
+    });
+    http_server::serve_admin_port(file.admin, admin, metrics, move || {
         replication_status.borrow().fresh
     })
     .await?;
     let (stop, stopped) = watch::channel(false);
     let (port, serving, serving_log) = (Arc::new(port), replica.clone(), log.clone());
-    let connections = http_server::serve(file.operators, stopped, move |req| {
+    let connections = http_server::serve_port(file.operators, stopped, operators, move |req| {
         let (port, replica, log) = (port.clone(), serving.clone(), serving_log.clone());
         async move { port.answer(replica, log, req).await }
     })
--- a/crates/dotterelrudder_daemon/src/fleet/control_file.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/control_file.rs
@@ -44,6 +44,12 @@
     pub instance_list: SocketAddr,
     /// Calls per second that the list allows to all instances together.
     pub list_calls_per_s: f64,
+    /// Memory of the machine in MiB; without it, what the operating system reports.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
+    /// Descriptors that the process may open; without it, what the operating system reports.
+    #[serde(default)]
+    pub max_descriptors: Option<u32>,
     /// Secret shared by all processes of the deployment; empty on a closed network.
     #[serde(default)]
     pub secret: CompactString,
@@ -98,6 +104,8 @@
         "tolerated_losses",
         "instance_list",
         "list_calls_per_s",
+        "memory_mb",
+        "max_descriptors",
         "secret",
     ];
 }
--- a/crates/dotterelrudder_daemon/src/fleet/side.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/side.rs
@@ -14,6 +14,10 @@
 use super::FollowerStart;
 use super::RunnerDialect;
 use crate::http_server;
+use crate::http_server::OWN_PORT_CONNECTIONS;
+use crate::intake::IntakeGate;
+use crate::intake::IntakePort;
+use crate::intake::MachineLimits;
 use crate::logging;
 use crate::metrics::Metrics;
 use crate::start::stop_signal;
@@ -31,7 +35,10 @@
 {
     let log = logging::logger(Role::Side.as_str(), file.name.as_str());
     let metrics = Metrics::new()?;
-    http_server::serve_admin(file.admin, metrics, || true).await?;
+    let machine = MachineLimits::new(file.memory_mb, file.max_descriptors);
+    let gate = IntakeGate::new(machine, metrics.clone(), log.clone());
+    let port = IntakePort::new(gate, "admin", OWN_PORT_CONNECTIONS);
+    http_server::serve_admin_port(file.admin, port, metrics, || true).await?;
     let (tx, orders) = tokio::sync::mpsc::unbounded_channel();
     let start = FollowerStart {
         name: file.name.clone(),
--- a/crates/dotterelrudder_daemon/src/fleet/side_file.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/side_file.rs
@@ -24,6 +24,12 @@
     pub admin: SocketAddr,
     /// Address of the runner beside the side.
     pub runner: SocketAddr,
+    /// Memory of the machine in MiB; without it, what the operating system reports.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
+    /// Descriptors that the process may open; without it, what the operating system reports.
+    #[serde(default)]
+    pub max_descriptors: Option<u32>,
     /// Secret shared by all processes of the deployment; empty on a closed network.
     #[serde(default)]
     pub secret: CompactString,
@@ -37,6 +43,8 @@
         "link_port",
         "admin",
         "runner",
+        "memory_mb",
+        "max_descriptors",
         "secret",
     ];
 }
--- a/crates/dotterelrudder_daemon/src/gateway/answer_buffers.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/answer_buffers.rs
@@ -7,12 +7,14 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
-use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
 use super::answer_limits::AnswerLimits;
+use crate::intake::ByteLease;
+use crate::intake::IntakeBuffer;
+use crate::intake::PacedBody;
 
 /// The size up to which a response continues when the common limit is exceeded.
 const SHORT_ANSWER_BYTES: usize = 64 * 1024;
@@ -44,18 +46,25 @@
 }
 
 impl AnswerBuffers {
-    /// Reads a complete response body.
+    /// Reads a complete response body. The lease counts its memory until it was sent to the caller.
     ///
     /// # Errors
     ///
-    /// Returns the cause if the body is incomplete or exceeds a size limit.
+    /// Returns the cause if the body is incomplete or exceeds a size limit, or if the memory of the
+    /// process is exhausted.
     pub(super) async fn read(
         &self,
         mut body: Incoming,
         limits: &AnswerLimits,
-    ) -> Result<Bytes, String> {
+        lease: ByteLease,
+    ) -> Result<PacedBody, String> {
         let mut share = BufferShare { all: self, own: 0 };
-        let mut bytes = BytesMut::new();
+        let mut bytes = IntakeBuffer::new(lease.clone(), limits.answer.get());
+        let announced = body.size_hint().lower();
+        if announced <= limits.answer.get() as u64 {
+            let reserved = bytes.reserve(announced as usize).await;
+            reserved.map_err(|refusal| refusal.detail.to_string())?;
+        }
         while let Some(frame) = body.frame().await {
             let Ok(part) = frame.map_err(|e| e.to_string())?.into_data() else {
                 continue;
@@ -70,8 +79,9 @@
                     "all buffered answers together exceed {max_total_bytes} bytes"
                 ));
             }
-            bytes.extend_from_slice(&part);
+            let pushed = bytes.push(&part).await;
+            pushed.map_err(|refusal| refusal.detail.to_string())?;
         }
-        Ok(bytes.freeze())
+        Ok(PacedBody::new(bytes.freeze(), lease))
     }
 }
--- a/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/answer_start.rs
@@ -8,6 +8,8 @@
 use super::bodies::ENDED_WITH_RUNNER;
 use super::server::EntryServer;
 use super::upstream::UpstreamConnection;
+use crate::intake::HoldingPhase;
+use crate::intake::PacedBody;
 use bytes::Bytes;
 use dotterelrudder_gateway::BackendRequest;
 use dotterelrudder_gateway::Dialect;
@@ -25,7 +27,7 @@
 /// A response that has started.
 pub(super) enum AnswerStart {
     /// A complete response.
-    Complete(http::response::Parts, Bytes, UpstreamConnection),
+    Complete(http::response::Parts, PacedBody, UpstreamConnection),
     /// The head and the first chunk of a stream, and the rest of its body.
     Stream(
         http::response::Parts,
@@ -74,7 +76,9 @@
         upstream.keep_alive = keep_alive(&head.headers);
         if !(stream && head.status.is_success()) {
             let is_closed_by_end = !body.is_end_stream() && !is_framed(&head.headers);
-            let bytes = self.answer_buffers.read(body, &self.answer_limits).await;
+            let lease = outgoing.intake.open(HoldingPhase::InProgress);
+            let limits = &self.answer_limits;
+            let bytes = self.answer_buffers.read(body, limits, lease).await;
             let bytes = bytes.map_err(AttemptFailure::answer_lost)?;
             if is_closed_by_end && !self.is_still_there(placement).await {
                 return Err(AttemptFailure::answer_lost(ENDED_WITH_RUNNER));
--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use super::connection_pool::ConnectionPool;
+use super::request_intake::RequestIntake;
 use super::upstream::SendError;
 use super::upstream::UpstreamConnection;
 
@@ -104,6 +105,8 @@
     pub(super) head: &'a http::request::Parts,
     /// The complete body.
     pub(super) body: &'a Bytes,
+    /// Counts the memory of the response.
+    pub(super) intake: &'a RequestIntake,
     /// The id of the caller's request.
     pub(super) id: &'a str,
     /// Whether the request may be sent again after a failure.
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -270,6 +270,7 @@
         let outgoing = OutgoingRequest {
             head: &request.head,
             body: &request.body,
+            intake: &request.intake,
             id: &request.call.id,
             may_repeat,
         };
--- a/crates/dotterelrudder_daemon/src/gateway/bodies.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/bodies.rs
@@ -1,5 +1,8 @@
 //! Reading of request bodies, and the headers that determine framing and keep-alive of responses.
 
+use super::request_intake::RequestIntake;
+use crate::intake::HoldingPhase;
+use crate::intake::IntakeBuffer;
 use bytes::Bytes;
 use dotterelrudder_types::ErrorKind;
 use dotterelrudder_types::Refusal;
@@ -32,24 +35,43 @@
         }
     }
 
-    /// Reads the complete body.
+    /// Reads the complete body. Nothing is read while the byte budget has no room for it.
     ///
     /// # Errors
     ///
     /// Returns a refusal when the body exceeds its size limit, pauses for too long or is incomplete
-    /// or malformed. A body that states a larger size is refused before it is read.
-    pub(super) async fn read(&mut self) -> Result<Bytes, Refusal> {
-        let mut bytes = bytes::BytesMut::new();
-        let mut size = self.body.size_hint().lower();
-        while size <= self.max_bytes as u64 {
-            match self.next_chunk().await? {
-                Some(chunk) => bytes.extend_from_slice(&chunk),
-                None => return Ok(bytes.freeze()),
+    /// or malformed, or when the byte budget is exhausted. A body that states a larger size is refused
+    /// before it is read.
+    pub(super) async fn read(&mut self, intake: &RequestIntake) -> Result<Bytes, Refusal> {
+        if self.body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let announced = self.body.size_hint().lower();
+        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+        if announced > self.max_bytes {
+            return Err(self.too_large());
+        }
+        let lease = intake.open(HoldingPhase::Receiving);
+        let mut bytes = IntakeBuffer::new(lease.clone(), self.max_bytes);
+        bytes.reserve(announced).await?;
+        loop {
+            let chunk = tokio::select! {
+                chunk = self.next_chunk() => chunk?,
+                refusal = IntakeBuffer::cut(&lease) => return Err(refusal),
+            };
+            let Some(chunk) = chunk else {
+                return Ok(bytes.freeze());
+            };
+            if bytes.len() + chunk.len() > self.max_bytes {
+                return Err(self.too_large());
             }
-            size = bytes.len() as u64;
+            bytes.push(&chunk).await?;
         }
+    }
+
+    fn too_large(&self) -> Refusal {
         let detail = format!("the request body exceeds {} bytes", self.max_bytes);
-        Err(Refusal::new(ErrorKind::TooLarge, detail))
+        Refusal::new(ErrorKind::TooLarge, detail)
     }
 
     /// Reads what is left of the body of a request that was refused. Closing the connection of a
--- a/crates/dotterelrudder_daemon/src/gateway/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/daemon.rs
@@ -29,6 +29,10 @@
 use crate::fleet::FollowerStart;
 use crate::http_server;
 use crate::http_server::HeadLimits;
+use crate::http_server::OWN_PORT_CONNECTIONS;
+use crate::intake::IntakeGate;
+use crate::intake::IntakePort;
+use crate::intake::MachineLimits;
 use crate::logging;
 use crate::metrics::Metrics;
 use crate::start::stop_signal;
@@ -64,6 +68,8 @@
     let log = logging::logger(Role::Entry.as_str(), file.name.as_str());
     let clock = SystemClock::default();
     let metrics = Metrics::new()?;
+    let machine = MachineLimits::new(file.memory_mb, file.max_descriptors);
+    let gate = IntakeGate::new(machine, metrics.clone(), log.clone());
     let (shutdown, shutting_down) = watch::channel(false);
     let server = Arc::new(EntryServer {
         dialect,
@@ -109,7 +115,8 @@
     });
     let (_never, no_stop) = watch::channel(false);
     let ready_now = is_ready.clone();
-    http_server::serve(file.ready, no_stop, move |req| {
+    let ready_port = IntakePort::new(gate.clone(), "ready", OWN_PORT_CONNECTIONS);
+    http_server::serve_port(file.ready, no_stop, ready_port, move |req| {
         let known = req.uri().path() == ready_path.as_str();
         let ready = known && ready_now();
         async move {
@@ -120,13 +127,16 @@
         }
     })
     .await?;
-    http_server::serve_admin(file.admin, metrics, move || is_ready()).await?;
+    let admin_port = IntakePort::new(gate.clone(), "admin", OWN_PORT_CONNECTIONS);
+    http_server::serve_admin_port(file.admin, admin_port, metrics, move || is_ready()).await?;
+    let caller_port = IntakePort::new(gate.clone(), "callers", gate.limits().connections);
     let (close, closed) = watch::channel(false);
     let (limits_server, log_server, request_server) =
         (server.clone(), server.clone(), server.clone());
     let callers = http_server::serve_within(
         file.listen,
         closed,
+        caller_port,
         move || {
             let gateway = limits_server.gateway();
             let limits = &gateway.configuration().limits;
@@ -171,6 +181,7 @@
             drop(wait_queue);
             sweep_server.metrics.set_waiting(waiting);
             sweep_server.update_state_metrics();
+            gate.update_metrics();
         }
     });
     info!(log, "started"; "listen" => %file.listen);
--- a/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
@@ -61,6 +61,12 @@
     /// The policy by which a runner is chosen. All but the default are baselines for measurements.
     #[serde(default)]
     pub policy: RoutingPolicy,
+    /// Memory of the machine in MiB; without it, what the operating system reports.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
+    /// Descriptors that the process may open; without it, what the operating system reports.
+    #[serde(default)]
+    pub max_descriptors: Option<u32>,
     /// The secret that all processes of the deployment share. Empty if the network is closed.
     #[serde(default)]
     pub secret: CompactString,
@@ -135,6 +141,8 @@
         "answer_bytes",
         "gathered_answer_bytes",
         "policy",
+        "memory_mb",
+        "max_descriptors",
         "secret",
     ];
 }
--- a/crates/dotterelrudder_daemon/src/gateway/request.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/request.rs
@@ -1,7 +1,9 @@
 //! A request in progress, with its place in the wait queue and its attempts.
 
 use super::attempt::FailureKind;
+use super::request_intake::RequestIntake;
 use super::upstream::UpstreamConnection;
+use crate::intake::PacedBody;
 use bytes::Bytes;
 use compact_str::CompactString;
 use dotterelrudder_gateway::Admission;
@@ -25,6 +27,8 @@
 pub(super) struct ActiveRequest {
     pub(super) head: http::request::Parts,
     pub(super) body: Bytes,
+    /// Counts the memory that is held for the request.
+    pub(super) intake: RequestIntake,
     pub(super) call: CallerRequest,
     pub(super) admission: Admission,
     pub(super) fingerprint: RequestFingerprint,
@@ -145,7 +149,7 @@
 /// The result of the attempts of a request.
 pub(super) enum ServeResult {
     /// A complete response of a runner.
-    Complete(http::response::Parts, Bytes),
+    Complete(http::response::Parts, PacedBody),
     /// A stream that started.
     Stream(Box<StartedStream>, AttemptLog),
     /// No runner responded in time, or none could take the request.
@@ -170,7 +174,7 @@
     /// The software version whose events were relayed, so that the stream goes on only there.
     pub(super) software: Option<CompactString>,
     /// The server error of a runner, relayed to the caller unless another attempt succeeds.
-    pub(super) failed_answer: Option<(http::response::Parts, Bytes)>,
+    pub(super) failed_answer: Option<(http::response::Parts, PacedBody)>,
 }
 
 impl AttemptLog {
--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -7,10 +7,13 @@
 use super::audit::HANDLER_PANICKED;
 use super::connection_pool::ConnectionPool;
 use super::origin_queries::OriginQueries;
+use super::request_intake::RequestIntake;
 use super::response_body::full_body;
+use super::response_body::paced_body;
 use super::response_body::ResponseBody;
 use crate::catch_panic::catch_panic;
 use crate::http_server::refusal_json;
+use crate::intake::CallerConnection;
 use crate::metrics::Metrics;
 use crate::system_clock::SystemClock;
 use bytes::Bytes;
@@ -168,10 +171,17 @@
         let limits = self.gateway().configuration().limits.clone();
         let mut body = CallerBody::new(body, limits.body_bytes, limits.header_time);
         let admitted = match self.admit(&head, began, audit) {
-            Ok(admitted) => body.read().await.map(|bytes| (admitted, bytes)),
+            Ok((call, admission)) => match CallerConnection::of(&head.extensions) {
+                Ok(connection) => {
+                    let intake = RequestIntake::new(connection, &admission);
+                    let read = body.read(&intake).await;
+                    read.map(|bytes| (call, admission, intake, bytes))
+                }
+                Err(refusal) => Err(refusal),
+            },
             Err(refusal) => Err(refusal),
         };
-        let ((call, admission), body) = match admitted {
+        let (call, admission, intake, body) = match admitted {
             Ok(admitted) => admitted,
             Err(refusal) => {
                 if !head.headers.contains_key(EXPECT) {
@@ -186,6 +196,7 @@
         Ok(ActiveRequest {
             head,
             body,
+            intake,
             call,
             admission,
             fingerprint,
@@ -226,7 +237,11 @@
         };
         audit.attempts.append(&mut log.notes);
         match result {
-            ServeResult::Complete(head, body) => self.relay_response(head, full_body(body)),
+            ServeResult::Complete(head, body) => {
+                // From here on, the response may be cut off if the caller does not read it.
+                body.answers();
+                self.relay_response(head, paced_body(body))
+            }
             ServeResult::Stream(started, mut log) => {
                 audit.attempts.append(&mut log.notes);
                 let took = self.now().saturating_sub(request.began);
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -26,6 +26,7 @@
 use super::request::ServeResult;
 use super::request::StartedStream;
 use super::server::EntryServer;
+use super::stream_buffer::StreamBuffer;
 use super::takeover::Takeover;
 use super::takeover::RUNNER_CHECK_INTERVAL;
 
@@ -199,6 +200,7 @@
         let mut received = 0;
         let mut next = started.first.take();
         let mut takeover: Option<Takeover> = None;
+        let mut buffer = StreamBuffer::new(tx, &request.intake);
         loop {
             if let Some(part) = next.take() {
                 received += part.len();
@@ -218,12 +220,12 @@
                     if event.id.is_some() {
                         last_event.clone_from(&event.id);
                     }
-                    let sent = tx.send(event.bytes.clone());
+                    let sent = buffer.send(&event.bytes);
                     let is_connected = match &takeover {
-                        None => sent.await.is_ok(),
+                        None => sent.await,
                         // A comment that the caller doesn't take must not hold the takeover up.
                         Some(t) => match timeout(t.time_left(self.now()), sent).await {
-                            Ok(sent) => sent.is_ok(),
+                            Ok(sent) => sent,
                             Err(_) => continue,
                         },
                     };
--- a/crates/dotterelrudder_daemon/src/http_server.rs
+++ b/crates/dotterelrudder_daemon/src/http_server.rs
@@ -18,8 +18,6 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
@@ -29,6 +27,11 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::intake::CallerConnection;
+use crate::intake::HoldingPhase;
+use crate::intake::IntakeBuffer;
+use crate::intake::IntakeGate;
+use crate::intake::IntakePort;
 use crate::metrics::Metrics;
 
 /// Body of an answer; producing it cannot fail.
@@ -44,6 +47,8 @@
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
 /// Largest body of a request that [`read_body`] accepts, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Open connections at a port that only balancers and operators use.
+pub const OWN_PORT_CONNECTIONS: usize = 64;
 /// Delay before the next `accept` after one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long a stopping server still serves input that arrived before the stop: connections that the
@@ -76,6 +81,7 @@
 }
 
 /// Serves HTTP until `stop` turns true, then finishes the open requests and closes the connections.
+/// The limits on memory and connections are those of the machine.
 ///
 /// # Errors
 ///
@@ -85,6 +91,27 @@
     stop: watch::Receiver<bool>,
     handler: H,
 ) -> Result<Connections, String>
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let gate = IntakeGate::of_machine();
+    let connections = gate.limits().connections;
+    let port = IntakePort::new(gate, "other", connections);
+    serve_port(address, stop, port, handler).await
+}
+
+/// Serves HTTP like [`serve`], with the limits of an intake.
+///
+/// # Errors
+///
+/// Returns the operating system's error when it cannot listen on the address.
+pub async fn serve_port<H, F>(
+    address: SocketAddr,
+    stop: watch::Receiver<bool>,
+    port: IntakePort,
+    handler: H,
+) -> Result<Connections, String>
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
@@ -93,10 +120,10 @@
         time: HEADER_TIMEOUT,
         bytes: MAX_HEADER_BYTES,
     };
-    serve_within(address, stop, limits, |_| (), handler).await
+    serve_within(address, stop, port, limits, |_| (), handler).await
 }
 
-/// Serves HTTP like [`serve`], with limits that are read anew for each connection;
+/// Serves HTTP like [`serve_port`], with limits that are read anew for each connection;
 /// `on_accept_error` receives the operating system's error when accepting fails.
 ///
 /// # Errors
@@ -105,6 +132,7 @@
 pub async fn serve_within<L, R, H, F, B>(
     address: SocketAddr,
     stop: watch::Receiver<bool>,
+    port: IntakePort,
     limits: L,
     on_accept_error: R,
     handler: H,
@@ -114,7 +142,7 @@
     R: Fn(std::io::Error) + Send + 'static,
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let listener = TcpListener::bind(address).await;
@@ -126,6 +154,9 @@
         loop {
             match listener.accept().await {
                 Ok((tcp, _)) => {
+                    let Some(caller) = port.accept() else {
+                        continue;
+                    };
                     // If this fails, answers are only later by a delayed acknowledgement.
                     let _not_set = tcp.set_nodelay(true).is_err();
                     let io = TokioIo::new(tcp);
@@ -133,7 +164,11 @@
                         (stop.clone(), handler.clone(), open_guard.clone());
                     let limits = limits();
                     tokio::spawn(async move {
-                        serve_connection(io, stop, limits, handler).await;
+                        let closed = caller.clone();
+                        tokio::select! {
+                            () = serve_connection(io, caller, stop, limits, handler) => {}
+                            () = closed.closed() => {}
+                        }
                         drop(open_guard);
                     });
                 }
@@ -166,18 +201,22 @@
 /// then finishes the open request and closes the connection.
 async fn serve_connection<H, F, B>(
     io: TokioIo<tokio::net::TcpStream>,
+    caller: CallerConnection,
     mut stop: watch::Receiver<bool>,
     limits: HeadLimits,
     handler: Arc<H>,
 ) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let service = hyper::service::service_fn(move |req| {
-        let answer = handler(req);
-        async move { Ok::<_, Infallible>(answer.await) }
+    let service = hyper::service::service_fn(move |mut req: Request<Incoming>| {
+        let request = caller.begin_request();
+        req.extensions_mut().insert(caller.clone());
+        // The HTTP library allocates the future's size for each connection, also for an idle one.
+        let answer = Box::pin(handler(req));
+        async move { Ok::<_, Infallible>(request.track(answer.await)) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -199,29 +238,53 @@
     }
 }
 
-/// Reads a complete request body within the limits on time and size.
+/// Reads a complete request body within the limits on time and size, and within the byte budget of the
+/// process.
 ///
 /// # Errors
 ///
 /// Returns a refusal when the body exceeds [`MAX_BODY_BYTES`], takes longer than 20 seconds or is
-/// incomplete or malformed.
-pub async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, MAX_BODY_BYTES).collect();
-    match timeout(BODY_TIMEOUT, limited).await {
-        Err(_) => Err(Refusal::new(
-            ErrorKind::SlowSender,
-            "the request body was not received in time",
-        )),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            let detail = format!("the request body exceeds {MAX_BODY_BYTES} bytes");
-            Err(Refusal::new(ErrorKind::TooLarge, detail))
+/// incomplete or malformed, or when the budget is exhausted.
+pub async fn read_body(req: Request<Incoming>) -> Result<Bytes, Refusal> {
+    let lease = CallerConnection::of(req.extensions())?.open_holding("", HoldingPhase::Receiving);
+    let reading = collect_body(
+        req.into_body(),
+        IntakeBuffer::new(lease.clone(), MAX_BODY_BYTES),
+    );
+    let reading = timeout(BODY_TIMEOUT, reading);
+    tokio::select! {
+        read = reading => read.unwrap_or_else(|_| {
+            let detail = "the request body was not received in time";
+            Err(Refusal::new(ErrorKind::SlowSender, detail))
+        }),
+        refusal = IntakeBuffer::cut(&lease) => Err(refusal),
+    }
+}
+
+async fn collect_body(mut body: Incoming, mut buffer: IntakeBuffer) -> Result<Bytes, Refusal> {
+    let too_large = || {
+        let detail = format!("the request body exceeds {MAX_BODY_BYTES} bytes");
+        Refusal::new(ErrorKind::TooLarge, detail)
+    };
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > MAX_BODY_BYTES {
+        return Err(too_large());
+    }
+    buffer.reserve(announced).await?;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| {
+            let detail = "the request body is incomplete or malformed";
+            Refusal::new(ErrorKind::BadRequest, detail)
+        })?;
+        let Ok(part) = frame.into_data() else {
+            continue;
+        };
+        if buffer.len() + part.len() > MAX_BODY_BYTES {
+            return Err(too_large());
         }
-        Ok(Err(_)) => Err(Refusal::new(
-            ErrorKind::BadRequest,
-            "the request body is incomplete or malformed",
-        )),
+        buffer.push(&part).await?;
     }
+    Ok(buffer.freeze())
 }
 
 /// Builds an answer from a status, a media type and a body. An invalid status becomes 502.
@@ -274,12 +337,30 @@
     metrics: Metrics,
     is_ready: R,
 ) -> Result<(), String>
+where
+    R: Fn() -> bool + Send + Sync + 'static,
+{
+    let port = IntakePort::new(IntakeGate::of_machine(), "admin", OWN_PORT_CONNECTIONS);
+    serve_admin_port(address, port, metrics, is_ready).await
+}
+
+/// Serves the endpoints of [`serve_admin`] with the limits of an intake.
+///
+/// # Errors
+///
+/// Returns the operating system's error when it cannot listen on the address.
+pub async fn serve_admin_port<R>(
+    address: SocketAddr,
+    port: IntakePort,
+    metrics: Metrics,
+    is_ready: R,
+) -> Result<(), String>
 where
     R: Fn() -> bool + Send + Sync + 'static,
 {
     let (_, stop) = watch::channel(false);
     let is_ready = Arc::new(is_ready);
-    serve(address, stop, move |req| {
+    serve_port(address, stop, port, move |req| {
         let (metrics, ready) = (metrics.clone(), is_ready());
         async move {
             match req.uri().path() {
--- a/crates/dotterelrudder_daemon/src/lib.rs
+++ b/crates/dotterelrudder_daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http_client;
 pub mod http_server;
 pub mod instance_list;
+pub mod intake;
 pub mod json_list;
 pub mod link;
 pub mod logging;
--- a/crates/dotterelrudder_daemon/src/metrics.rs
+++ b/crates/dotterelrudder_daemon/src/metrics.rs
@@ -59,6 +59,9 @@
     frame_errors: Gauge<u64>,
     revision: Gauge<u64>,
     open_requests: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    caller_connections: Gauge<u64>,
+    intake_refusals: Counter<u64>,
     time_to_first_token: Histogram<f64>,
     journal_sync: Histogram<f64>,
 }
@@ -129,6 +132,9 @@
             frame_errors: gauge("dotterelrudder_frame_errors"),
             revision: gauge("dotterelrudder_revision"),
             open_requests: gauge("dotterelrudder_open_requests"),
+            held_bytes: gauge("dotterelrudder_held_bytes"),
+            caller_connections: gauge("dotterelrudder_caller_connections"),
+            intake_refusals: counter("dotterelrudder_intake_refusals"),
             time_to_first_token: histogram(
                 "dotterelrudder_first_token_seconds",
                 TIME_BUCKETS_SECONDS,
@@ -282,6 +288,22 @@
         self.open_requests.record(open_requests as u64, &[]);
     }
 
+    /// Sets the bytes held for peers that the process does not control.
+    pub fn set_held_bytes(&self, bytes: usize) {
+        self.held_bytes.record(bytes as u64, &[]);
+    }
+
+    /// Sets the number of open connections at a port.
+    pub fn set_caller_connections(&self, port: &'static str, connections: usize) {
+        self.caller_connections
+            .record(connections as u64, &[KeyValue::new("port", port)]);
+    }
+
+    /// Counts a peer that was refused or closed for the limits on memory and descriptors.
+    pub fn count_intake_refusal(&self, kind: &'static str) {
+        self.intake_refusals.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Renders all instruments in the Prometheus text format; an encoding error becomes a comment
     /// line.
     pub fn render(&self) -> String {
