--- a/crates/dotterelrudder_daemon/src/link/connection.rs
+++ b/crates/dotterelrudder_daemon/src/link/connection.rs
@@ -30,6 +30,9 @@
 
 /// Time limit for the peer's hello to arrive.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes that are received at most before the peer's hello is complete; a hello has some hundred bytes,
+/// and messages may follow in the same frame.
+const MAX_HELLO_BYTES: usize = 64 * 1024;
 /// Interval between pings while at least one reply is pending on the connection.
 const PING_INTERVAL_BUSY: Duration = Duration::from_millis(400);
 /// Shortest time between pings while no reply is pending.
@@ -76,7 +79,11 @@
 }
 
 /// Receives the next data frame into `decoder` and returns its bytes to the flow-control window.
-async fn read_data(channel_rx: &mut RecvStream, decoder: &mut FrameDecoder) -> Result<(), String> {
+/// Returns their number.
+async fn read_data(
+    channel_rx: &mut RecvStream,
+    decoder: &mut FrameDecoder,
+) -> Result<usize, String> {
     let data = channel_rx
         .data()
         .await
@@ -86,7 +93,8 @@
     channel_rx
         .flow_control()
         .release_capacity(data.len())
-        .map_err(|e| e.to_string())
+        .map_err(|e| e.to_string())?;
+    Ok(data.len())
 }
 
 impl Channel {
@@ -100,6 +108,7 @@
     /// Receives the peer's hello and checks its protocol version and secret.
     pub(super) async fn receive_hello(&mut self, hub: &LinkHub) -> Result<Hello, String> {
         let read = async {
+            let mut received = 0;
             loop {
                 if let Some(hello) = self
                     .decoder
@@ -108,7 +117,10 @@
                 {
                     return Ok::<Hello, String>(hello);
                 }
-                read_data(&mut self.rx, &mut self.decoder).await?;
+                received += read_data(&mut self.rx, &mut self.decoder).await?;
+                if received > MAX_HELLO_BYTES {
+                    return Err("the peer's hello is too long".into());
+                }
             }
         };
         let hello = timeout(HELLO_TIMEOUT, read)
--- a/crates/dotterelrudder_daemon/src/link/listener.rs
+++ b/crates/dotterelrudder_daemon/src/link/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts connections from other processes.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelrudder_wire::FrameDecoder;
@@ -10,6 +11,8 @@
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
 use super::connection;
@@ -21,6 +24,9 @@
 
 /// Time limit for the HTTP/2 handshake, and again for the stream to be opened.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Connections whose hellos are not exchanged yet. Each takes milliseconds, so that 580 entries connect
+/// within a second; peers that send nothing cannot take every descriptor.
+const MAX_PENDING: usize = 128;
 /// Delay before the next `accept` after one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -28,11 +34,13 @@
 pub(super) async fn listen(hub: LinkHub, address: SocketAddr) -> Result<(), String> {
     let listener = TcpListener::bind(address).await;
     let listener = listener.map_err(|e| format!("cannot listen on {address}: {e}"))?;
+    let pending = Arc::new(Semaphore::new(MAX_PENDING));
     tokio::spawn(async move {
-        loop {
+        // The semaphore is never closed.
+        while let Ok(permit) = pending.clone().acquire_owned().await {
             match listener.accept().await {
                 Ok((tcp, _)) => {
-                    tokio::spawn(handle_connection(hub.clone(), tcp));
+                    tokio::spawn(handle_connection(hub.clone(), tcp, permit));
                 }
                 Err(e) => {
                     warn!(hub.log(), "failed to accept a connection"; "error" => e.to_string());
@@ -45,14 +53,18 @@
 }
 
 /// Serves one connection and logs the error if it is rejected.
-async fn handle_connection(hub: LinkHub, tcp: TcpStream) {
-    if let Err(e) = serve_connection(&hub, tcp).await {
+async fn handle_connection(hub: LinkHub, tcp: TcpStream, permit: OwnedSemaphorePermit) {
+    if let Err(e) = serve_connection(&hub, tcp, permit).await {
         warn!(hub.log(), "incoming connection rejected"; "error" => e);
     }
 }
 
 /// Accepts the peer's stream, exchanges hellos and runs the connection to its end.
-async fn serve_connection(hub: &LinkHub, tcp: TcpStream) -> Result<(), String> {
+async fn serve_connection(
+    hub: &LinkHub,
+    tcp: TcpStream,
+    permit: OwnedSemaphorePermit,
+) -> Result<(), String> {
     tcp.set_nodelay(true).map_err(|e| e.to_string())?;
     let handshake = h2::server::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
@@ -89,6 +101,7 @@
     // The driver has to be polled for the stream to make progress; it refuses further streams.
     let driver_task = tokio::spawn(async move { while driver.accept().await.is_some() {} });
     let peer_hello = exchange_hellos(hub, &mut channel).await;
+    drop(permit);
     if let Ok(peer) = peer_hello {
         connection::run(hub, peer, channel).await;
         driver_task.abort();
