Take one lock for a change of the byte budget, and wake only requests that wait

Cause: opening and closing a holding took two locks each, and each release notified waiters that a calm process does not have.

--- a/crates/dotterelrudder_daemon/src/intake/intake_gate.rs
+++ b/crates/dotterelrudder_daemon/src/intake/intake_gate.rs
@@ -33,10 +33,16 @@
     log: Logger,
 }
 
-struct Inner {
-    budget: Mutex<ByteBudget>,
+struct State {
+    budget: ByteBudget,
     /// How each open holding is ended, by its id.
-    ends: Mutex<HashMap<u64, LeaseEnds>>,
+    ends: HashMap<u64, LeaseEnds>,
+    /// Requests that wait for bytes.
+    waiting: usize,
+}
+
+struct Inner {
+    state: Mutex<State>,
     limits: IntakeLimits,
     began: Instant,
     /// Notified when bytes were released.
@@ -57,8 +63,15 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|e| e.into_inner())
+/// Counts a request that waits for bytes while it exists.
+struct Waiting<'a> {
+    gate: &'a IntakeGate,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.gate.state().waiting -= 1;
+    }
 }
 
 impl IntakeGate {
@@ -75,8 +88,11 @@
     fn build(machine: MachineLimits, report: Option<Report>) -> Self {
         let limits = IntakeLimits::of(machine);
         let inner = Inner {
-            budget: Mutex::new(ByteBudget::new(limits)),
-            ends: Mutex::default(),
+            state: Mutex::new(State {
+                budget: ByteBudget::new(limits),
+                ends: HashMap::new(),
+                waiting: 0,
+            }),
             limits,
             began: Instant::now(),
             released: Notify::new(),
@@ -87,6 +103,10 @@
         }
     }
 
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.inner.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     /// Returns the limits.
     pub fn limits(&self) -> IntakeLimits {
         self.inner.limits
@@ -98,49 +118,69 @@
 
     /// Returns the bytes that are held.
     pub fn held(&self) -> usize {
-        lock(&self.inner.budget).held()
+        self.state().budget.held()
     }
 
     /// Opens a holding without bytes for an account; `connection` is closed if its peer does not read a
     /// response.
     pub fn open(&self, account: &str, phase: HoldingPhase, connection: Arc<Notify>) -> ByteLease {
-        let id = lock(&self.inner.budget).open(self.now(), account, phase);
         let cut = Arc::new(Notify::new());
         let ends = LeaseEnds {
             phase,
             cut: cut.clone(),
             connection,
         };
-        lock(&self.inner.ends).insert(id, ends);
+        let now = self.now();
+        let mut state = self.state();
+        let id = state.budget.open(now, account, phase);
+        state.ends.insert(id, ends);
+        drop(state);
         ByteLease::new(self.clone(), id, cut)
     }
 
     pub(super) fn close(&self, id: u64) {
-        lock(&self.inner.ends).remove(&id);
-        lock(&self.inner.budget).close(self.now(), id);
-        self.inner.released.notify_waiters();
+        let now = self.now();
+        let mut state = self.state();
+        state.ends.remove(&id);
+        state.budget.close(now, id);
+        self.notify_released(state);
     }
 
     pub(super) fn progress(&self, id: u64) {
-        lock(&self.inner.budget).progress(self.now(), id);
+        let now = self.now();
+        self.state().budget.progress(now, id);
     }
 
     pub(super) fn set_phase(&self, id: u64, phase: HoldingPhase) {
-        lock(&self.inner.budget).set_phase(self.now(), id, phase);
-        if let Some(ends) = lock(&self.inner.ends).get_mut(&id) {
+        let now = self.now();
+        let mut state = self.state();
+        state.budget.set_phase(now, id, phase);
+        if let Some(ends) = state.ends.get_mut(&id) {
             ends.phase = phase;
         }
     }
 
     /// Changes the size of a holding if the budget has room.
     pub(super) fn try_resize(&self, id: u64, bytes: usize) -> Grant {
-        lock(&self.inner.budget).resize(self.now(), id, bytes)
+        let now = self.now();
+        self.state().budget.resize(now, id, bytes)
     }
 
     /// Shrinks a holding.
     pub(super) fn shrink(&self, id: u64, bytes: usize) {
-        let _granted = self.try_resize(id, bytes);
-        self.inner.released.notify_waiters();
+        let now = self.now();
+        let mut state = self.state();
+        let _granted = state.budget.resize(now, id, bytes);
+        self.notify_released(state);
+    }
+
+    /// Wakes the requests that wait for bytes, if there are any.
+    fn notify_released(&self, state: MutexGuard<'_, State>) {
+        let is_awaited = state.waiting > 0;
+        drop(state);
+        if is_awaited {
+            self.inner.released.notify_waiters();
+        }
     }
 
     /// Changes the size of a holding, and waits for room if the budget is exhausted.
@@ -149,7 +189,12 @@
     ///
     /// Returns a refusal when there is no room in time.
     pub(super) async fn resize(&self, id: u64, bytes: usize) -> Result<(), Refusal> {
+        if self.try_resize(id, bytes) == Grant::Granted {
+            return Ok(());
+        }
         let began = self.now();
+        self.state().waiting += 1;
+        let _waiting = Waiting { gate: self };
         loop {
             let released = self.inner.released.notified();
             tokio::pin!(released);
@@ -171,20 +216,24 @@
 
     /// Cuts off the holding that is longest without progress, and returns whether there is one.
     pub(super) fn cut_stalled(&self, reason: &'static str) -> bool {
-        let Some(id) = lock(&self.inner.budget).cut(self.now()) else {
+        let now = self.now();
+        let mut state = self.state();
+        let Some(id) = state.budget.cut(now) else {
             return false;
         };
-        let ends = lock(&self.inner.ends);
-        let Some(ends) = ends.get(&id) else {
+        let Some(ends) = state.ends.get(&id) else {
             return false;
         };
-        if ends.phase == HoldingPhase::Answering {
+        let kind = if ends.phase == HoldingPhase::Answering {
             ends.connection.notify_one();
-            self.report_refusal("unread_response", reason);
+            "unread_response"
         } else {
             ends.cut.notify_one();
-            self.report_refusal("stalled_body", reason);
-        }
+            "stalled_body"
+        };
+        // The report reads the state.
+        drop(state);
+        self.report_refusal(kind, reason);
         true
     }
 
