--- a/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/entry_file.rs
@@ -65,6 +65,12 @@
     /// for the same multiple of their objective.
     #[serde(default)]
     pub overload_control: bool,
+    /// Memory of the machine in MiB; without it, what the operating system reports.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
+    /// Descriptors that the process may open; without it, what the operating system reports.
+    #[serde(default)]
+    pub max_descriptors: Option<u32>,
     /// The secret that all processes of the deployment share. Empty if the network is closed.
     #[serde(default)]
     pub secret: CompactString,
@@ -140,6 +146,8 @@
         "gathered_answer_bytes",
         "policy",
         "overload_control",
+        "memory_mb",
+        "max_descriptors",
         "secret",
     ];
 }
