Don't eject a runner whose connection a caller's short deadline cut off

Cause: a connection that was not established within half of a caller's time counted as one to an unreachable runner, which is ejected at once. A caller with a deadline of some milliseconds could have runners ejected.

Change: it counts as a failure, as it did before, of which several in a row eject; the idle connections stay.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt at one runner, until the head of its response arrived and was checked.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -148,20 +147,14 @@
     let was_pooled = pooled.is_some();
     let mut upstream = match pooled {
         Some(upstream) => upstream,
-        None => match connect(pool, address, head_limit).await {
-            Ok(upstream) => upstream,
-            Err(reason) => return Err(unreachable(pool, placement, reason)),
-        },
+        None => connect(pool, placement, head_limit).await?,
     };
     let req = build_request(dialect, outgoing, backend_request);
     let mut sent = timeout(head_limit, upstream.send(req, outgoing.mark)).await;
     if was_pooled && matches!(sent, Ok(Err(SendError::NotSent))) {
         // The server closed the idle connection, or sent unrequested bytes, before the request was
         // written; sending it over a new connection is not a retry.
-        upstream = match connect(pool, address, head_limit).await {
-            Ok(upstream) => upstream,
-            Err(reason) => return Err(unreachable(pool, placement, reason)),
-        };
+        upstream = connect(pool, placement, head_limit).await?;
         let req = build_request(dialect, outgoing, backend_request);
         sent = timeout(head_limit, upstream.send(req, outgoing.mark)).await;
     }
@@ -196,16 +189,21 @@
 ///
 /// # Errors
 ///
-/// Returns the cause if the connection could not be opened in time.
+/// Returns the failure if the connection could not be opened in time.
 async fn connect(
     pool: &ConnectionPool,
-    address: SocketAddr,
+    placement: &Placement,
     time_left: Duration,
-) -> Result<UpstreamConnection, String> {
+) -> Result<UpstreamConnection, AttemptFailure> {
     let limit = time_left / 2;
-    match timeout(limit, pool.connect(address)).await {
-        Ok(connected) => connected,
-        Err(_) => Err(format!("no connection within {} ms", limit.as_millis())),
+    match timeout(limit, pool.connect(placement.address)).await {
+        Ok(Ok(upstream)) => Ok(upstream),
+        Ok(Err(reason)) => Err(unreachable(pool, placement, reason)),
+        // A caller with a short deadline must not have the runner ejected as unreachable at once.
+        Err(_) => Err(AttemptFailure {
+            kind: FailureKind::NotSent,
+            ..AttemptFailure::answer_lost(format!("no connection within {} ms", limit.as_millis()))
+        }),
     }
 }
 
