--- a/crates/dotterelrudder_gateway/src/admission/mod.rs
+++ b/crates/dotterelrudder_gateway/src/admission/mod.rs
@@ -3,6 +3,9 @@
 //! Load pattern: more requests arrive than the runners have room for, and callers that failed
 //! return. The most urgent requests get room first, repeats draw on a shared budget, and a request
 //! that cannot be served is refused with the time after which its caller may return.
+//!
+//! Load pattern: demand exceeds the capacity for many seconds. With the setting `overload_control` the
+//! shortage queue delays and refuses the requests that cost their callers least.
 
 mod account_shares;
 mod admission_verdict;
