Judge the wait for a permit against the objective with overload_control too

Cause: with the setting, a request for runners that all name a limit waited for a permit until its deadline, or was refused after a while by a rate that says nothing about permits. limits.rs, with one entry that has the setting, failed: 95 in 100 refusals came after up to 712 ms instead of 100 ms.

Change: such a request is judged once by the demand of all entries against its objective, as without the setting, and not by the learned rate.

Result: limits (3 tests) and shortages pass.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -42,7 +42,7 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 /// The time after which a queued request can no longer meet its objective, as a share of the
 /// objective from 0 to 1.
-const DUE_OBJECTIVES: f64 = 0.7;
+pub(super) const DUE_OBJECTIVES: f64 = 0.7;
 /// The time after which a queued request is refused as overloaded, as a multiple of the objective.
 /// Callers disconnect after four objectives.
 pub(super) const MAX_WAIT_OBJECTIVES: f64 = 2.5;
--- a/crates/dotterelrudder_daemon/src/gateway/shortage.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/shortage.rs
@@ -1,6 +1,7 @@
 //! Waits for capacity by what the wait costs callers, with the setting `overload_control`.
 
 use super::attempt_loop::CAPACITY_POLL_INTERVAL;
+use super::attempt_loop::DUE_OBJECTIVES;
 use super::request::ActiveRequest;
 use super::request::AttemptLog;
 use super::server::EntryServer;
@@ -11,6 +12,7 @@
 use dotterelrudder_gateway::NotPlaced;
 use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::PlacementQuery;
+use dotterelrudder_gateway::RefusalCause;
 use dotterelrudder_gateway::RoomRule;
 use dotterelrudder_gateway::ShortageQueue;
 use dotterelrudder_types::Clock;
@@ -105,6 +107,7 @@
             outcome: "left",
         };
         let mut may_wait_for_permit = false;
+        let due = demand.since + demand.objective.mul_f64(DUE_OBJECTIVES);
         loop {
             if let Some(refusal) = self.refuse_blocked(request) {
                 place.outcome = "not_served";
@@ -131,9 +134,10 @@
                 Some(Err(NotPlaced::Busy)) => None,
                 None => self.gateway().queue_behind_others(now, query),
             };
-            // As without overload control, the wait for a permit is judged once.
+            // As without overload control, the wait for a permit is judged once, by the demand of all
+            // entries, and against the objective.
             if let Some(wait) = permit_wait.filter(|w| w.is_known && !may_wait_for_permit) {
-                if now + wait.time >= demand.latest_start {
+                if now + wait.time >= due {
                     place.outcome = "no_permit_in_time";
                     let refusal = self.refuse_for_limits(query, wait);
                     set_admission(request, place.outcome, waited, refusal.retry_after);
@@ -145,6 +149,12 @@
             let verdict = place.queue().judge(now, place.ticket, &demand, capacity);
             let (expected, ahead) = match verdict {
                 AdmissionVerdict::Wait { expected, ahead } => (expected, ahead),
+                // What this entry learned says nothing about permits.
+                AdmissionVerdict::Refuse {
+                    cause: RefusalCause::NoCapacityInTime,
+                    expected,
+                    ahead,
+                } if permit_wait.is_some() => (expected, ahead),
                 AdmissionVerdict::Refuse {
                     cause,
                     expected,
