--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt at one runner, until the head of its response arrived and was checked.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -189,10 +188,7 @@
     let mut upstream = match pooled.upstream {
         Some(upstream) => upstream,
         None if pooled.found_closed && !may_reconnect => return Err(AttemptFailure::not_sent()),
-        None => match connect(pool, address, head_limit).await {
-            Ok(upstream) => upstream,
-            Err(reason) => return Err(unreachable(pool, placement, reason)),
-        },
+        None => connect(pool, placement, head_limit).await?,
     };
     if is_expired() {
         pool.put_back(upstream, clock.now());
@@ -203,10 +199,7 @@
     if was_pooled && may_reconnect && matches!(sent, Ok(Err(SendError::NotSent))) {
         // The server closed the idle connection, or sent unrequested bytes, before the request was
         // written; sending it over a new connection is not a retry.
-        upstream = match connect(pool, address, head_limit).await {
-            Ok(upstream) => upstream,
-            Err(reason) => return Err(unreachable(pool, placement, reason)),
-        };
+        upstream = connect(pool, placement, head_limit).await?;
         if is_expired() {
             pool.put_back(upstream, clock.now());
             return Err(AttemptFailure::permit_expired());
@@ -241,16 +234,21 @@
 ///
 /// # Errors
 ///
-/// Returns the cause if the connection could not be opened in time.
+/// Returns the failure if the connection could not be opened in time.
 async fn connect(
     pool: &ConnectionPool,
-    address: SocketAddr,
+    placement: &Placement,
     time_left: Duration,
-) -> Result<UpstreamConnection, String> {
+) -> Result<UpstreamConnection, AttemptFailure> {
     let limit = time_left / 2;
-    match timeout(limit, pool.connect(address)).await {
-        Ok(connected) => connected,
-        Err(_) => Err(format!("no connection within {} ms", limit.as_millis())),
+    match timeout(limit, pool.connect(placement.address)).await {
+        Ok(Ok(upstream)) => Ok(upstream),
+        Ok(Err(reason)) => Err(unreachable(pool, placement, reason)),
+        // A caller with a short deadline must not have the runner ejected as unreachable at once.
+        Err(_) => Err(AttemptFailure {
+            kind: FailureKind::NotSent,
+            ..AttemptFailure::answer_lost(format!("no connection within {} ms", limit.as_millis()))
+        }),
     }
 }
 
