Use a permit for a cold runner only while there is time to connect, and try the runner again after

Cause: a permit of 300 ms may be taken in its last milliseconds and expire while the connection opens; the runner then counted as tried. Change: such a permit is used with 30 ms or more left; a request that wasn't sent since its permit expired may return to that runner.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -81,7 +81,13 @@
     /// Returns whether the runner may have ended: it refused or closed a connection.
     pub(super) fn shows_lost_runner(&self) -> bool {
         use FailureKind::*;
-        matches!(self.kind, NotSent | ConnectionLost) && self.outcome != RunOutcome::Abandoned
+        matches!(self.kind, NotSent | ConnectionLost) && !self.is_permit_expired()
+    }
+
+    /// Returns whether the request wasn't sent since its permit expired, so that the runner may be tried
+    /// again.
+    pub(super) fn is_permit_expired(&self) -> bool {
+        self.kind == FailureKind::NotSent && self.outcome == RunOutcome::Abandoned
     }
 
     /// Builds the failure of an attempt whose permit expired before the request was sent.
--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -84,6 +84,9 @@
                 Err(failure) => failure,
             };
             log.notes.push(attempt_note(&placement, &failure.reason));
+            if failure.is_permit_expired() {
+                log.tried.pop();
+            }
             log.record_failure(&placement, failure.kind);
             let error_kind = match failure.kind {
                 FailureKind::NotSent => continue,
--- a/crates/dotterelrudder_gateway/src/limits/runner_limit.rs
+++ b/crates/dotterelrudder_gateway/src/limits/runner_limit.rs
@@ -30,6 +30,10 @@
 /// leader does not know of the newest answers yet.
 const OWN_ANSWERS_HOLD: Duration = Duration::from_secs(2);
 
+/// The least time that a permit for a cold runner has left when it is used: enough to open a connection
+/// before it expires.
+const MIN_COLD_PERMIT_LEFT: Duration = Duration::from_millis(30);
+
 /// The right to send one request.
 #[derive(Debug, Clone, Copy)]
 struct Permit {
@@ -38,13 +42,15 @@
     expires: Duration,
     /// For how long it was valid from the report that asked for it.
     validity: Duration,
+    /// The least time that it must have left to be used.
+    min_left: Duration,
 }
 
 impl Permit {
     /// Returns whether a request may use the permit: one as urgent as that which it was granted for,
     /// and any request when the permit is about to expire.
     fn serves(&self, now: Duration, urgency: u8) -> bool {
-        now < self.expires
+        now + self.min_left < self.expires
             && (urgency <= self.urgency || self.expires.saturating_sub(now) < self.validity / 2)
     }
 }
@@ -201,9 +207,9 @@
 
     /// Adds permits that the leader granted, in answer to a report that was sent at `reported_at`.
     pub fn on_grant(&mut self, grant: &RunnerGrant, reported_at: Duration) {
-        let validity = match self.cold_rate() {
-            Some(_) => COLD_PERMIT_VALIDITY,
-            None => PERMIT_VALIDITY,
+        let (validity, min_left) = match self.cold_rate() {
+            Some(_) => (COLD_PERMIT_VALIDITY, MIN_COLD_PERMIT_LEFT),
+            None => (PERMIT_VALIDITY, Duration::ZERO),
         };
         let expires = reported_at + validity;
         for (urgency, count) in &grant.permits {
@@ -211,6 +217,7 @@
                 urgency: *urgency,
                 expires,
                 validity,
+                min_left,
             };
             self.permits
                 .extend(std::iter::repeat_n(permit, *count as usize));
@@ -230,7 +237,7 @@
         confirmed_at: Duration,
     ) {
         self.warm_up.advance(now, confirmed_at);
-        self.permits.retain(|p| now < p.expires);
+        self.permits.retain(|p| now + p.min_left < p.expires);
         self.demand.retain(|_, d| now < d.at + DEMAND_TTL);
         let cold = self.cold_rate().is_some();
         if let Some(rate) = self.rate() {
