Take no runner to be new whose start lies in the leader's future

Cause: with a clock behind that of the platform each start looked young, and each new leader took all runners to be cold. Change: a start later than the leader's clock and the warm-up time is not judged by it. Measured: the extended test of a leader's first list failed before and passes after.

--- a/crates/dotterelrudder_control/src/fleet/cold_runners.rs
+++ b/crates/dotterelrudder_control/src/fleet/cold_runners.rs
@@ -365,9 +365,11 @@
     }
 }
 
-/// Returns the rest of the cold time of a runner that started at `born_ms`, if it is not over.
+/// Returns the rest of the cold time of a runner that started at `born_ms`, if it is not over. None if
+/// the start lies in the future: the clock is wrong, and would make all runners new ones.
 fn time_left_since(born_ms: u64, wall_clock_ms: u64, time: Duration) -> Option<Duration> {
-    if born_ms == 0 {
+    let latest_ms = wall_clock_ms.saturating_add(time.as_millis() as u64);
+    if born_ms == 0 || born_ms > latest_ms {
         return None;
     }
     let age = Duration::from_millis(wall_clock_ms.saturating_sub(born_ms));
--- a/crates/dotterelrudder_control/tests/cold_runners.rs
+++ b/crates/dotterelrudder_control/tests/cold_runners.rs
@@ -79,9 +79,12 @@
         record("old", 1, 5, 0),
         record("young", 2, CLOCK_MS - 1_000, 0),
         record("stated", 3, 5, 700),
+        // The leader's clock is behind.
+        record("future", 4, CLOCK_MS + 60_000, 0),
     ];
     runners.on_list(&listed, CLOCK_MS, ms(10_000));
     assert_eq!(rate_of(&runners, "old"), None);
+    assert_eq!(rate_of(&runners, "future"), None);
     assert_eq!(rate_of(&runners, "young"), Some(RATE));
     assert_eq!(rate_of(&runners, "stated"), Some(RATE));
     runners.tick(ms(11_990));
