--- a/crates/dotterelrudder_daemon/src/operator/arguments.rs
+++ b/crates/dotterelrudder_daemon/src/operator/arguments.rs
@@ -11,8 +11,10 @@
   publish DIR… --against REV      put declarations in force
   diff DIR…                       show what publishing would change
   show                            show the configuration in force
-  status                          show instances, revisions, leader, drains
+  status                          show instances, revisions, leader, drains, evacuations
   drain INSTANCE [--off]          ask an instance to take no new work
+  evacuate DATA_CENTRE [--end]    send nothing more to the backend servers of a data centre, or end
+                                  this
   audit                           show the audit trail of changes
   explain ID [FILE…]              show what happened to a request, from log lines in FILE or on
                                   standard input
@@ -50,6 +52,8 @@
     pub(super) prune: bool,
     /// Whether `drain` ends a drain instead of starting one.
     pub(super) off: bool,
+    /// Whether `evacuate` ends an evacuation instead of starting one.
+    pub(super) end: bool,
     pub(super) json: bool,
     /// The text to print before exiting without running a command.
     pub(super) print: Option<String>,
@@ -95,6 +99,7 @@
             }
             Long("prune") => options.prune = true,
             Long("off") => options.off = true,
+            Long("end") => options.end = true,
             Long("json") => options.json = true,
             Value(value) if options.command.is_empty() => {
                 options.command = value.string().map_err(text)?;
--- a/crates/dotterelrudder_daemon/src/operator/commands.rs
+++ b/crates/dotterelrudder_daemon/src/operator/commands.rs
@@ -67,6 +67,7 @@
         }
         "status" => status(options).await,
         "drain" => drain(options).await,
+        "evacuate" => evacuate(options).await,
         "audit" => audit(options).await,
         "explain" => explain(options),
         "expectations" => expectations(options),
@@ -209,6 +210,9 @@
         "leader {} term {} revision {} fresh {}",
         status["leader"], status["term"], status["revision"], status["fresh"]
     );
+    for data_centre in status["evacuated"].as_array().into_iter().flatten() {
+        println!("evacuated {data_centre}");
+    }
     for member in status["members"].as_array().into_iter().flatten() {
         let votes = if member[2] == true { "votes" } else { "learns" };
         println!("control {} {} {votes}", member[0], member[1]);
@@ -245,6 +249,25 @@
     Ok(())
 }
 
+/// Requests or ends the evacuation of a data centre.
+async fn evacuate(options: &Options) -> Result<(), Failure> {
+    let [data_centre] = options.operands.as_slice() else {
+        return Err(Failure::usage("evacuate takes exactly one DATA_CENTRE"));
+    };
+    let method = if options.end { "DELETE" } else { "POST" };
+    let path = format!("/v1/evacuations/{data_centre}");
+    let answer = send_request(options, method, &path, "").await?;
+    if options.json {
+        print_json(&answer);
+    } else {
+        println!(
+            "{data_centre}: evacuation {}",
+            if options.end { "off" } else { "on" }
+        );
+    }
+    Ok(())
+}
+
 async fn audit(options: &Options) -> Result<(), Failure> {
     let rows = send_request(options, "GET", "/v1/audit", "").await?;
     if options.json {
--- a/crates/dotterelrudder_explain/src/story.rs
+++ b/crates/dotterelrudder_explain/src/story.rs
@@ -17,6 +17,7 @@
     "seeds changed",
     "configuration in force",
     "backend servers listed",
+    "evacuated data centres changed",
     "following the leading control instance",
     "leading control instance doesn't answer",
 ];
