--- a/crates/dotterelrudder_control/tests/evacuations.rs
+++ b/crates/dotterelrudder_control/tests/evacuations.rs
@@ -434,7 +434,7 @@
         let next = cluster.leader();
         cluster.ask(&next, ENTRY, false);
         let expected: Vec<DataCentre> = if ends { vec![] } else { vec!["north".into()] };
-        assert_eq!(cluster.take_evacuations(), [expected.clone()]);
+        assert_eq!(cluster.take_evacuations(), vec![expected.clone()]);
         // Neither call needs the list, which this leader has not read.
         for evacuated in [!ends, ends, !ends] {
             let result = cluster.call(&next, set_evacuation("north", evacuated));
--- a/crates/dotterelrudder_daemon/tests/operator.rs
+++ b/crates/dotterelrudder_daemon/tests/operator.rs
@@ -76,12 +76,12 @@
 
 /// Runs a command against one control instance; returns its exit code and what it printed.
 fn run(control: &TcpListener, args: &[&str]) -> (Option<i32>, String) {
-    let address = control.local_addr().unwrap().to_string();
+    let address = control.local_addr().expect("it listens").to_string();
     let output = Command::new(env!("CARGO_BIN_EXE_dotterelrudder"))
         .args(args)
         .args(["--control", &address])
         .output()
-        .unwrap();
+        .expect("the command runs");
     let text = [output.stdout, output.stderr].concat();
     let text = String::from_utf8_lossy(&text).into_owned();
     (output.status.code(), text)
