Don't relay a runner's own status that callers take as "not run"

Callers saw: a server ran a request that may not be repeated and answered 503 with its stamp and without X-Not-Executed.

Cause: each stamped answer without X-Not-Executed was the final one and was relayed with its status.

Ruled out: another status under the runner's stamp (a stamped failure must carry the runner's status), and a header that withdraws the guarantee (callers go by the status).

Change: an answer with 408, 421, 429 or 503 that does not say "not run" counts as an attempt that may have run. A request that may be repeated goes to another runner within the budget; else the caller gets 502 of the entry's own, without the stamp. Other statuses are relayed as before, and the runner's health is counted as before.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt_loop.rs
@@ -331,6 +331,10 @@
                 self.return_connection(upstream);
                 let status = head.status;
                 let text = format!("status {} after {} ms", status.as_u16(), took.as_millis());
+                // The request may have run, which the status would deny.
+                if guarantees_not_run(status) {
+                    return Err(AttemptFailure::answer_lost(text));
+                }
                 if can_retry && status.is_server_error() {
                     log.failed_answer = Some((head, body));
                     return Err(AttemptFailure::answer_lost(text));
@@ -456,6 +460,13 @@
     }
 }
 
+/// Returns whether callers take a status as the guarantee that the request has not run and never will.
+/// A runner's own response with such a status is not relayed unless it gives that guarantee, which
+/// makes it the response of an attempt that was declined.
+fn guarantees_not_run(status: http::StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 /// Describes an attempt for the log: the runner, the inputs of its estimate, and the result.
 fn attempt_note(placement: &Placement, text: &str) -> String {
     let e = &placement.estimate;
