Keep keys required once the last client account is removed

Cause: `admit` checked keys only while the configuration in force has accounts; a configuration whose accounts were removed looked like that of a deployment that never had any.

Ruled out: a lease that was not renewed (the new version was in force); refusing every key under a configuration without accounts (deployments that never had accounts are served whatever callers present).

Change: when a configuration without accounts replaces one with accounts, the replicated state, and each entry, put an account without keys in its place. Public routes need no key.

Tests of config, control and gateway pass.

--- a/crates/dotterelrudder_config/src/deployment/deployment_configuration.rs
+++ b/crates/dotterelrudder_config/src/deployment/deployment_configuration.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use dotterelrudder_types::ClientAccount;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -22,7 +23,9 @@
     pub routes: Vec<RouteRule>,
     /// The services and what their backend servers offer.
     pub services: Vec<ServiceEndpoint>,
-    /// The client accounts; if the list is empty, no request needs a key.
+    /// The client accounts; if the list is empty, no request needs a key. In force, a configuration
+    /// without accounts that replaces one with accounts holds one without keys, see
+    /// [`Self::keep_keys_required`].
     pub accounts: Vec<AccountEntry>,
     /// Limits on the requests of callers.
     pub limits: CallerLimits,
@@ -63,6 +66,21 @@
         self.check_keys()
     }
 
+    /// Lets routes need a key under a configuration without accounts if they needed one under the
+    /// configuration that it replaces. Otherwise the removal of the last account would open its routes to
+    /// keys that were revoked with it and to keys that no configuration held. The requirement is held
+    /// as an account without keys, which every release and every snapshot knows.
+    pub fn keep_keys_required(&mut self, replaced: &Self) {
+        if self.accounts.is_empty() && !replaced.accounts.is_empty() {
+            self.accounts.push(AccountEntry {
+                name: ClientAccount::default(),
+                keys: Vec::new(),
+                rank: None,
+                isolated: false,
+            });
+        }
+    }
+
     /// Returns the fields that aren't part of the encoding.
     pub fn extension(&self) -> DeploymentExtension {
         let services = self.services.iter();
--- a/crates/dotterelrudder_control/src/state/mod.rs
+++ b/crates/dotterelrudder_control/src/state/mod.rs
@@ -261,7 +261,9 @@
             format!("version {}", configuration.version),
         );
         if accepted {
-            self.whole = configuration.clone();
+            let mut configuration = configuration.clone();
+            configuration.keep_keys_required(&self.whole);
+            self.whole = configuration;
             self.whole.extend(&extension);
             self.extension.deployment = extension;
             self.whole_document = document.clone();
--- a/crates/dotterelrudder_control/tests/state_extension.rs
+++ b/crates/dotterelrudder_control/tests/state_extension.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dotterelrudder_config::deployment::AccountEntry;
 use dotterelrudder_config::deployment::DeploymentConfiguration;
 use dotterelrudder_config::deployment::ServiceEndpoint;
 use dotterelrudder_config::deployment::WarmUp;
 use dotterelrudder_control::ReplicatedState;
+use dotterelrudder_types::AccountKeyHash;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::LogEntry;
 
@@ -85,3 +87,39 @@
     );
     assert_eq!(shorter, fresh.expect("the state can be encoded"));
 }
+
+/// An entry that starts after the last account was removed did not know that keys are needed.
+#[test]
+fn the_removal_of_the_last_account_outlasts_a_snapshot() {
+    let publish = |version, accounts: &[&str]| {
+        let accounts = accounts.iter().map(|name| AccountEntry {
+            name: (*name).into(),
+            keys: vec![AccountKeyHash::of_key(name)],
+            rank: None,
+            isolated: false,
+        });
+        let configuration = DeploymentConfiguration {
+            version,
+            accounts: accounts.collect(),
+            ..DeploymentConfiguration::default()
+        };
+        Command::PublishWhole {
+            configuration: Box::new(configuration),
+            document: Bytes::from_static(b"document"),
+            at_ms: 0,
+        }
+    };
+    let mut state = ReplicatedState::default();
+    apply(&mut state, publish(1, &[]));
+    assert!(state.deployment_configuration().accounts.is_empty());
+    apply(&mut state, publish(2, &["school"]));
+    for version in [3, 4] {
+        apply(&mut state, publish(version, &[]));
+        state = ReplicatedState::decode(&state.encode()).expect("a snapshot can be decoded");
+        let accounts = &state.deployment_configuration().accounts;
+        assert!(accounts.len() == 1 && accounts[0].keys.is_empty());
+    }
+    apply(&mut state, publish(5, &["bakery"]));
+    let accounts = &state.deployment_configuration().accounts;
+    assert!(accounts.len() == 1 && accounts[0].name.as_str() == "bakery");
+}
--- a/crates/dotterelrudder_gateway/src/gateway/mod.rs
+++ b/crates/dotterelrudder_gateway/src/gateway/mod.rs
@@ -157,7 +157,9 @@
     }
 
     /// Puts a configuration in force and rebuilds the tables derived from it.
-    fn apply_configuration(&mut self, cfg: DeploymentConfiguration) {
+    fn apply_configuration(&mut self, mut cfg: DeploymentConfiguration) {
+        // A leader of an older release does not do this.
+        cfg.keep_keys_required(&self.configuration);
         self.routes = RouteTable::new(&cfg.routes);
         self.cache_groups = CacheGroups::new(&cfg.accounts);
         self.accounts.clear();
--- a/crates/dotterelrudder_gateway/tests/admission.rs
+++ b/crates/dotterelrudder_gateway/tests/admission.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use dotterelrudder_config::deployment::CallKind;
 use dotterelrudder_types::ErrorKind;
 use support::*;
 
@@ -69,3 +70,39 @@
     gateway.on_fleet_state(ms(4_000), newer, Some(ms(4_000)));
     assert!(!gateway.is_ready(ms(4_000)));
 }
+
+/// Removing the last account opened its routes to keys that were revoked with it, and to keys that no
+/// configuration ever held.
+#[test]
+fn keys_that_are_not_held_stay_refused_without_accounts() {
+    let mut gateway = gateway(1);
+    assert!(gateway.admit(ms(1), &call("/long/x", "k1")).is_ok());
+    let mut state = fleet_state(2);
+    let configuration = state.configuration.as_mut().expect("a configuration");
+    configuration.accounts.clear();
+    let mut public = route("open", CallKind::AtMostOnce, "desk");
+    public.needs_key = false;
+    configuration.routes.push(public);
+    gateway.on_fleet_state(ms(2), state, Some(ms(2)));
+    for key in ["k1", "k9"] {
+        let refusal = gateway.admit(ms(3), &call("/long/x", key)).unwrap_err();
+        assert_eq!(refusal.kind, ErrorKind::UnknownKey, "{key}");
+        assert!(gateway.admit(ms(3), &call("/open/x", key)).is_ok());
+    }
+    // Accounts that are declared again are served.
+    gateway.on_fleet_state(ms(4), fleet_state(3), Some(ms(4)));
+    assert!(gateway.admit(ms(5), &call("/long/x", "k1")).is_ok());
+}
+
+/// A deployment that never had accounts needs no keys, whatever its callers present.
+#[test]
+fn a_deployment_that_never_had_accounts_needs_no_keys() {
+    let mut gateway = dotterelrudder_gateway::Gateway::new(settings(), 7);
+    for version in [1, 2] {
+        let mut state = fleet_state(version);
+        let configuration = state.configuration.as_mut().expect("a configuration");
+        configuration.accounts.clear();
+        gateway.on_fleet_state(ms(version), state, Some(ms(version)));
+        assert!(gateway.admit(ms(3), &call("/long/x", "k9")).is_ok());
+    }
+}
