Let each runner have its turn when weight versions are named often

Cause: `plan_model` ordered the first runners by address that need any, and began this anew with each version: orders for the one before did not count as in progress, and the share that grows while orders have no effect started again.

Ruled out: too few loads at once for the time alone (one version is loaded by all within 7 s).

Change: the runners that have been outdated for longest go first, then those with the oldest order. The share grows with the time for which the runner itself has been outdated, so that a runner that never carries out an order does not raise it for others. Orders for earlier versions count as in progress. One version named alone is rolled out as before.

Evidence: runners_get_their_turn_while_versions_are_named_often failed before (six of twelve at the first version after 30 s) and passes; a_stuck_runner_does_not_raise_the_limit_for_the_others guards the change.

--- a/crates/dotterelrudder_control/src/fleet/weight_rollout.rs
+++ b/crates/dotterelrudder_control/src/fleet/weight_rollout.rs
@@ -17,8 +17,8 @@
 /// Share of a model's runners, from 0 to 1, that finish their running requests or load at the same
 /// time. Finishing takes about as long as loading, so that about half of these runners load.
 const CONCURRENT_SHARE: f64 = 0.4;
-/// Duration of a rollout after which the share grows, since some runners were lost or did not carry
-/// out their orders.
+/// How long a runner is outdated until the share grows for it, since some runners were lost or did not
+/// carry out their orders.
 const SHARE_GROWTH_DELAY: Duration = Duration::from_secs(3);
 /// Growth of the share per second after that.
 const SHARE_GROWTH_PER_S: f64 = 0.15;
@@ -28,13 +28,17 @@
 /// long requests and loading take less time than this together.
 const REISSUE_AFTER: Duration = Duration::from_secs(3);
 
+/// The number of versions of a model whose naming times are kept; a runner that is further behind counts
+/// as outdated since the oldest of them.
+const MAX_VERSIONS: usize = 16;
+
 /// Plans the weight orders of all models and keeps those that have had no effect yet.
 #[derive(Debug, Default)]
 pub struct WeightRollout {
     /// The last order of each runner that has had no effect yet, with its time.
     issued: BTreeMap<SocketAddr, (ModelWeights, Duration)>,
-    /// The newest version named for each model, and the time at which its rollout began.
-    rollout_starts: BTreeMap<CompactString, (u64, Duration)>,
+    /// The versions named for each model, oldest first, each with the time from which it is rolled out.
+    named: BTreeMap<CompactString, Vec<(u64, Duration)>>,
 }
 
 impl WeightRollout {
@@ -69,7 +73,7 @@
             .map(Borrow::borrow)
             .filter(|load| load.version_of(&target.model).is_some())
             .collect();
-        let needs_update = |load: &&&RunnerLoad| {
+        let needs_update = |load: &RunnerLoad| {
             let held = load.version_of(&target.model);
             held.is_some_and(|held| held < target.version)
                 && load.reading.answers
@@ -87,31 +91,54 @@
                 self.issued.remove(&load.reading.address);
             }
         }
-        let (_, since) = *self
-            .rollout_starts
-            .entry(target.model.clone())
-            .and_modify(|held| {
-                if held.0 < target.version {
-                    *held = (target.version, now);
-                }
-            })
-            .or_insert((target.version, now));
-        let seconds_overdue = now.saturating_sub(since + SHARE_GROWTH_DELAY).as_secs_f64();
-        let share = (CONCURRENT_SHARE + SHARE_GROWTH_PER_S * seconds_overdue).min(1.0);
-        let limit = ((serving.len() as f64 * share) as usize).max(MIN_CONCURRENT);
-        let pending = |load: &RunnerLoad| {
+        let versions = self.named.entry(target.model.clone()).or_default();
+        if versions.last().is_none_or(|(v, _)| *v < target.version) {
+            versions.push((target.version, now));
+            if versions.len() > MAX_VERSIONS {
+                versions.remove(1);
+            }
+        }
+        // A runner that has waited for longer is not passed over for another one because a newer version
+        // was named meanwhile.
+        let outdated_since = |load: &RunnerLoad| {
+            let held = load.version_of(&target.model).unwrap_or(0);
+            let newer = versions.iter().find(|(v, _)| *v > held);
+            newer.map_or(now, |(_, at)| *at)
+        };
+        let limit = |since: Duration| {
+            let overdue = now.saturating_sub(since + SHARE_GROWTH_DELAY).as_secs_f64();
+            let share = (CONCURRENT_SHARE + SHARE_GROWTH_PER_S * overdue).min(1.0);
+            ((serving.len() as f64 * share) as usize).max(MIN_CONCURRENT)
+        };
+        let order_of = |load: &RunnerLoad| {
             let issued = self.issued.get(&load.reading.address);
-            issued.is_some_and(|(g, at)| *g == *target && now < *at + REISSUE_AFTER)
+            issued.filter(|(order, _)| order.model == target.model)
+        };
+        let pending = |load: &RunnerLoad| {
+            let recent = order_of(load).filter(|(_, at)| now < *at + REISSUE_AFTER);
+            recent.map(|(order, _)| order.version)
         };
-        let in_progress = serving
+        let mut in_progress = serving
             .iter()
-            .filter(|l| pending(l) && l.reading.answers)
+            .filter(|l| pending(l).is_some() && l.reading.answers)
             .count();
-        let waiting = serving.iter().filter(needs_update).filter(|l| !pending(l));
-        let next: Vec<SocketAddr> = waiting
-            .take(limit.saturating_sub(in_progress))
-            .map(|l| l.reading.address)
+        let mut waiting: Vec<&RunnerLoad> = serving
+            .iter()
+            .copied()
+            .filter(|l| needs_update(l))
             .collect();
+        waiting.sort_by_key(|l| (outdated_since(l), order_of(l).map(|(_, at)| *at)));
+        let mut next = Vec::new();
+        for load in waiting {
+            match pending(load) {
+                Some(version) if version >= target.version => continue,
+                // The runner is in progress already; its order is replaced.
+                Some(_) => {}
+                None if in_progress < limit(outdated_since(load)) => in_progress += 1,
+                None => continue,
+            }
+            next.push(load.reading.address);
+        }
         for address in next {
             self.issued.insert(address, (target.clone(), now));
             orders.push((address, target.clone()));
--- a/crates/dotterelrudder_control/tests/weight_rollout.rs
+++ b/crates/dotterelrudder_control/tests/weight_rollout.rs
@@ -120,3 +120,55 @@
     late_rollout.plan(at(0.0), &[weights(2)], &fresh[..1]);
     assert!(late_rollout.plan(at(8.0), &[weights(2)], &fresh).len() >= 9);
 }
+
+/// Load pattern: a version is named every 4 s, and runners carry their orders out 7 s late and ignore
+/// newer ones meanwhile. The orders of each version began again at the first runners by address, so that
+/// the last ones kept weights older than those named 30 s before.
+#[test]
+fn runners_get_their_turn_while_versions_are_named_often() {
+    const NAMED_EVERY_S: f64 = 4.0;
+    const CARRIED_OUT_AFTER_S: f64 = 7.0;
+    const OUTDATED_AFTER_S: f64 = 30.0;
+    let mut loads: Vec<RunnerLoad> = (1..=12).map(|n| load(n, 1)).collect();
+    let mut rollout = WeightRollout::default();
+    let mut carried_out: Vec<(SocketAddr, u64, f64)> = Vec::new();
+    for step in 0..600 {
+        let now = f64::from(step) * 0.1;
+        let named = 2 + (now / NAMED_EVERY_S) as u64;
+        for (address, weights) in rollout.plan(at(now), &[weights(named)], &loads) {
+            if carried_out.iter().all(|(a, ..)| *a != address) {
+                carried_out.push((address, weights.version, now + CARRIED_OUT_AFTER_S));
+            }
+        }
+        carried_out.retain(|(address, version, until)| {
+            let mut runners = loads.iter_mut();
+            let runner = runners.find(|l| l.reading.address == *address);
+            let runner = runner.expect("a runner of the test");
+            if now >= *until {
+                runner.traits.weights = vec![weights(*version)];
+            }
+            now < *until
+        });
+        let named_before = 2 + ((now - OUTDATED_AFTER_S) / NAMED_EVERY_S) as u64;
+        let held = loads.iter().map(|l| l.traits.weights[0].version);
+        if now >= OUTDATED_AFTER_S {
+            let held: Vec<u64> = held.collect();
+            let oldest = held.iter().min();
+            assert!(oldest >= Some(&named_before), "{held:?} at {now}");
+        }
+    }
+}
+
+/// One runner that never carries out its orders must not make all others load at once when another
+/// version is named.
+#[test]
+fn a_stuck_runner_does_not_raise_the_limit_for_the_others() {
+    let mut loads: Vec<RunnerLoad> = (1..=10).map(|n| load(n, 2)).collect();
+    loads[9].traits.weights = vec![weights(1)];
+    let mut rollout = WeightRollout::default();
+    for step in 0..200 {
+        rollout.plan(at(f64::from(step) * 0.1), &[weights(2)], &loads);
+    }
+    let orders = rollout.plan(at(20.0), &[weights(3)], &loads);
+    assert!(orders.len() <= 4, "{orders:?}");
+}
