Found a deployment though one of its first control instances is lost

Cause: `bootstrap_if_agreed` waits for a reply of each instance of the settings at the start, without end.

Ruled out: the replacement's settings (it waits to join, correctly); taking changed seeds for that list (a wiped instance could be led to found a second deployment).

Change: after 5 s a majority of that list is enough, counting the instance itself, unless a message showed that a deployment exists (a Raft message other than a request to join, an entry that holds a configuration, a revision in force). The quorum of an existing deployment outlasts the loss of a minority of the disks, so that one of any majority still holds it; members that moved to other addresses dial the instance within that time. When all instances reply, nothing is waited for, as before.

Not done: if the one instance that may found is itself lost at once, nobody founds.

--- a/crates/dotterelrudder_control/src/control_core/bootstrap.rs
+++ b/crates/dotterelrudder_control/src/control_core/bootstrap.rs
@@ -4,6 +4,7 @@
 
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::Member;
+use dotterelrudder_wire::Message;
 use dotterelrudder_wire::RaftMessage;
 
 use super::ControlCore;
@@ -12,6 +13,9 @@
 use crate::Recovered;
 use crate::ReplicatedState;
 
+/// How long the bootstrap waits for every control instance of the first start. Members of an existing
+/// deployment dial their peers several times a second, so that they would be heard of by then.
+const BOOTSTRAP_PATIENCE: Duration = Duration::from_secs(5);
 /// Interval at which a replica that is not a member, or may not be one, asks its peers.
 const JOIN_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -40,9 +44,11 @@
         }
     }
 
-    /// Records a peer's join reply. A new deployment is bootstrapped only after every other control
-    /// instance replied that it belongs to none, so that a replica with a wiped disk cannot start a
-    /// second deployment beside the first.
+    /// Records a peer's join reply. A new deployment is bootstrapped once every other control instance
+    /// replied that it belongs to none, or after [`BOOTSTRAP_PATIENCE`] once a majority did, counting this
+    /// one: one of the others may have been lost and replaced at another address. A replica with a wiped
+    /// disk cannot start a second deployment beside the first that way: its quorum outlasts the loss of
+    /// a minority of the disks, so that one of any majority still holds it.
     pub(super) fn on_join_reply(&mut self, from: InstanceName, empty: bool, now: Duration) {
         if !empty {
             self.bootstrap_agreed = None;
@@ -53,14 +59,31 @@
         self.bootstrap_if_agreed(now);
     }
 
+    /// Records whether a message shows that a deployment exists: its members may have moved to addresses
+    /// that the settings of this replica don't name. The bootstrap then needs the replies of all.
+    pub(super) fn note_deployment(&mut self, message: &Message) {
+        self.heard_of_deployment |= match message {
+            Message::Raft { message, .. } => !matches!(
+                **message,
+                RaftMessage::Join { .. } | RaftMessage::JoinReply { empty: true }
+            ),
+            Message::FleetQuery(query) => query.held > 0,
+            Message::InForce { revision } => revision.0 > 0,
+            _ => false,
+        };
+    }
+
     pub(super) fn bootstrap_if_agreed(&mut self, now: Duration) {
         let agreed = |name: &InstanceName| {
             self.bootstrap_agreed
                 .as_ref()
                 .is_some_and(|agreed| agreed.contains(name))
         };
-        let all = self.bootstrap_agreed.is_some() && self.bootstrap_peers.iter().all(agreed);
-        if all && self.raft.members().is_empty() {
+        let peers = self.bootstrap_peers.len();
+        let empty = self.bootstrap_peers.iter().filter(|p| agreed(p)).count();
+        let waited = now >= self.started_at + BOOTSTRAP_PATIENCE && !self.heard_of_deployment;
+        let enough = empty == peers || waited && 2 * (empty + 1) > peers + 1;
+        if self.bootstrap_agreed.is_some() && enough && self.raft.members().is_empty() {
             self.bootstrap_agreed = None;
             let (id, instance) = (self.raft.id(), self.settings.name.clone());
             self.raft.bootstrap(
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -81,6 +81,10 @@
     bootstrap_agreed: Option<BTreeSet<InstanceName>>,
     /// Peers whose agreement the bootstrap needs: those of the settings at the start.
     bootstrap_peers: Vec<InstanceName>,
+    /// When this replica started.
+    started_at: Duration,
+    /// Whether a message showed that a deployment exists.
+    heard_of_deployment: bool,
     fleet_publisher: FleetPublisher,
     /// Whether this replica led at the last tick.
     was_leader: bool,
@@ -143,6 +147,8 @@
             orphaned_since: BTreeMap::new(),
             bootstrap_agreed,
             bootstrap_peers: settings_peers,
+            started_at: now,
+            heard_of_deployment: false,
             fleet_publisher: FleetPublisher::default(),
             was_leader: false,
             starting_subscribers: Vec::new(),
@@ -251,6 +257,7 @@
     fn tick(&mut self, now: Duration, out: &mut Vec<Output>) {
         self.raft.tick(now);
         self.join_if_needed(now, out);
+        self.bootstrap_if_agreed(now);
         self.tick_fleet(now, out);
         for origin in self.proposals.take_timed_out(now) {
             self.answer(origin, proposing::unknown_outcome(), out);
@@ -335,6 +342,7 @@
         now: Duration,
         out: &mut Vec<Output>,
     ) {
+        self.note_deployment(&message);
         match message {
             Message::Raft {
                 from: id,
