Take streams up right after an entry was frozen

Callers saw: of 24 streams that they took up again right after the entries had been frozen for 4.5 s, none went on; all got 503.

Cause found: the lease on keys had run out during the freeze, and `admit` refused each request with a key at once until the leader confirmed again, which takes tens to hundreds of milliseconds.

Ruled out: lost origins (with the wait, streams go on at their version); streams of two versions (none).

Change: a request that takes a stream up waits up to 1 s for the confirmation before it is refused. Others are refused as before, since they can begin at another entry.

Evidence: streams_go_on_after_entries_were_frozen failed before (0 of 24) and passes; take_up.rs and software_versions.rs pass (8 and 2 tests, one run).

--- a/crates/dotterelrudder_daemon/src/gateway/server.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/server.rs
@@ -52,6 +52,12 @@
 /// How long a caller waits for the start of the response if the request does not state it.
 const DEFAULT_MAX_WAIT: Duration = Duration::from_secs(60);
 
+/// How long a request that takes a stream up waits for a confirmation of control: two intervals of the
+/// queries to the leader.
+const MAX_CONFIRMATION_WAIT: Duration = Duration::from_millis(1_000);
+/// How often it is checked whether the confirmation has come.
+const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The state of the entry that all requests share.
 pub(super) struct EntryServer<D> {
     pub(super) dialect: D,
@@ -184,7 +190,7 @@
     ) -> Result<ActiveRequest, Refusal> {
         let limits = self.gateway().configuration().limits.clone();
         let mut body = CallerBody::new(body, limits.body_bytes, limits.header_time);
-        let admitted = match self.admit(&head, began, audit) {
+        let admitted = match self.admit_when_confirmed(&head, began, audit).await {
             Ok(admitted) => body.read().await.map(|bytes| (admitted, bytes)),
             Err(refusal) => Err(refusal),
         };
@@ -216,18 +222,41 @@
         })
     }
 
+    /// Admits a request like [`Self::admit`]. One that takes a stream up waits for a moment if control's
+    /// last confirmation is too old, as after the entry was frozen: the leader confirms again at once.
+    async fn admit_when_confirmed(
+        &self,
+        head: &http::request::Parts,
+        began: Duration,
+        audit: &mut RequestAudit,
+    ) -> Result<(CallerRequest, Admission), Refusal> {
+        loop {
+            let now = self.now();
+            let admitted = self.admit(head, now, audit);
+            let is_unconfirmed = matches!(&admitted, Err(r) if r.kind == ErrorKind::NotReady);
+            if !is_unconfirmed || now >= began + MAX_CONFIRMATION_WAIT {
+                return admitted;
+            }
+            let takes_up = |call: CallerRequest| call.resume_after.is_some();
+            if !self.dialect.read_caller_request(head).is_ok_and(takes_up) {
+                return admitted;
+            }
+            tokio::time::sleep(CONFIRMATION_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Reads the head of a request, and decides whether it may be served.
     fn admit(
         &self,
         head: &http::request::Parts,
-        began: Duration,
+        now: Duration,
         audit: &mut RequestAudit,
     ) -> Result<(CallerRequest, Admission), Refusal> {
         let call = self.dialect.read_caller_request(head)?;
         audit.id = call.id.clone();
         let mut gateway = self.gateway();
         audit.version = gateway.configuration().version;
-        let admission = gateway.admit(began, &call)?;
+        let admission = gateway.admit(now, &call)?;
         audit.route = admission.route.name.clone();
         audit.service = admission.service.0.clone();
         Ok((call, admission))
