--- a/crates/dotterelrudder_control/src/control_core/bootstrap.rs
+++ b/crates/dotterelrudder_control/src/control_core/bootstrap.rs
@@ -15,7 +15,7 @@
 
 /// How long the bootstrap waits for every control instance of the first start. Members of an existing
 /// deployment dial their peers several times a second, so that they would be heard of by then.
-const BOOTSTRAP_PATIENCE: Duration = Duration::from_secs(5);
+const BOOTSTRAP_WAIT: Duration = Duration::from_secs(5);
 /// Interval at which a replica that is not a member, or may not be one, asks its peers.
 const JOIN_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -45,7 +45,7 @@
     }
 
     /// Records a peer's join reply. A new deployment is bootstrapped once every other control instance
-    /// replied that it belongs to none, or after [`BOOTSTRAP_PATIENCE`] once a majority did, counting this
+    /// replied that it belongs to none, or after [`BOOTSTRAP_WAIT`] once a majority did, counting this
     /// one: one of the others may have been lost and replaced at another address. A replica with a wiped
     /// disk cannot start a second deployment beside the first that way: its quorum outlasts the loss of
     /// a minority of the disks, so that one of any majority still holds it.
@@ -81,7 +81,7 @@
         };
         let peers = self.bootstrap_peers.len();
         let empty = self.bootstrap_peers.iter().filter(|p| agreed(p)).count();
-        let waited = now >= self.started_at + BOOTSTRAP_PATIENCE && !self.heard_of_deployment;
+        let waited = now >= self.started_at + BOOTSTRAP_WAIT && !self.heard_of_deployment;
         let enough = empty == peers || waited && 2 * (empty + 1) > peers + 1;
         if self.bootstrap_agreed.is_some() && enough && self.raft.members().is_empty() {
             self.bootstrap_agreed = None;
