Build the command that publishes a configuration in one place, and match start times by address

The end of an evacuation calls the method that presumes runners cold, which only a test called before. An entry compared each runner with each load report to find other start times, five times a second; it now looks the report up by address. Behaviour is the same.

--- a/crates/dotterelrudder_control/src/control_core/evacuations.rs
+++ b/crates/dotterelrudder_control/src/control_core/evacuations.rs
@@ -108,7 +108,7 @@
         now: Duration,
         out: &mut Vec<Output>,
     ) {
-        self.fleet_publisher.presume_cold(&data_centre, now, out);
+        self.presume_cold(&data_centre, now, out);
         let runners = self.fleet_publisher.count_runners_in(&data_centre);
         out.push(Output::EvacuationEnded {
             data_centre,
--- a/crates/dotterelrudder_control/src/control_core/fleet.rs
+++ b/crates/dotterelrudder_control/src/control_core/fleet.rs
@@ -177,11 +177,9 @@
     }
 
     /// Presumes that all runners of a data centre are cold that warm up, since nothing was sent to them
-    /// while the data centre was evacuated.
+    /// while the data centre was evacuated. The caller makes sure that this replica leads.
     pub fn presume_cold(&mut self, data_centre: &DataCentre, now: Duration, out: &mut Vec<Output>) {
-        if self.was_leader {
-            self.fleet_publisher.presume_cold(data_centre, now, out);
-        }
+        self.fleet_publisher.presume_cold(data_centre, now, out);
     }
 
     /// Returns the versions whose change is pushed to fleet clients at once: that of the deployment
--- a/crates/dotterelrudder_control/tests/fleet.rs
+++ b/crates/dotterelrudder_control/tests/fleet.rs
@@ -593,27 +593,13 @@
         store: None,
         warm_up,
     };
-    let configuration = Box::new(DeploymentConfiguration {
+    let configuration = DeploymentConfiguration {
         version: 1,
         services: vec![service],
         ..DeploymentConfiguration::default()
-    });
-    let document = Bytes::from_static(b"one");
-    let extension = configuration.extension();
-    let command = if extension.is_empty() {
-        Command::PublishWhole {
-            configuration,
-            document,
-            at_ms: 0,
-        }
-    } else {
-        Command::PublishExtended {
-            configuration,
-            extension,
-            document,
-            at_ms: 0,
-        }
     };
+    let document = Bytes::from_static(b"one");
+    let command = Command::publish_deployment(configuration, document);
     assert_eq!(leader.propose(command), CommandResult::Done);
 }
 
--- a/crates/dotterelrudder_gateway/src/runners/runner_table.rs
+++ b/crates/dotterelrudder_gateway/src/runners/runner_table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -279,19 +280,16 @@
         loads: &[RunnerLoad],
         rates: &HashMap<ServiceName, f64>,
     ) {
+        let starts = loads.iter().map(|l| (l.reading.address, l.traits.born_ms));
+        let starts: HashMap<SocketAddr, u64> = starts.filter(|(_, born)| *born != 0).collect();
         let mut found = Vec::new();
         for (key, runner) in &self.runners {
             let Some(rate) = rates.get(&runner.record.service) else {
                 continue;
             };
-            let is_other = |load: &RunnerLoad| {
-                let (reported, listed) = (load.traits.born_ms, runner.record.born_ms);
-                load.reading.address == runner.record.address
-                    && reported != 0
-                    && listed != 0
-                    && reported != listed
-            };
-            if runner.listed && loads.iter().any(is_other) {
+            let (reported, listed) = (starts.get(&runner.record.address), runner.record.born_ms);
+            let is_other = listed != 0 && reported.is_some_and(|reported| *reported != listed);
+            if runner.listed && is_other {
                 found.push((key, *rate));
             }
         }
--- a/crates/dotterelrudder_wire/src/command.rs
+++ b/crates/dotterelrudder_wire/src/command.rs
@@ -188,6 +188,26 @@
 }
 
 impl Command {
+    /// Builds the command that replaces the deployment configuration. Replicas of older releases can
+    /// decode it unless the configuration uses fields that they don't know.
+    pub fn publish_deployment(configuration: DeploymentConfiguration, document: Bytes) -> Self {
+        let extension = configuration.extension();
+        let configuration = Box::new(configuration);
+        if extension.is_empty() {
+            return Self::PublishWhole {
+                configuration,
+                document,
+                at_ms: 0,
+            };
+        }
+        Self::PublishExtended {
+            configuration,
+            extension,
+            document,
+            at_ms: 0,
+        }
+    }
+
     /// Returns the lowest [`crate::MESSAGE_SET`] of a replica that can decode the command.
     pub fn message_set(&self) -> u32 {
         match self {
