--- a/review/rig-2/core_replaced.rs
+++ b/review/rig-2/core_replaced.rs
@@ -1,4 +1,5 @@
-//! A control instance is replaced as planned, the new one first; then another one loses its disk.
+//! A control instance is replaced as planned, the new one first; then another one loses its disk. With the
+//! variable `SECOND=removed`, two are replaced as planned, one shortly after the other, and nothing is lost.
 
 use std::net::IpAddr;
 use std::time::Duration;
@@ -13,6 +14,8 @@
 const CATCH_UP: Duration = Duration::from_secs(4);
 /// `recoverS` of the site.
 const RECOVER: Duration = Duration::from_secs(12);
+/// The time between the end of the replaced instance and the loss of the next one.
+const PAUSE: Duration = Duration::from_millis(500);
 /// How long the configuration is requested at the end; `contactMs` of the site is 3 s.
 const READ_BACK: Duration = Duration::from_secs(15);
 
@@ -43,11 +46,16 @@
     };
     put(&all, 1)?;
 
+    let two_replaced = std::env::var("SECOND").is_ok_and(|v| v == "removed");
     record.line("the new control instance 4 starts, at a new address and with an empty disk");
-    let _new = deployment.start_control(4, 1, false)?;
+    let mut new = vec![deployment.start_control(4, 1, false)?];
+    if two_replaced {
+        record.line("and so does the new control instance 5");
+        new.push(deployment.start_control(5, 1, false)?);
+    }
     std::thread::sleep(CATCH_UP + Duration::from_secs(2));
-    let four: Vec<IpAddr> = (1..=4).map(ip).collect();
-    put(&four, 2)?;
+    let all: Vec<IpAddr> = all.into_iter().chain(new.iter().map(|p| p.ip)).collect();
+    put(&all, 2)?;
 
     record.line("control instance 3 is asked to stop, and is removed for good");
     if !first[2].stop(Duration::from_secs(8)) {
@@ -55,10 +63,17 @@
     }
     record.line("control instance 3 has ended");
     let stopped = Instant::now();
-    let left = [ip(1), ip(2), ip(4)];
-    std::thread::sleep(Duration::from_millis(500));
+    let mut left = vec![1, 2, 4];
+    std::thread::sleep(PAUSE);
 
-    if with_trouble {
+    if with_trouble && two_replaced {
+        record.line("control instance 2 is asked to stop, and is removed for good");
+        if !first[1].stop(Duration::from_secs(8)) {
+            return Err("control instance 2 did not stop".into());
+        }
+        record.line("control instance 2 has ended");
+        left = vec![1, 4, 5];
+    } else if with_trouble {
         record.line("control instance 2 loses power and its disk");
         first[1].kill();
         std::thread::sleep(Duration::from_secs(1));
@@ -70,8 +85,8 @@
 
     let until = Instant::now() + READ_BACK;
     while Instant::now() < until {
-        for ip in left {
-            let Ok(answer) = deployment.operate(ip, "GET", "/v1/config", "") else {
+        for n in &left {
+            let Ok(answer) = deployment.operate(ip(*n), "GET", "/v1/config", "") else {
                 continue;
             };
             if answer.status() == 200 {
@@ -83,7 +98,7 @@
         }
         std::thread::sleep(Duration::from_millis(500));
     }
-    for n in [1, 2, 4] {
+    for n in left {
         deployment.quote_log(
             &format!("control-{n}"),
             &["standing in the log", "identity"],
