--- a/review/rig-2/core_replaced.rs
+++ b/review/rig-2/core_replaced.rs
@@ -13,13 +13,13 @@
 /// `catchUpS` of the site: how long a new machine counts as lost.
 const CATCH_UP: Duration = Duration::from_secs(4);
 /// `recoverS` of the site.
-const RECOVER: Duration = Duration::from_secs(12);
+pub const RECOVER: Duration = Duration::from_secs(12);
 /// The time between the end of the replaced instance and the loss of the next one.
 const PAUSE: Duration = Duration::from_millis(500);
 /// How long the configuration is requested at the end; `contactMs` of the site is 3 s.
-const READ_BACK: Duration = Duration::from_secs(15);
+pub const READ_BACK: Duration = Duration::from_secs(15);
 
-fn configuration(version: u64) -> String {
+pub fn configuration(version: u64) -> String {
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r\",\"host\":\"bids.example\",\
          \"pathPrefix\":\"/bid/\",\"kind\":\"unsafe\",\"timeoutMs\":1000,\"targetLatencyMs\":100,\
@@ -83,14 +83,28 @@
     let back = Instant::now();
     std::thread::sleep(RECOVER + Duration::from_secs(2));
 
-    let until = Instant::now() + READ_BACK;
+    if let Some(read) = is_read_back(&deployment, &left, READ_BACK) {
+        return Ok(read);
+    }
+    let (since_stop, since_back) = (stopped.elapsed().as_secs(), back.elapsed().as_secs());
+    Ok(Outcome::Broken(format!(
+        "the acknowledged configuration is not read back from any control instance, {since_stop} s \
+         after the replaced one stopped and {since_back} s after all others are back"
+    )))
+}
+
+/// Requests the configuration from the instances in turn, for `limit`. Returns what came back; if nothing
+/// did, quotes what the instances logged of the members of the replicated log.
+pub fn is_read_back(deployment: &Deployment, instances: &[u8], limit: Duration) -> Option<Outcome> {
+    let until = Instant::now() + limit;
     while Instant::now() < until {
-        for n in &left {
-            let Ok(answer) = deployment.operate(ip(*n), "GET", "/v1/config", "") else {
+        for n in instances {
+            let ip = deployment.ip(Role::Control, *n);
+            let Ok(answer) = deployment.operate(ip, "GET", "/v1/config", "") else {
                 continue;
             };
             if answer.status() == 200 {
-                return Ok(match answer.text() == configuration(2) {
+                return Some(match answer.text() == configuration(2) {
                     true => Outcome::Held,
                     false => Outcome::Broken(format!("read back: {}", answer.text())),
                 });
@@ -98,15 +112,11 @@
         }
         std::thread::sleep(Duration::from_millis(500));
     }
-    for n in left {
+    for n in instances {
         deployment.quote_log(
             &format!("control-{n}"),
             &["standing in the log", "identity"],
         );
     }
-    let (since_stop, since_back) = (stopped.elapsed().as_secs(), back.elapsed().as_secs());
-    Ok(Outcome::Broken(format!(
-        "the acknowledged configuration is not read back from any control instance, {since_stop} s \
-         after the replaced one stopped and {since_back} s after all others are back"
-    )))
+    None
 }
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -3,6 +3,7 @@
 //! case couldn't run. With the variable `TROUBLE=0` it does the same without the disruption.
 
 mod core_replaced;
+mod core_spare;
 mod crashing_part;
 mod deployment;
 mod fleet;
@@ -48,6 +49,7 @@
     record.line(format!("case {case}, with the disruption: {with_trouble}"));
     let played = match case.as_str() {
         "core-replaced" => core_replaced::play(&record, with_trouble),
+        "core-spare" => core_spare::play(&record, with_trouble),
         "software-upgrade" => software_upgrade::play(&record, with_trouble),
         "crashing-part" => crashing_part::play(&record, with_trouble),
         _ => Err(format!("there is no case {case}")),
