--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -5,6 +5,7 @@
 mod core_replaced;
 mod core_spare;
 mod crashing_part;
+mod crashing_request;
 mod deployment;
 mod fleet;
 mod http;
@@ -52,6 +53,7 @@
         "core-spare" => core_spare::play(&record, with_trouble),
         "software-upgrade" => software_upgrade::play(&record, with_trouble),
         "crashing-part" => crashing_part::play(&record, with_trouble),
+        "crashing-request" => crashing_request::play(&record, with_trouble),
         _ => Err(format!("there is no case {case}")),
     };
     let (text, code) = match played {
