--- a/review/rig-2/core_spare.rs
+++ b/review/rig-2/core_spare.rs
@@ -17,7 +17,7 @@
 /// `catchUpS` of the site, and a little more.
 const CATCH_UP: Duration = Duration::from_secs(6);
 /// From the loss of the voter to that of the spare.
-const SECOND: Duration = Duration::from_secs(1);
+const SECOND: Duration = Duration::from_secs(2);
 /// From the loss of the spare to that of the disk.
 const THIRD: Duration = Duration::from_secs(4);
 /// How long the machine that loses its disk is down, and how long the others still are then.
