Begin no other run of a stream behind text that no id covers

Cause: relay_stream remembered only the id of the last event. Events without an id, with an empty one or with one that is no number were relayed without a trace, so that a stream which broke or fell silent behind them started again from its beginning.

Change: StreamPosition is recorded where an event is handed to the caller, and asked wherever another run starts (broken stream, takeover and what follows a takeover that failed). Behind text that no id covers no run begins: the answer ends incomplete. Comments count for nothing. A lone carriage return ends a line, as it does for clients.

Ruled out: starts before the first byte, and the own interface, which continues completions from the text that its entry received.

--- a/crates/dotterelrudder_daemon/src/gateway/request.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/request.rs
@@ -16,6 +16,7 @@
 use dotterelrudder_gateway::RequestTraits;
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::RunnerKey;
+use dotterelrudder_gateway::StreamPosition;
 use dotterelrudder_gateway::WaitQueue;
 use dotterelrudder_types::Refusal;
 use dotterelrudder_types::ServiceName;
@@ -60,6 +61,11 @@
         let most = route.max_runners.max(1) as usize;
         route.kind.may_repeat() && log.may_have_run + 1 < most
     }
+
+    /// Returns whether a stream may go on at another runner behind what its caller has received.
+    pub(super) fn may_go_on(&self, log: &AttemptLog, position: &StreamPosition) -> bool {
+        position.is_resumable() && self.may_run_again(log)
+    }
 }
 
 /// A stream that started, with the attempt that it belongs to.
--- a/crates/dotterelrudder_daemon/src/gateway/streaming.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/streaming.rs
@@ -4,11 +4,11 @@
 use crate::task_body::ResponseAborted;
 use crate::task_body::TaskBody;
 use bytes::Bytes;
-use compact_str::CompactString;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::EventSequence;
 use dotterelrudder_gateway::EventSplitter;
 use dotterelrudder_gateway::RunOutcome;
+use dotterelrudder_gateway::StreamPosition;
 use dotterelrudder_gateway::StreamProgress;
 use http::header::CONTENT_LENGTH;
 use http::Response;
@@ -108,14 +108,15 @@
         tx: &mpsc::Sender<Bytes>,
     ) -> Result<(), ResponseAborted> {
         let resume_after = request.call.resume_after.clone();
-        let mut last_event = resume_after.filter(|_| request.admission.route.kind.may_repeat());
+        let resume_after = resume_after.filter(|_| request.admission.route.kind.may_repeat());
+        let mut position = StreamPosition::new(resume_after);
         loop {
             let (failure, may_resume, takeover) = match self
-                .relay_events(request, &mut started, &mut log, &mut last_event, tx)
+                .relay_events(request, &mut started, &mut log, &mut position, tx)
                 .await
             {
                 // A runner that has nothing to add doesn't show that the stream was complete.
-                RelayEnd::Complete if last_event.is_some() && !started.passed_event => {
+                RelayEnd::Complete if position.last_event().is_some() && !started.passed_event => {
                     let reason = "the resumed stream ended without an event";
                     (AttemptFailure::answer_lost(reason), true, None)
                 }
@@ -143,8 +144,9 @@
                 "broken" => format!("{} {}", started.placement.identity, started.placement.address),
                 "software" => started.placement.software.as_deref().unwrap_or(""),
                 "reason" => failure.reason.as_str(),
-                "after" => last_event.as_deref().unwrap_or(""));
-            let after = last_event.clone();
+                "after" => position.last_event().map_or("", |id| id.as_str()),
+                "resumable" => position.is_resumable());
+            let after = position.last_event().cloned();
             let result = match takeover {
                 Some(mut takeover) => {
                     let end = takeover.end().await;
@@ -155,7 +157,7 @@
                 }
                 None => {
                     let allowed = may_resume
-                        && request.may_run_again(&log)
+                        && request.may_go_on(&log, &position)
                         && !self.gateway().is_suspect(self.now(), request.traits())
                         && self.may_repeat_after(&failure, &request.admission.service);
                     if !allowed {
@@ -192,14 +194,15 @@
         request: &Arc<ActiveRequest>,
         started: &mut StartedStream,
         log: &mut AttemptLog,
-        last_event: &mut Option<CompactString>,
+        position: &mut StreamPosition,
         tx: &mpsc::Sender<Bytes>,
     ) -> RelayEnd {
         let limits = &self.answer_limits;
         let pause_objective = request.admission.route.pause_objective;
         let mut progress = StreamProgress::new(pause_objective, self.now());
         let mut splitter = EventSplitter::default();
-        let mut sequence = EventSequence::after(last_event.as_deref(), self.dialect.event_fields());
+        let last_event = position.last_event().map(|id| id.as_str());
+        let mut sequence = EventSequence::after(last_event, self.dialect.event_fields());
         let mut received = 0;
         let mut next = started.first.take();
         let mut takeover: Option<Takeover> = None;
@@ -220,9 +223,7 @@
                     if let Some(takeover) = takeover.take_if(|_| event.is_progress()) {
                         takeover.record(None, log);
                     }
-                    if event.id.is_some() {
-                        last_event.clone_from(&event.id);
-                    }
+                    position.record(&event);
                     let sent = buffer.send(&event.bytes);
                     let is_connected = match &takeover {
                         None => sent.await,
@@ -248,8 +249,7 @@
                 }
             }
             if takeover.is_none() {
-                takeover =
-                    self.begin_takeover(request, started, log, last_event.as_ref(), &progress);
+                takeover = self.begin_takeover(request, started, log, position, &progress);
             }
             if let Some(takeover) = takeover.take_if(|t| t.is_due(self.now())) {
                 let failure = self.silence_failure(started, &progress);
--- a/crates/dotterelrudder_daemon/src/gateway/takeover.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/takeover.rs
@@ -9,12 +9,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use dotterelrudder_gateway::CapacityRequest;
 use dotterelrudder_gateway::Dialect;
 use dotterelrudder_gateway::Placement;
 use dotterelrudder_gateway::RunOutcome;
 use dotterelrudder_gateway::RunnerKey;
+use dotterelrudder_gateway::StreamPosition;
 use dotterelrudder_gateway::StreamProgress;
 use dotterelrudder_types::ErrorKind;
 
@@ -160,20 +160,20 @@
     }
 
     /// Begins the takeover of a stream if it stalled, another runner has room for it, and the retry
-    /// budget allows it. `last_event` is the last event that the caller received.
+    /// budget allows it. `position` is what the caller has received.
     pub(super) fn begin_takeover(
         self: &Arc<Self>,
         request: &Arc<ActiveRequest>,
         started: &StartedStream,
         log: &AttemptLog,
-        last_event: Option<&CompactString>,
+        position: &StreamPosition,
         progress: &StreamProgress,
     ) -> Option<Takeover> {
         let now = self.now();
         let left = request.deadline.saturating_sub(now);
         let silent = started.placement.runner;
         let may_be_unreachable = || self.gateway().may_be_unreachable(now, silent);
-        let may_begin = request.may_run_again(log)
+        let may_begin = request.may_go_on(log, position)
             && log.tried.len() < MAX_ATTEMPTS
             && left > TAKEOVER_OVERLAP
             && progress.is_stalled(now, true)
@@ -198,7 +198,11 @@
             "pause_ms" => progress.pause(now).as_millis() as u64,
             "may_be_unreachable" => may_be_unreachable(),
             "runner" => placement.identity.as_str(), "address" => %placement.address);
-        let (server, request, after) = (self.clone(), request.clone(), last_event.cloned());
+        let (server, request, after) = (
+            self.clone(),
+            request.clone(),
+            position.last_event().cloned(),
+        );
         let end = async move {
             let result = server
                 .attempt_at_runner(&request, &placement, left, after.as_deref(), &mut log)
--- a/crates/dotterelrudder_gateway/src/lib.rs
+++ b/crates/dotterelrudder_gateway/src/lib.rs
@@ -91,4 +91,5 @@
 pub use streams::EventSplitter;
 pub use streams::StreamEvent;
 pub use streams::StreamOriginReports;
+pub use streams::StreamPosition;
 pub use streams::StreamProgress;
--- a/crates/dotterelrudder_gateway/src/streams/event_splitter.rs
+++ b/crates/dotterelrudder_gateway/src/streams/event_splitter.rs
@@ -17,10 +17,11 @@
 }
 
 impl StreamEvent {
-    /// Returns whether the event has an id or data; a comment has neither.
+    /// Returns whether the event has an id or data; a comment has neither. Clients also end a line at
+    /// a lone carriage return.
     pub fn is_progress(&self) -> bool {
-        let mut lines = self.bytes.split(|b| *b == b'\n');
-        self.id.is_some() || lines.any(|line| line.starts_with(b"data"))
+        let mut lines = self.bytes.split(|b| matches!(b, b'\n' | b'\r'));
+        lines.any(|line| line.starts_with(b"data") || line.starts_with(b"id"))
     }
 }
 
--- a/crates/dotterelrudder_gateway/src/streams/mod.rs
+++ b/crates/dotterelrudder_gateway/src/streams/mod.rs
@@ -7,6 +7,7 @@
 mod event_sequence;
 mod event_splitter;
 mod stream_origin_reports;
+mod stream_position;
 mod stream_progress;
 
 pub use event_fault::EventFault;
@@ -15,4 +16,5 @@
 pub use event_splitter::StreamEvent;
 pub use stream_origin_reports::stream_key;
 pub use stream_origin_reports::StreamOriginReports;
+pub use stream_position::StreamPosition;
 pub use stream_progress::StreamProgress;
--- a/crates/dotterelrudder_gateway/tests/events.rs
+++ b/crates/dotterelrudder_gateway/tests/events.rs
@@ -4,6 +4,7 @@
 use dotterelrudder_gateway::EventFault;
 use dotterelrudder_gateway::EventSequence;
 use dotterelrudder_gateway::EventSplitter;
+use dotterelrudder_gateway::StreamPosition;
 use proptest::prelude::*;
 
 const STREAM: &[u8] =
@@ -86,3 +87,47 @@
         assert_eq!(relayed(Some("2"), more), (Vec::new(), Some(*fault)));
     }
 }
+
+/// Returns the position of a caller who was given a stream's events.
+fn position(after: Option<&str>, stream: &[u8]) -> StreamPosition {
+    let mut splitter = EventSplitter::default();
+    let mut position = StreamPosition::new(after.map(Into::into));
+    splitter.push(stream);
+    while let Some(event) = splitter.take() {
+        position.record(&event);
+    }
+    position
+}
+
+// A run began from the start although its caller had text without ids.
+#[test]
+fn no_run_begins_behind_text_that_no_id_covers() {
+    let covered: &[(&[u8], StreamPosition)] = &[
+        (b"", StreamPosition::Start),
+        (b": note\n\nretry: 200\n\n", StreamPosition::Start),
+        (
+            b"id: 3\ndata: a\n\n: note\n\n",
+            StreamPosition::After("3".into()),
+        ),
+    ];
+    for (stream, expected) in covered {
+        assert_eq!(position(None, stream), *expected);
+    }
+    assert_eq!(
+        position(Some("x"), b": note\n\n"),
+        StreamPosition::After("x".into())
+    );
+    let uncovered: &[&[u8]] = &[
+        b"data: a\n\n",
+        b": note\rdata: a\n\n",
+        b"id: x\ndata: a\n\n",
+        b"id:\ndata: a\n\n",
+        b"id: 1\ndata: \xff\n\n",
+        b"id: 1\ndata: a\n\ndata: b\n\n",
+        b"data: a\n\nid: 1\ndata: b\n\n",
+    ];
+    for stream in uncovered {
+        let position = position(Some("0"), stream);
+        assert!(!position.is_resumable(), "{stream:?}: {position:?}");
+    }
+}
