Hand the vote over before a planned stop

Cause: a learner got a vote only once a voter had been silent for 3 s. A planned stop transferred the leadership but not the vote, so that the log went on to count a voter that was gone.

Change: a stopping replica announces this to the leader. The leader promotes the learner that waits, then dismisses the stopping voter, while both run; the replica ends once the leader says so, after 5 s at the latest. A stopping leader transfers its leadership first. A dismissed instance that returns gets its vote back, so that rolling restarts leave the voters as they were. Peers of the last release are not sent the new messages (message set 4).

Ruled out: a single entry that exchanges one voter for another, since quorums before and after it need not overlap; a shorter timeout.

--- a/crates/dotterelrudder_control/src/control_core/fleet.rs
+++ b/crates/dotterelrudder_control/src/control_core/fleet.rs
@@ -38,6 +38,17 @@
         self.raft.voter_count() >= wanted
     }
 
+    /// Returns whether this replica handed its vote over before its planned stop, or can't.
+    pub fn may_stop(&self) -> bool {
+        self.raft.may_stop()
+    }
+
+    /// Returns the control instances that vote in the Raft group.
+    pub fn voting_instances(&self) -> Vec<InstanceName> {
+        let voters = self.raft.members().iter().filter(|m| m.voter);
+        voters.map(|m| m.instance.clone()).collect()
+    }
+
     /// Returns the control instances that are members of the Raft group, voters and learners.
     pub fn control_instances(&self) -> Vec<InstanceName> {
         let members = self.raft.members().iter();
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -186,9 +186,7 @@
             }
             Input::Store(report) => self.on_store_report(report, now),
             Input::RunnersListed { rows } => self.on_runners_listed(rows, now, out),
-            Input::Stop => {
-                self.raft.transfer_leadership();
-            }
+            Input::Stop => self.raft.begin_stop(now),
         }
         self.process_raft_outputs(now, out);
     }
--- a/crates/dotterelrudder_control/src/input.rs
+++ b/crates/dotterelrudder_control/src/input.rs
@@ -60,7 +60,7 @@
         /// Number of the last synced record; all earlier ones are synced too.
         sequence: u64,
     },
-    /// The process is about to stop; a leader transfers its leadership.
+    /// The process is about to stop; the replica hands over its leadership and its vote.
     Stop,
     /// The set of known control instances changed.
     Peers {
--- a/crates/dotterelrudder_control/src/raft/boot.rs
+++ b/crates/dotterelrudder_control/src/raft/boot.rs
@@ -86,6 +86,7 @@
         last_index: u64,
         now: Duration,
     ) {
+        self.stopping_members.remove(&from);
         let known = self.peer_boots.get(&from).copied().unwrap_or((0, 0));
         let is_repeated = known == (boot, nonce);
         let known_boot = if is_repeated { boot - 1 } else { known.0 };
--- a/crates/dotterelrudder_control/src/raft/election.rs
+++ b/crates/dotterelrudder_control/src/raft/election.rs
@@ -171,18 +171,30 @@
         true
     }
 
-    /// Sends the voter with the highest match index a request to start an election, before a planned
-    /// stop. Returns whether a request was sent.
-    pub fn transfer_leadership(&mut self) -> bool {
+    /// Sends a voter a request to start an election, before a planned stop. A change of members comes
+    /// first, since a voter whose log lacks it would not be elected.
+    pub(super) fn transfer_leadership(&mut self, now: Duration) {
+        let Some(to) = self.next_leader(now) else {
+            return;
+        };
+        if !self.membership_change_in_flight() {
+            let term = self.term;
+            self.send(to, RaftMessage::TimeoutNow { term });
+        }
+    }
+
+    /// Returns the voter with the highest match index among those that are in contact and stay.
+    pub(super) fn next_leader(&self, now: Duration) -> Option<u64> {
         let RaftRole::Leader { progress, .. } = &self.role else {
-            return false;
+            return None;
         };
-        let voters = progress.iter().filter(|(id, _)| self.is_voter(**id));
-        let Some((to, _)) = voters.max_by_key(|(_, p)| p.match_index) else {
-            return false;
+        let is_suited = |id: u64| {
+            self.is_voter(id)
+                && !self.is_stopping(id, now)
+                && self.is_in_contact(id, now, self.timing.lease)
         };
-        let (to, term) = (*to, self.term);
-        self.send(to, RaftMessage::TimeoutNow { term });
-        true
+        let voters = progress.iter().filter(|(id, _)| is_suited(**id));
+        let next = voters.max_by_key(|(_, p)| p.match_index);
+        next.map(|(id, _)| *id)
     }
 }
--- a/crates/dotterelrudder_control/src/raft/membership.rs
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -1,5 +1,6 @@
 //! Membership of the replicated log: quorums, joins of learners, their promotion to voters, and the
-//! replacement of lost voters and of lost disks.
+//! replacement of lost disks and of voters that are lost or about to stop. See
+//! docs/design/replicated-log.md.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -12,9 +13,11 @@
 use super::Raft;
 use super::RaftRole;
 
-/// How long the leader must be without contact to a voter before it removes the voter in favour of
-/// a learner. Longer than a restart, so that a restarting voter keeps its vote.
+/// How long the leader must be without contact to a voter before it replaces the voter by a learner.
+/// Longer than a restart, so that a restarting voter keeps its vote.
 pub(super) const LOST_VOTER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long the leader must be without contact to a learner before it removes the learner.
+const LOST_LEARNER_TIMEOUT: Duration = Duration::from_secs(30);
 
 impl Raft {
     pub(super) fn is_voter(&self, id: u64) -> bool {
@@ -125,61 +128,125 @@
         self.propose(Command::Members { members }, now);
     }
 
-    /// Removes a voter without contact for [`LOST_VOTER_TIMEOUT`], so that a learner can be promoted
-    /// in its place.
-    fn remove_lost_voter(&mut self, now: Duration) {
+    /// Returns whether a member answered a message that this leader sent within the last `limit`.
+    pub(super) fn is_in_contact(&self, id: u64, now: Duration, limit: Duration) -> bool {
         let RaftRole::Leader { progress, .. } = &self.role else {
-            return;
-        };
-        let is_lost = |m: &&Member| {
-            let contact = progress.get(&m.id).map(|p| p.last_contact);
-            m.voter && m.id != self.id && contact.is_some_and(|at| now > at + LOST_VOTER_TIMEOUT)
+            return false;
         };
-        let Some(lost) = self.members.iter().find(is_lost).map(|m| m.id) else {
-            return;
-        };
-        let mut members = self.members.clone();
-        members.retain(|m| m.id != lost);
-        self.propose(Command::Members { members }, now);
+        let answered_at = progress.get(&id).map(|p| p.last_contact);
+        id == self.id || answered_at.is_some_and(|at| now <= at + limit)
     }
 
-    /// Proposes the next membership change, if any, for a learner that has synced all committed
-    /// entries and is in contact. If the learner's instance has another member, which is the identity
-    /// that it lost with its disk, that member is removed first; the learner becomes a voter
-    /// afterwards. If enough replicas vote already, the learner has to wait for a lost voter.
+    /// Proposes the next membership change if one is due. A leader that is about to stop leaves changes to the next one, if there is one.
     pub(super) fn tick_membership(&mut self, now: Duration) {
-        if self.membership_change_in_flight() {
+        let is_leaving = self.stopping && self.next_leader(now).is_some();
+        if is_leaving || self.membership_change_in_flight() {
             return;
         }
+        if let Some(members) = self.next_members(now) {
+            self.propose(Command::Members { members }, now);
+        }
+    }
+
+    /// Returns the members after the next change, if one is due. One member changes at a time:
+    ///
+    /// 1. An identity that was lost with its disk is removed once the instance's new one is ready.
+    /// 2. Below the target number of voters, a learner that is ready becomes a voter.
+    /// 3. Above the target, a voter is dismissed.
+    /// 4. At the target, a learner becomes a voter in place of one that is about to stop, before that
+    ///    one is dismissed. A lost voter is removed if a learner can be promoted.
+    fn next_members(&self, now: Duration) -> Option<Vec<Member>> {
+        let ready = self.ready_learners(now);
+        let replaced = self.members.iter().find(|m| {
+            let is_successor = |l: &&Member| l.instance == m.instance && l.id != m.id;
+            ready.iter().copied().any(|l| is_successor(&l))
+        });
+        if let Some(replaced) = replaced {
+            return Some(self.without(replaced.id));
+        }
+        let voters = self.voter_count();
+        let change = match self.target_voters {
+            Some(target) if voters > target => self.dismissed_voter(now),
+            Some(target) if voters == target => {
+                let is_lost = |m: &&Member| m.voter && m.id != self.id && self.is_lost(m.id, now);
+                let lost = self.members.iter().find(is_lost).map(|m| m.id);
+                let lost = lost.filter(|_| !ready.is_empty());
+                let replaced = || lost.map(|id| self.without(id));
+                self.stand_in(&ready, now).or_else(replaced)
+            }
+            _ => ready.first().map(|l| self.with_vote(l.id, true)),
+        };
+        change.or_else(|| self.without_lost_learner(now))
+    }
+
+    /// Returns the learners that have synced all committed entries, are in contact and stay.
+    fn ready_learners(&self, now: Duration) -> Vec<&Member> {
         let RaftRole::Leader { progress, .. } = &self.role else {
-            return;
+            return Vec::new();
         };
-        let caught_up = self.members.iter().find(|m| {
-            let is_current = |p: &Progress| {
-                p.match_index >= self.commit && now <= p.last_contact + LOST_VOTER_TIMEOUT
-            };
-            !m.voter && progress.get(&m.id).is_some_and(is_current)
-        });
-        let Some(learner) = caught_up.cloned() else {
-            return;
+        let is_ready = |m: &&Member| {
+            let is_current = |p: &Progress| p.match_index >= self.commit;
+            !m.voter
+                && progress.get(&m.id).is_some_and(is_current)
+                && self.is_in_contact(m.id, now, self.timing.lease)
+                && !self.is_stopping(m.id, now)
         };
-        let replaces_voter = self
-            .members
-            .iter()
-            .any(|m| m.instance == learner.instance && m.voter);
-        if !replaces_voter && self.target_voters.is_some_and(|t| self.voter_count() >= t) {
-            self.remove_lost_voter(now);
-            return;
+        self.members.iter().filter(is_ready).collect()
+    }
+
+    /// Returns the members with the vote of a learner that replaces a voter, if one is about to
+    /// stop. A member that was dismissed for its planned stop and is back gets its vote back: it
+    /// precedes the learner that voted in its place.
+    fn stand_in(&self, ready: &[&Member], now: Duration) -> Option<Vec<Member>> {
+        let learner = ready.first()?;
+        let mut others = self.members.iter().filter(|m| m.voter && m.id != self.id);
+        let is_needed = others.clone().any(|m| self.is_stopping(m.id, now));
+        let all_live = others
+            .clone()
+            .all(|m| self.is_in_contact(m.id, now, self.timing.lease));
+        let position = |id: u64| self.members.iter().position(|m| m.id == id);
+        let has_junior = others.any(|m| position(m.id) > position(learner.id));
+        (is_needed || all_live && has_junior).then(|| self.with_vote(learner.id, true))
+    }
+
+    /// Returns the members without the vote of one voter too many: one that is about to stop, or
+    /// lost, or else the last one while all are in contact.
+    fn dismissed_voter(&self, now: Duration) -> Option<Vec<Member>> {
+        let others = self.members.iter().filter(|m| m.voter && m.id != self.id);
+        if let Some(stopping) = others.clone().find(|m| self.is_stopping(m.id, now)) {
+            return Some(self.with_vote(stopping.id, false));
+        }
+        if let Some(lost) = others.clone().find(|m| self.is_lost(m.id, now)) {
+            return Some(self.without(lost.id));
         }
-        let same_instance = |m: &Member| m.instance == learner.instance && m.id != learner.id;
+        let all_live = others
+            .clone()
+            .all(|m| self.is_in_contact(m.id, now, self.timing.lease));
+        let last = others.clone().next_back().filter(|_| all_live)?;
+        Some(self.with_vote(last.id, false))
+    }
+
+    /// Returns the members without a learner that has been away for [`LOST_LEARNER_TIMEOUT`].
+    fn without_lost_learner(&self, now: Duration) -> Option<Vec<Member>> {
+        let mut learners = self.members.iter().filter(|m| !m.voter);
+        let lost = learners.find(|m| !self.is_in_contact(m.id, now, LOST_LEARNER_TIMEOUT))?;
+        Some(self.without(lost.id))
+    }
+
+    fn is_lost(&self, id: u64, now: Duration) -> bool {
+        !self.is_in_contact(id, now, LOST_VOTER_TIMEOUT)
+    }
+
+    fn without(&self, id: u64) -> Vec<Member> {
+        let others = self.members.iter().filter(|m| m.id != id);
+        others.cloned().collect()
+    }
+
+    fn with_vote(&self, id: u64, voter: bool) -> Vec<Member> {
         let mut members = self.members.clone();
-        if members.iter().any(same_instance) {
-            members.retain(|m| !same_instance(m));
-        } else {
-            for member in members.iter_mut().filter(|m| m.id == learner.id) {
-                member.voter = true;
-            }
+        for member in members.iter_mut().filter(|m| m.id == id) {
+            member.voter = voter;
         }
-        self.propose(Command::Members { members }, now);
+        members
     }
 }
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -7,6 +7,7 @@
 
 mod boot;
 mod election;
+mod hand_over;
 mod log;
 mod membership;
 mod progress;
@@ -117,6 +118,13 @@
     peer_boots: BTreeMap<u64, (u64, u64)>,
     incoming_snapshot: Vec<u8>,
     target_voters: Option<usize>,
+    /// Whether this replica is about to stop as planned.
+    stopping: bool,
+    hand_over_sent_at: Option<Duration>,
+    /// Whether the leader replied that this replica may stop.
+    may_stop: bool,
+    /// Members that announced a planned stop to this leader, and when they last did.
+    stopping_members: BTreeMap<u64, Duration>,
     started_at: Duration,
     out: Vec<RaftOutput>,
 }
@@ -158,6 +166,10 @@
             peer_boots: recovered.peer_boots,
             incoming_snapshot: Vec::new(),
             target_voters: None,
+            stopping: false,
+            hand_over_sent_at: None,
+            may_stop: false,
+            stopping_members: BTreeMap::new(),
             started_at: now,
             out: Vec::new(),
         };
@@ -315,6 +327,7 @@
     /// Sends heartbeats and start checks that are due, and starts an election on a timeout.
     pub fn tick(&mut self, now: Duration) {
         self.tick_boot(now);
+        self.tick_hand_over(now);
         if self.is_leader() {
             self.tick_leader(now);
         } else if now >= self.election_at {
@@ -429,6 +442,8 @@
                     self.start_election(true, now);
                 }
             }
+            RaftMessage::Stopping => self.on_stopping(from, now),
+            RaftMessage::MayStop => self.on_may_stop(from),
         }
     }
 
@@ -476,8 +491,10 @@
         }
     }
 
+    /// Schedules the next election. A replica that is about to stop lets the others go first.
     fn schedule_election(&mut self, now: Duration) {
-        self.schedule_election_after(self.timing.election, now);
+        let delay = self.timing.election * if self.stopping { 2 } else { 1 };
+        self.schedule_election_after(delay, now);
     }
 
     /// Sets the election timeout to a random time between `min_timeout` and twice that, so that
@@ -496,6 +513,7 @@
         }
         self.role = RaftRole::Follower;
         self.leader = leader;
+        self.stopping_members.clear();
         self.schedule_election(now);
     }
 }
--- a/crates/dotterelrudder_control/src/raft/replication.rs
+++ b/crates/dotterelrudder_control/src/raft/replication.rs
@@ -270,6 +270,10 @@
         }
         let behind = peer.next_index <= last;
         self.advance_commit();
+        // A voter too many is dismissed as soon as its successor is in place.
+        if self.target_voters.is_some_and(|t| self.voter_count() > t) {
+            self.tick_membership(now);
+        }
         if behind {
             self.send_append(from, false, now);
         }
--- /dev/null
+++ b/crates/dotterelrudder_control/tests/support/mod.rs
@@ -0,0 +1,4 @@
+//! What several tests of control use.
+#![allow(dead_code)]
+
+pub mod cluster;
--- a/crates/dotterelrudder_daemon/src/control/actor.rs
+++ b/crates/dotterelrudder_daemon/src/control/actor.rs
@@ -87,7 +87,7 @@
     Listed(Vec<RunnerRecord>),
     /// A store was read, or did not answer.
     Store(StoreReport),
-    /// The process is about to stop; a leader transfers its leadership.
+    /// The process is about to stop; the replica hands over its leadership and its vote.
     Stop,
 }
 
@@ -208,6 +208,8 @@
             leads: self.core.holds_leader_lease(now),
             durable: self.core.has_enough_voters(),
             controls: self.core.control_instances(),
+            voters: self.core.voting_instances(),
+            may_stop: self.core.may_stop(),
             stores: self.core.stores_to_read(now),
         };
         let term = self.core.raft().term();
@@ -216,11 +218,15 @@
             let changed = *published != replication_status;
             if published.leads != replication_status.leads
                 || published.controls != replication_status.controls
+                || published.voters != replication_status.voters
             {
+                let names = |of: &[InstanceName]| {
+                    format!("{:?}", of.iter().map(|c| c.as_str()).collect::<Vec<_>>())
+                };
                 info!(self.log, "standing in the log"; "leads" => replication_status.leads,
                     "term" => term, "commit" => self.core.raft().commit(),
-                    "members" => format!("{:?}", replication_status.controls.iter()
-                        .map(|c| c.as_str()).collect::<Vec<_>>()));
+                    "members" => names(&replication_status.controls),
+                    "voters" => names(&replication_status.voters));
             }
             *published = replication_status;
             changed
--- a/crates/dotterelrudder_daemon/src/control/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/control/daemon.rs
@@ -1,5 +1,5 @@
 //! The control daemon of a deployment whose control instances are listed in the settings: starts
-//! the replica and the operators' API, and transfers leadership before it stops.
+//! the replica and the operators' API, and hands over leadership and vote before it stops.
 
 use dotterelrudder_control::ControlSettings;
 use dotterelrudder_control::RaftTiming;
@@ -77,7 +77,7 @@
     info!(log, "stopping");
     let _watched = stop.send(true);
     connections.closed().await;
-    replica.transfer_leadership().await;
+    replica.prepare_stop().await;
     info!(log, "stopped");
     Ok(())
 }
--- a/crates/dotterelrudder_daemon/src/control/replica.rs
+++ b/crates/dotterelrudder_daemon/src/control/replica.rs
@@ -26,11 +26,13 @@
 use ractor::Actor;
 use ractor::ActorRef;
 use slog::crit;
+use slog::info;
 use slog::warn;
 use slog::Logger;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use super::actor::ControlActor;
 use super::actor::ControlMessage;
@@ -45,14 +47,18 @@
 use crate::start::TICK;
 use crate::system_clock::SystemClock;
 
-/// How long a stopping replica waits for the transfer of its leadership.
-const LEADERSHIP_TRANSFER_WAIT: Duration = Duration::from_millis(300);
+/// The shortest time between the announcement of a planned stop and its end, in which peers hear of it.
+const MIN_STOP_WAIT: Duration = Duration::from_millis(300);
+/// How long a stopping replica waits until its leadership and its vote are handed over. Well below the
+/// grace period of a planned stop, since no quorum may be there to decide the change.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Handle to a running replica; all clones refer to the same one.
 #[derive(Clone)]
 pub struct Replica {
     pub(super) actor: ActorRef<ControlMessage>,
     hub: LinkHub,
+    log: Logger,
     replication_status: watch::Receiver<ReplicationStatus>,
     free_order_receiver: Arc<Mutex<Option<mpsc::UnboundedReceiver<FreePartsOrder>>>>,
 }
@@ -109,12 +115,14 @@
         let (actor, _handle) = spawned.map_err(|e| e.to_string())?;
         slot.get_or_init(|| actor.clone());
         let writer = actor.clone();
-        std::thread::spawn(move || write_journal(journal, &queue, &writer, &log));
+        let journal_log = log.clone();
+        std::thread::spawn(move || write_journal(journal, &queue, &writer, &journal_log));
         hub.listen(listen).await?;
         tokio::spawn(tick(actor.clone(), TICK, || ControlMessage::Tick));
         Ok(Self {
             actor,
             hub,
+            log,
             replication_status: status_receiver,
             free_order_receiver: Arc::new(Mutex::new(Some(free_order_receiver))),
         })
@@ -184,10 +192,20 @@
         free_order_receiver.take()
     }
 
-    /// Transfers leadership, if this replica leads, before a planned stop.
-    pub async fn transfer_leadership(&self) {
+    /// Hands over the leadership and the vote of this replica before a planned stop. Returns after
+    /// [`HAND_OVER_TIMEOUT`] at the latest; the replica then stops with its vote.
+    pub async fn prepare_stop(&self) {
         self.send_to_actor(ControlMessage::Stop);
-        tokio::time::sleep(LEADERSHIP_TRANSFER_WAIT).await;
+        let began = Instant::now();
+        let mut replication_status = self.replication_status.clone();
+        let handed_over = replication_status.wait_for(|s| s.may_stop);
+        let is_handed_over = timeout(HAND_OVER_TIMEOUT, handed_over).await.is_ok();
+        let took = began.elapsed();
+        tokio::time::sleep(MIN_STOP_WAIT.saturating_sub(took)).await;
+        let status = self.replication_status();
+        info!(self.log, "ready to stop"; "after_ms" => took.as_millis() as u64,
+            "settled" => is_handed_over, "leads" => status.leads,
+            "voters" => format!("{:?}", status.voters));
     }
 
     fn send_to_actor(&self, message: ControlMessage) {
--- a/crates/dotterelrudder_daemon/src/control/replication_status.rs
+++ b/crates/dotterelrudder_daemon/src/control/replication_status.rs
@@ -18,4 +18,8 @@
     pub stores: Vec<SocketAddr>,
     /// The control instances that are members of the Raft group, voters and learners.
     pub controls: Vec<InstanceName>,
+    /// Those of them that vote.
+    pub voters: Vec<InstanceName>,
+    /// Whether the vote was handed over before a planned stop, or can't be.
+    pub may_stop: bool,
 }
--- a/crates/dotterelrudder_daemon/src/fleet/control.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/control.rs
@@ -192,7 +192,7 @@
 
     stop_signal().await?;
     info!(log, "stopping");
-    replica.transfer_leadership().await;
+    replica.prepare_stop().await;
     let _watched = stop.send(true);
     connections.closed().await;
     info!(log, "stopped");
--- a/crates/dotterelrudder_wire/src/hello.rs
+++ b/crates/dotterelrudder_wire/src/hello.rs
@@ -17,7 +17,7 @@
 /// The number of the newest kinds of messages that this process can decode. Peers tell it to each
 /// other in a header of the connection, which older peers ignore, and are sent no newer kinds; 0 is
 /// that of peers without the header.
-pub const MESSAGE_SET: u32 = 3;
+pub const MESSAGE_SET: u32 = 4;
 
 /// The name of that header.
 pub const MESSAGE_SET_HEADER: &str = "message-set";
--- a/crates/dotterelrudder_wire/src/message.rs
+++ b/crates/dotterelrudder_wire/src/message.rs
@@ -294,6 +294,7 @@
             | Self::OriginReply { .. } => 1,
             Self::Raft { message, .. } => match &**message {
                 RaftMessage::NotMember => 2,
+                RaftMessage::Stopping | RaftMessage::MayStop => 4,
                 RaftMessage::Append { entries, .. } => {
                     let sets = entries.iter().map(|e| e.command.message_set());
                     sets.max().unwrap_or(0)
--- a/crates/dotterelrudder_wire/src/raft_message.rs
+++ b/crates/dotterelrudder_wire/src/raft_message.rs
@@ -131,4 +131,10 @@
     /// Informs a replica that announced a start that the committed members exclude it. Only a leader
     /// that holds its lease sends this.
     NotMember,
+    /// Announces a planned stop of the sender, and requests that the leader hand its vote to a
+    /// learner.
+    Stopping,
+    /// Replies to [`RaftMessage::Stopping`] that the sender has no vote, or that no learner can take
+    /// it.
+    MayStop,
 }
--- a/crates/dotterelrudder_wire/tests/last_release.rs
+++ b/crates/dotterelrudder_wire/tests/last_release.rs
@@ -223,6 +223,14 @@
         },
     ];
     for message in of_set_three {
-        assert_eq!(message.message_set(), MESSAGE_SET, "{message:?}");
+        assert_eq!(message.message_set(), 3, "{message:?}");
+    }
+    for message in [RaftMessage::Stopping, RaftMessage::MayStop] {
+        let of_set_four = Message::Raft {
+            from: 1,
+            to: 2,
+            message: Box::new(message),
+        };
+        assert_eq!(of_set_four.message_set(), MESSAGE_SET, "{of_set_four:?}");
     }
 }
