Promote a learner before the lost voter is removed, with a quorum in contact

Cause: remove_lost_voter took a silent voter out while a learner was heard of within 3 s, and promoted the learner by a later change. The learner was gone by then. A leader without contact to a quorum made that change too, and obeyed it at once.

Change: the learner is promoted first, so that the voters are never fewer than the target.

Ruled out: the returning disks and the check of their identities.

--- a/crates/dotterelrudder_control/src/raft/membership.rs
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -137,13 +137,32 @@
         id == self.id || answered_at.is_some_and(|at| now <= at + limit)
     }
 
-    /// Proposes the next membership change if one is due. A leader that is about to stop leaves changes to the next one, if there is one.
+    /// Returns whether a quorum of the voters in `members` is in contact now, so that a change to
+    /// these members is committed at once, and the loss of a disk does not catch it half-way.
+    fn is_live_quorum(&self, members: &[Member], now: Duration) -> bool {
+        let RaftRole::Leader { progress, .. } = &self.role else {
+            return false;
+        };
+        // A new leader counts every member as in contact until it had time to answer.
+        let has_answered =
+            |id| id == self.id || progress.get(&id).is_some_and(|p| p.match_index > 0);
+        let is_live = |m: &&Member| {
+            m.voter && has_answered(m.id) && self.is_in_contact(m.id, now, self.timing.lease)
+        };
+        let voters = members.iter().filter(|m| m.voter).count();
+        2 * members.iter().filter(is_live).count() > voters
+    }
+
+    /// Proposes the next membership change if one is due, and if the voters in contact can commit it.
+    /// A proposed change takes effect at once, so that a leader without a quorum must not propose one.
+    /// A leader that is about to stop leaves changes to the next one, if there is one.
     pub(super) fn tick_membership(&mut self, now: Duration) {
         let is_leaving = self.stopping && self.next_leader(now).is_some();
-        if is_leaving || self.membership_change_in_flight() {
+        if is_leaving || self.membership_change_in_flight() || !self.is_fresh(now) {
             return;
         }
-        if let Some(members) = self.next_members(now) {
+        let members = self.next_members(now);
+        if let Some(members) = members.filter(|m| self.is_live_quorum(m, now)) {
             self.propose(Command::Members { members }, now);
         }
     }
@@ -153,8 +172,9 @@
     /// 1. An identity that was lost with its disk is removed once the instance's new one is ready.
     /// 2. Below the target number of voters, a learner that is ready becomes a voter.
     /// 3. Above the target, a voter is dismissed.
-    /// 4. At the target, a learner becomes a voter in place of one that is about to stop, before that
-    ///    one is dismissed. A lost voter is removed if a learner can be promoted.
+    /// 4. At the target, a learner becomes a voter in place of one that is about to stop or lost. It
+    ///    is promoted before the other one is dismissed: the log never has fewer voters than the
+    ///    target, which would turn a tolerated loss of a disk into the loss of the quorum.
     fn next_members(&self, now: Duration) -> Option<Vec<Member>> {
         let ready = self.ready_learners(now);
         let replaced = self.members.iter().find(|m| {
@@ -167,13 +187,7 @@
         let voters = self.voter_count();
         let change = match self.target_voters {
             Some(target) if voters > target => self.dismissed_voter(now),
-            Some(target) if voters == target => {
-                let is_lost = |m: &&Member| m.voter && m.id != self.id && self.is_lost(m.id, now);
-                let lost = self.members.iter().find(is_lost).map(|m| m.id);
-                let lost = lost.filter(|_| !ready.is_empty());
-                let replaced = || lost.map(|id| self.without(id));
-                self.stand_in(&ready, now).or_else(replaced)
-            }
+            Some(target) if voters == target => self.stand_in(&ready, now),
             _ => ready.first().map(|l| self.with_vote(l.id, true)),
         };
         change.or_else(|| self.without_lost_learner(now))
@@ -194,13 +208,15 @@
         self.members.iter().filter(is_ready).collect()
     }
 
-    /// Returns the members with the vote of a learner that replaces a voter, if one is about to
-    /// stop. A member that was dismissed for its planned stop and is back gets its vote back: it
+    /// Returns the members with the vote of a learner that replaces a voter, if one is about to stop
+    /// or lost. A member that was dismissed for its planned stop and is back gets its vote back: it
     /// precedes the learner that voted in its place.
     fn stand_in(&self, ready: &[&Member], now: Duration) -> Option<Vec<Member>> {
         let learner = ready.first()?;
         let mut others = self.members.iter().filter(|m| m.voter && m.id != self.id);
-        let is_needed = others.clone().any(|m| self.is_stopping(m.id, now));
+        let is_needed = others
+            .clone()
+            .any(|m| self.is_stopping(m.id, now) || self.is_lost(m.id, now));
         let all_live = others
             .clone()
             .all(|m| self.is_in_contact(m.id, now, self.timing.lease));
