Let a member join anew whose log names voters that were replaced

Cause: the check of its disk needs a quorum of the voters that its log names. Only replicas that were removed were told so.

Change: a replica that hears from a leader for a second without a confirmation takes a new identity. With the same voters the leader's quorum would have confirmed it, so that no disk is given up beside an unchanged membership.

--- a/crates/dotterelrudder_control/src/raft/boot.rs
+++ b/crates/dotterelrudder_control/src/raft/boot.rs
@@ -19,6 +19,14 @@
 /// How long the voters that the log names have to answer the start check before all peers are asked.
 const NAMED_VOTERS_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Since when a replica whose disk is not confirmed has been hearing from a leader, and when it last
+/// did.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LeaderContact {
+    first: Duration,
+    last: Duration,
+}
+
 impl Raft {
     /// Confirms the disk without a check if there is no other voter that could confirm it.
     pub(super) fn confirm_if_sole_voter(&mut self) {
@@ -76,6 +84,19 @@
         }
     }
 
+    /// Abandons the identity if the voters that the log names don't confirm the disk although a
+    /// leader keeps sending: they were replaced while this replica was away. With the same voters, a
+    /// leader's quorum would have confirmed it.
+    pub(super) fn on_append_unconfirmed(&mut self, now: Duration) {
+        let gap = self.timing.election;
+        let heard = self.heard_unconfirmed.filter(|h| now < h.last + gap);
+        let first = heard.map_or(now, |h| h.first);
+        self.heard_unconfirmed = Some(LeaderContact { first, last: now });
+        if !self.members.is_empty() && now > first + NAMED_VOTERS_TIMEOUT {
+            self.out.push(RaftOutput::IdentityLost);
+        }
+    }
+
     /// Answers the start check of a peer, and records its start unless the check shows a rollback.
     /// A repeated check with the same nonce is not taken for a rollback.
     pub(super) fn on_boot(
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -29,6 +29,7 @@
 
 use crate::Record;
 use crate::Recovered;
+use boot::LeaderContact;
 use log::Log;
 use membership::LOST_VOTER_TIMEOUT;
 use progress::Progress;
@@ -114,6 +115,7 @@
     boot_confirmations: BTreeSet<u64>,
     boot_rejections: BTreeSet<u64>,
     boot_sent_at: Option<Duration>,
+    heard_unconfirmed: Option<LeaderContact>,
     /// The newest start known of each peer: its number and its nonce.
     peer_boots: BTreeMap<u64, (u64, u64)>,
     incoming_snapshot: Vec<u8>,
@@ -163,6 +165,7 @@
             boot_confirmations: BTreeSet::new(),
             boot_rejections: BTreeSet::new(),
             boot_sent_at: None,
+            heard_unconfirmed: None,
             peer_boots: recovered.peer_boots,
             incoming_snapshot: Vec::new(),
             target_voters: None,
@@ -384,6 +387,7 @@
             }
             // The caller of this replica decides whether to found a deployment.
             RaftMessage::JoinReply { .. } => {}
+            RaftMessage::Append { .. } if !self.confirmed => self.on_append_unconfirmed(now),
             // A replica neither votes nor follows until its peers confirmed its disk: a disk that
             // was rolled back may lack votes and entries that it acknowledged.
             _ if !self.confirmed => {}
--- a/crates/dotterelrudder_control/tests/member_changes.rs
+++ b/crates/dotterelrudder_control/tests/member_changes.rs
@@ -148,6 +148,35 @@
     }
 }
 
+// A replica whose log names voters that were all replaced meanwhile waited for them without end, and
+// counted as a voter that is lost.
+#[test]
+fn a_member_that_restarts_waits_for_voters_that_were_replaced() {
+    for is_voter in [true, false] {
+        let mut cluster = with_spares(1);
+        let leader = cluster.leading_instance();
+        let away = if is_voter {
+            cluster.others_than(&[&leader, &name(3)]).remove(0)
+        } else {
+            name(3)
+        };
+        cluster.kill(&away);
+        // Each voter that the log names is replaced by an instance that joins while `away` is down.
+        for leaving in cluster.others_than(&[&away]) {
+            if cluster.voters().contains(&leaving) {
+                cluster.add();
+                cluster.run(CATCH_UP);
+                cluster.stop(&leaving, AfterStop::Removed);
+                settle(&mut cluster);
+            }
+        }
+        cluster.start(&away);
+        cluster.run(RECOVER);
+        let returned = cluster.instances[&away].core.as_ref().expect("it runs");
+        assert!(returned.is_fresh(cluster.now), "{}", cluster.describe());
+    }
+}
+
 /// One event of a drawn schedule.
 #[derive(Debug, Clone)]
 enum Event {
