Read the members anew when a change of members is dropped

A follower whose newest change of members was overwritten by the next leader went on to count votes by the dropped change, until the next one or a restart.

Cause: append_entry cut the log, but read the members again only if the new entry changed them.

Measured: a_dropped_change_of_members_stays_in_force failed before (2 voters instead of 3) and passes.

--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -480,7 +480,8 @@
     /// Appends an entry; drops the entries at its index and after.
     fn append_entry(&mut self, entry: LogEntry) {
         let index = entry.index;
-        if index <= self.log.last_index() {
+        let drops_entries = index <= self.log.last_index();
+        if drops_entries {
             self.log.truncate_from(index);
             self.synced_index = self.synced_index.min(index - 1);
             self.unsynced_entries.retain(|(_, i)| *i < index);
@@ -490,7 +491,7 @@
         self.unsynced_entries
             .push_back((self.persist_sequence, index));
         self.log.append(entry);
-        if changes_members {
+        if changes_members || drops_entries {
             self.recompute_members();
         }
     }
--- a/crates/dotterelrudder_control/tests/voters.rs
+++ b/crates/dotterelrudder_control/tests/voters.rs
@@ -7,6 +7,8 @@
 use dotterelrudder_control::RaftOutput;
 use dotterelrudder_control::RaftTiming;
 use dotterelrudder_control::Recovered;
+use dotterelrudder_wire::Command;
+use dotterelrudder_wire::LogEntry;
 use dotterelrudder_wire::Member;
 use dotterelrudder_wire::RaftMessage;
 
@@ -194,3 +196,40 @@
     cluster.run_for(2_000);
     assert_eq!(cluster.voters(), [1, 2, 3]);
 }
+
+// A follower whose newest change of members was dropped by the next leader still obeyed that change.
+#[test]
+fn a_dropped_change_of_members_stays_in_force() {
+    let recovered = Recovered {
+        id: 2,
+        ..Recovered::default()
+    };
+    let mut raft = Raft::new(recovered, RaftTiming::default(), 2, ms(0));
+    raft.confirm_as_new();
+    let members = |ids: &[u64]| Command::Members {
+        members: ids
+            .iter()
+            .map(|id| Member {
+                voter: true,
+                ..member(*id)
+            })
+            .collect(),
+    };
+    let append = |term, index, command| RaftMessage::Append {
+        term,
+        prev_index: index - 1,
+        prev_term: u64::from(index > 1),
+        entries: vec![LogEntry {
+            term,
+            index,
+            command,
+        }],
+        commit: 0,
+        round: 1,
+    };
+    raft.receive(1, append(1, 1, members(&[1, 2, 3])), ms(10));
+    raft.receive(1, append(1, 2, members(&[1, 2])), ms(20));
+    assert_eq!(raft.voter_count(), 2);
+    raft.receive(3, append(2, 2, Command::Noop), ms(30));
+    assert_eq!(raft.voter_count(), 3);
+}
