Fail a response that ends before its request was written

A runner that answers an upload at once without a length, sends a part and ends the connection gave the caller that part as the whole answer (MIXED; reported from a similar system).

Cause: the socket passed on each end of the stream as one in order, also while the request was still being written, and behind a write that had already taken the error of a reset.

Change: the socket remembers unwritten bytes and failed writes and reports such an end as an error; at the end it also asks for a pending error.

Measured: a_response_that_ends_during_the_upload_looks_complete and a_read_behind_a_failed_write_ends_in_order failed before. The tests of answers that break off, of unframed answers and of refused uploads pass.

--- a/crates/dotterelrudder_daemon/src/gateway/upstream_socket.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream_socket.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::task::ready;
 use std::task::Context;
 use std::task::Poll;
 
@@ -50,21 +51,40 @@
     }
 }
 
-/// A TCP stream to a backend server that writes no request while bytes wait to be read.
+/// How far the bytes that were given to a socket were written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WriteState {
+    /// All of them.
+    Flushed,
+    /// Some are still to be written.
+    Unflushed,
+    /// A write failed. The system reports the error of a socket once, so that a later read would see
+    /// the end of the stream in order.
+    Failed(io::ErrorKind),
+}
+
+/// A TCP stream to a backend server that writes no request while bytes wait to be read, and that ends
+/// in order only behind a request that was written whole.
 ///
-/// Such bytes were sent before the request, so they cannot be its response; the HTTP library only
-/// notices them once the runtime has polled the socket.
+/// Bytes that wait were sent before the request, so they cannot be its response; the HTTP library only
+/// notices them once the runtime has polled the socket. A response without a length that ends before
+/// its request was written may be a part of one.
 /// See [docs/design/platform.md](../../../../docs/design/platform.md).
 #[derive(Debug)]
 pub struct UpstreamSocket {
     tcp: TcpStream,
     check: UnreadCheck,
+    write_state: WriteState,
 }
 
 impl UpstreamSocket {
     /// Wraps a connected stream.
     pub fn new(tcp: TcpStream, check: UnreadCheck) -> Self {
-        Self { tcp, check }
+        Self {
+            tcp,
+            check,
+            write_state: WriteState::Flushed,
+        }
     }
 
     /// Runs the check if it is due, and returns whether it was.
@@ -91,6 +111,26 @@
         }
     }
 
+    /// Returns why the end of the stream isn't the end of a response, if it is not.
+    fn early_end(&self) -> io::Result<()> {
+        // Behind the end of its bytes, a peer may still have reset the connection.
+        let error = self.tcp.take_error()?.map(|e| e.kind());
+        let kind = match self.write_state {
+            WriteState::Failed(kind) => Some(kind),
+            WriteState::Unflushed => Some(error.unwrap_or(io::ErrorKind::ConnectionAborted)),
+            WriteState::Flushed => error,
+        };
+        let detail = "the connection ended before the request was written";
+        kind.map_or(Ok(()), |kind| Err(io::Error::new(kind, detail)))
+    }
+
+    fn record_write(&mut self, written: &Poll<io::Result<usize>>) {
+        self.write_state = match written {
+            Poll::Ready(Err(e)) => WriteState::Failed(e.kind()),
+            Poll::Ready(Ok(_)) | Poll::Pending => WriteState::Unflushed,
+        };
+    }
+
     /// Records the result of the first write since the check was armed. A write that fails or has to
     /// wait has written nothing.
     fn record_first_write(&self, written: &Poll<io::Result<usize>>) {
@@ -109,7 +149,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.tcp).poll_read(cx, buf))?;
+        if buf.filled().len() == before && buf.remaining() > 0 {
+            self.early_end()?;
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -121,6 +166,7 @@
     ) -> Poll<io::Result<usize>> {
         let is_first = self.check_unread()?;
         let written = Pin::new(&mut self.tcp).poll_write(cx, buf);
+        self.record_write(&written);
         if is_first {
             self.record_first_write(&written);
         }
@@ -134,6 +180,7 @@
     ) -> Poll<io::Result<usize>> {
         let is_first = self.check_unread()?;
         let written = Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs);
+        self.record_write(&written);
         if is_first {
             self.record_first_write(&written);
         }
@@ -145,7 +192,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_flush(cx)
+        ready!(Pin::new(&mut self.tcp).poll_flush(cx))?;
+        if self.write_state == WriteState::Unflushed {
+            self.write_state = WriteState::Flushed;
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/dotterelrudder_daemon/tests/upstream_socket.rs
+++ b/crates/dotterelrudder_daemon/tests/upstream_socket.rs
@@ -1,7 +1,9 @@
-//! A request is not written to a connection that holds unread bytes.
+//! A request is not written to a connection that holds unread bytes, and a response that ends early does not
+//! look complete.
 
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::TcpListener;
 use std::sync::mpsc;
 use std::time::Duration;
@@ -14,10 +16,14 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+/// More than the buffers of two sockets hold.
+const UPLOAD_BYTES: usize = 64 * 1024 * 1024;
 
 /// Answers a request, writes a refusal when told to, and returns what else it reads.
 fn serve(
@@ -111,3 +117,94 @@
         assert_eq!(read, b"a");
     });
 }
+
+/// How a server ends its connection behind a part of its response.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    /// By a reset, after this time.
+    Reset(Duration),
+    /// By the end of its own bytes, in order. It reads no more of the request.
+    HalfClose,
+}
+
+/// Answers the head of an upload at once with a part of a response that has no length, and ends.
+fn answer_early(listener: &TcpListener, end: End) {
+    let (mut tcp, _) = listener.accept().expect("a connection");
+    let mut buf = [0; 1_024];
+    assert!(tcp.read(&mut buf).expect("a request") > 0);
+    tcp.write_all(b"HTTP/1.1 200 OK\r\n\r\na part of")
+        .expect("a part of a response");
+    match end {
+        End::Reset(after) => {
+            std::thread::sleep(after);
+            let reset = SockRef::from(&tcp).set_linger(Some(Duration::ZERO));
+            reset.expect("the socket resets");
+        }
+        End::HalfClose => {
+            let ended = tcp.shutdown(Shutdown::Write);
+            ended.expect("the socket closes");
+            std::thread::sleep(Duration::from_millis(200));
+        }
+    }
+}
+
+/// Uploads more than the buffers of both sockets hold; returns the body of the response, if it looks
+/// complete.
+async fn upload(address: std::net::SocketAddr) -> Option<Bytes> {
+    let tcp = tokio::net::TcpStream::connect(address).await.unwrap();
+    let check = UnreadCheck::default();
+    let socket = UpstreamSocket::new(tcp, check.clone());
+    let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await.unwrap();
+    let driver = tokio::spawn(connection);
+    check.arm();
+    let body = Full::new(Bytes::from(vec![b'a'; UPLOAD_BYTES]));
+    let req = Request::post("/x").header("host", "a").body(body).unwrap();
+    let answer = sender.try_send_request(req).await.ok()?;
+    let body = answer.into_body().collect().await;
+    driver.abort();
+    Some(body.ok()?.to_bytes())
+}
+
+// A part of a response without a length, behind which the server broke off while the request was
+// still being written, looked like the whole response.
+#[test]
+fn a_response_that_ends_during_the_upload_looks_complete() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    let resets = [0, 0, 1, 5, 20].map(|ms| End::Reset(Duration::from_millis(ms)));
+    for end in resets.into_iter().chain([End::HalfClose]) {
+        for _ in 0..8 {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+            let address = listener.local_addr().expect("an address");
+            let server = std::thread::spawn(move || answer_early(&listener, end));
+            let body = runtime.block_on(upload(address));
+            assert_eq!(body, None, "{end:?}");
+            server.join().expect("the server ends");
+        }
+    }
+}
+
+// A reset is reported once: a reader behind a failed write saw the end of the stream in order.
+#[test]
+fn a_read_behind_a_failed_write_ends_in_order() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+        let address = listener.local_addr().expect("an address");
+        let tcp = tokio::net::TcpStream::connect(address).await.unwrap();
+        let (mut server, _) = listener.accept().expect("a connection");
+        let mut socket = UpstreamSocket::new(tcp, UnreadCheck::default());
+        server.write_all(b"a part").expect("a part of a response");
+        let reset = SockRef::from(&server).set_linger(Some(Duration::ZERO));
+        reset.expect("the socket resets");
+        drop(server);
+        while socket.write_all(b"more").await.is_ok() {}
+        let mut read = Vec::new();
+        assert!(socket.read_to_end(&mut read).await.is_err(), "{read:?}");
+    });
+}
