Relay no response whose status is none

Change: only 200 to 599 end a response; anything else is a lost answer.

Measured: a_response_without_a_valid_status_is_relayed failed before at 101 and passes for twelve statuses on three routes.

--- a/crates/dotterelrudder_daemon/src/gateway/attempt.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at one runner, until the head of its response arrived and was checked.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,6 +25,10 @@
 use super::upstream::UpstreamConnection;
 use crate::system_clock::SystemClock;
 
+/// The statuses of final responses (RFC 9110, section 15). This client requests no other protocol, so
+/// that 101 is none.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// How a failed attempt ended, which decides whether the request may be sent again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum FailureKind {
@@ -316,6 +321,11 @@
     head: &http::response::Parts,
 ) -> Result<AnswerLimit, AttemptFailure> {
     let status = head.status.as_u16();
+    if !FINAL_STATUSES.contains(&status) {
+        return Err(AttemptFailure::answer_lost(format!(
+            "status {status} ends no response"
+        )));
+    }
     let other_request = facts.request_id.as_deref().is_some_and(|r| r != id);
     let other_server = facts
         .identity
