Limit what HTTP clients hold of responses, one by one and together

Change: HttpClient limits one response and all that its clones read at the same time; the streams of engines and plain services count too.

Ruled out: heads, chunk extensions and trailers, which the HTTP library limits; entries, which limit the answers of runners already.

--- a/crates/dotterelrudder_daemon/src/fleet/runner_watcher.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/runner_watcher.rs
@@ -21,12 +21,15 @@
 use super::RunnerDialect;
 use super::RunnerReport;
 use crate::http_client::HttpClient;
+use crate::response_limits::ResponseLimits;
 
 /// Interval between two reads of the runner's report; a read costs nothing on the runner's own
 /// machine.
 const READ_INTERVAL: Duration = Duration::from_millis(150);
 /// Time limit for reading a report or sending an order, on the runner's own machine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest report that is read, in bytes.
+const MAX_REPORT_BYTES: usize = 256 * 1024;
 /// Number of consecutive failed reads after which the runner is reported as not answering.
 const MAX_MISSES: u32 = 2;
 /// Interval at which an unchanged load report is sent again, to keep its age small: entries suspect
@@ -62,7 +65,8 @@
     /// Reads the report and advances the pending order every `READ_INTERVAL`, until the process
     /// ends.
     pub(super) async fn run(mut self) {
-        let client = HttpClient::default();
+        let limits = ResponseLimits::new(MAX_REPORT_BYTES, MAX_REPORT_BYTES);
+        let client = HttpClient::with_limits(limits);
         let mut last_sent: Option<RunnerLoad> = None;
         let mut since_sent = Duration::ZERO;
         let mut misses = 0;
--- a/crates/dotterelrudder_daemon/src/fleet/store_reader.rs
+++ b/crates/dotterelrudder_daemon/src/fleet/store_reader.rs
@@ -47,6 +47,8 @@
         });
     }
     let mut replication_status = replica.watch_replication_status();
+    // All readers share one limit on what they hold in memory.
+    let client = HttpClient::default();
     let mut readers: BTreeMap<SocketAddr, AbortHandle> = BTreeMap::new();
     loop {
         let wanted = replication_status.borrow_and_update().stores.clone();
@@ -63,7 +65,7 @@
                     replica: replica.clone(),
                     dialect: dialect.clone(),
                     store: address,
-                    client: HttpClient::default(),
+                    client: client.clone(),
                     log: log.clone(),
                 };
                 tokio::spawn(reader.run()).abort_handle()
--- a/crates/dotterelrudder_daemon/src/http_client.rs
+++ b/crates/dotterelrudder_daemon/src/http_client.rs
@@ -3,19 +3,26 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::header::CONTENT_TYPE;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 
-/// Largest body of a response that [`HttpClient::fetch`] reads, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+use crate::response_limits::ResponseLimits;
+use crate::response_limits::ResponseShare;
+
+/// Largest body of a response that a client reads without further settings, in bytes.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// Largest size of all bodies that its clones read at the same time, in bytes.
+const MAX_TOTAL_BYTES: usize = 32 * 1024 * 1024;
+/// Largest head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Time limit for a new TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -29,24 +36,38 @@
     pub detail: String,
 }
 
-/// An HTTP client; clones share the pool of connections.
+/// An HTTP client; clones share the pool of connections and the limits on responses.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    limits: ResponseLimits,
 }
 
 impl Default for HttpClient {
     fn default() -> Self {
+        Self::with_limits(ResponseLimits::new(MAX_RESPONSE_BYTES, MAX_TOTAL_BYTES))
+    }
+}
+
+impl HttpClient {
+    /// Builds a client that reads responses within these limits.
+    pub fn with_limits(limits: ResponseLimits) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder.http1_max_buf_size(MAX_HEAD_BYTES);
         Self {
-            client: Client::builder(TokioExecutor::new()).build(connector),
+            client: builder.build(connector),
+            limits,
         }
     }
-}
 
-impl HttpClient {
+    /// Begins to count the bytes of a response that the caller reads by itself.
+    pub fn begin_response(&self) -> ResponseShare {
+        self.limits.begin()
+    }
+
     /// Sends a request and returns the response as soon as its header has arrived, with the body
     /// unread.
     ///
@@ -66,8 +87,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the call fails, takes longer than `time_limit`, or the body exceeds
-    /// 64 MiB.
+    /// Returns an error when the call fails, takes longer than `time_limit`, or the body exceeds the
+    /// limits of the client.
     pub async fn fetch(
         &self,
         req: Request<Full<Bytes>>,
@@ -76,14 +97,9 @@
         let exchange = async {
             let response = self.send(req).await?;
             let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-                .collect()
-                .await;
-            let body = body.map_err(|e| CallError {
-                sent: true,
-                detail: e.to_string(),
-            })?;
-            Ok((status, body.to_bytes()))
+            let body = self.read_body(response.into_body()).await;
+            let body = body.map_err(|detail| CallError { sent: true, detail })?;
+            Ok((status, body))
         };
         let timed_out = CallError {
             sent: true,
@@ -94,6 +110,19 @@
             .unwrap_or(Err(timed_out))
     }
 
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, String> {
+        let mut share = self.begin_response();
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(part) = frame.map_err(|e| e.to_string())?.into_data() else {
+                continue;
+            };
+            share.add(part.len())?;
+            bytes.extend_from_slice(&part);
+        }
+        Ok(bytes.freeze())
+    }
+
     /// Sends a JSON document by POST and returns the status of the response, whatever it is.
     ///
     /// # Errors
--- a/crates/dotterelrudder_daemon/src/lib.rs
+++ b/crates/dotterelrudder_daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod operator;
+pub mod response_limits;
 pub mod settings;
 pub mod side;
 pub mod start;
--- a/crates/dotterelrudder_daemon/src/operator/control_client.rs
+++ b/crates/dotterelrudder_daemon/src/operator/control_client.rs
@@ -11,12 +11,15 @@
 
 use super::arguments::Options;
 use crate::http_client::HttpClient;
+use crate::response_limits::ResponseLimits;
 
 /// The timeout of a call to one instance in the first round. A publish makes two calls, and with
 /// this timeout it skips a frozen instance within two seconds in total.
 const FIRST_ROUND_TIMEOUT: Duration = Duration::from_millis(700);
 /// The upper bound of the timeout, which doubles in each round, for calls that take long.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(8);
+/// The largest response that is read, in bytes; a configuration is the largest.
+const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 /// The number of rounds over all instances.
 const ROUNDS: u32 = 20;
 /// The pause between two rounds.
@@ -72,7 +75,8 @@
             "--control HOST:PORT is missing; set it or DOTTERELRUDDER_CONTROL",
         ));
     }
-    let client = HttpClient::default();
+    let limits = ResponseLimits::new(MAX_RESPONSE_BYTES, MAX_RESPONSE_BYTES);
+    let client = HttpClient::with_limits(limits);
     let mut last_failure = Failure {
         message: "no control instance responded".into(),
         exit_code: 69,
--- a/crates/dotterelrudder_daemon/src/side/daemon.rs
+++ b/crates/dotterelrudder_daemon/src/side/daemon.rs
@@ -32,6 +32,7 @@
 use crate::link::LinkHub;
 use crate::logging;
 use crate::metrics::Metrics;
+use crate::response_limits::ResponseLimits;
 use crate::settings::SideFile;
 use crate::start::build_hello;
 use crate::start::build_hub;
@@ -40,6 +41,10 @@
 use crate::start::TICK;
 use crate::system_clock::SystemClock;
 
+/// The largest response of a backend server or store, in bytes.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// The largest size of all responses that are read at the same time, in bytes.
+const MAX_TOTAL_BYTES: usize = 64 * 1024 * 1024;
 /// How long the process stays alive after its last attempt ended, for the last messages to be sent.
 const FLUSH_DELAY: Duration = Duration::from_millis(300);
 
@@ -56,7 +61,8 @@
     let (exit_tx, mut exit_rx) = watch::channel(false);
     let ready = Arc::new(AtomicBool::new(false));
     let metrics = Metrics::new()?;
-    let client = HttpClient::default();
+    let limits = ResponseLimits::new(MAX_RESPONSE_BYTES, MAX_TOTAL_BYTES);
+    let client = HttpClient::with_limits(limits);
     let services_to_dial: Arc<Mutex<Vec<ServiceName>>> = Arc::default();
     let core = SideCore::new(SideSettings {
         name: file.common.name.clone(),
--- a/crates/dotterelrudder_daemon/src/side/engine_client.rs
+++ b/crates/dotterelrudder_daemon/src/side/engine_client.rs
@@ -179,6 +179,7 @@
         let mut body = response.into_body();
         let mut buf = BytesMut::new();
         let mut usage = None;
+        let mut share = self.client.begin_response();
         loop {
             let frame = tokio::time::timeout(TOKEN_TIMEOUT, body.frame()).await;
             let frame = frame.map_err(|_| error_after_send("timed out waiting for a token"))?;
@@ -187,6 +188,7 @@
                 .map_err(error_after_send)?
                 .into_data()
                 .unwrap_or_default();
+            share.add(data.len()).map_err(error_after_send)?;
             buf.extend_from_slice(&data);
             while let Some(end) = buf.windows(2).position(|w| w == b"\n\n") {
                 let event = buf.split_to(end + 2);
--- a/crates/dotterelrudder_daemon/src/side/plain_service_client.rs
+++ b/crates/dotterelrudder_daemon/src/side/plain_service_client.rs
@@ -74,12 +74,12 @@
         content_type: content_type.into(),
     });
     let mut body = response.into_body();
+    let mut share = client.begin_response();
+    let error_after_send = |detail: String| CallError { sent: true, detail };
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| CallError {
-            sent: true,
-            detail: e.to_string(),
-        })?;
+        let frame = frame.map_err(|e| error_after_send(e.to_string()))?;
         if let Ok(data) = frame.into_data() {
+            share.add(data.len()).map_err(error_after_send)?;
             events.post(Input::RunChunk { run, data });
         }
     }
