End a connection whose response head does not come within 1 MiB

Runners that sent interim responses without end starved an entry: its other work stood still for up to 4.3 s, and requests ended 0.7 s after their deadline.

Cause: the HTTP library skips interim responses in a loop that takes whatever the socket has, on the entry's only thread.

Change: UpstreamSocket counts the bytes before the head of a response.

Measured: callers_are_served_beside_framing_without_end failed before (36 requests at once, connections still read 0.5 s after all answers) and passes.

--- a/crates/dotterelrudder_daemon/src/gateway/upstream.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream.rs
@@ -146,7 +146,10 @@
         self.unread_check.arm();
         mark.given_to(&self.unread_check);
         match self.sender.try_send_request(req).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.unread_check.head_arrived();
+                Ok(response)
+            }
             Err(_) if self.unread_check.has_failed() => Err(SendError::NotSent),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent),
