--- a/crates/dotterelrudder_daemon/tests/upstream_socket.rs
+++ b/crates/dotterelrudder_daemon/tests/upstream_socket.rs
@@ -151,14 +151,17 @@
 /// Uploads more than the buffers of both sockets hold; returns the body of the response, if it looks
 /// complete.
 async fn upload(address: std::net::SocketAddr) -> Option<Bytes> {
-    let tcp = tokio::net::TcpStream::connect(address).await.unwrap();
+    let tcp = tokio::net::TcpStream::connect(address).await;
+    let tcp = tcp.expect("a connection");
     let check = UnreadCheck::default();
     let socket = UpstreamSocket::new(tcp, check.clone());
-    let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await.unwrap();
+    let handshake = http1::handshake(TokioIo::new(socket)).await;
+    let (mut sender, connection) = handshake.expect("a connection");
     let driver = tokio::spawn(connection);
     check.arm();
     let body = Full::new(Bytes::from(vec![b'a'; UPLOAD_BYTES]));
-    let req = Request::post("/x").header("host", "a").body(body).unwrap();
+    let req = Request::post("/x").header("host", "a").body(body);
+    let req = req.expect("a request");
     let answer = sender.try_send_request(req).await.ok()?;
     let body = answer.into_body().collect().await;
     driver.abort();
