--- a/crates/dotterelrudder_daemon/src/control/actor.rs
+++ b/crates/dotterelrudder_daemon/src/control/actor.rs
@@ -11,7 +11,6 @@
 use dotterelrudder_control::FreePartsOrder;
 use dotterelrudder_control::Input;
 use dotterelrudder_control::Output;
-use dotterelrudder_control::Record;
 use dotterelrudder_control::StoreReport;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::InstanceName;
@@ -31,6 +30,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use super::JournalWrite;
 use super::ReplicationStatus;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
@@ -39,25 +39,6 @@
 use crate::system_clock::wall_ms;
 use crate::system_clock::SystemClock;
 
-/// A write to the journal, queued for the journal thread.
-#[derive(Debug)]
-pub(super) enum JournalWrite {
-    /// Appends encoded records.
-    Append {
-        /// Sequence number of the last record.
-        sequence: u64,
-        /// The records.
-        bytes: Vec<u8>,
-    },
-    /// Replaces the whole journal.
-    Rewrite {
-        /// Sequence number to report once the new journal is synced.
-        sequence: u64,
-        /// The records.
-        records: Vec<Record>,
-    },
-}
-
 /// Messages to [`ControlActor`].
 #[derive(Debug)]
 pub(super) enum ControlMessage {
--- a/crates/dotterelrudder_daemon/src/control/journal_file.rs
+++ b/crates/dotterelrudder_daemon/src/control/journal_file.rs
@@ -26,6 +26,13 @@
     File::open(folder)?.sync_all()
 }
 
+/// Writes a new file and syncs it.
+fn write_file(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
+    let mut file = File::create(path)?;
+    file.write_all(bytes)?;
+    file.sync_all()
+}
+
 impl JournalFile {
     /// Opens the journal in a folder, which is created if it is missing, and reads the journal. A
     /// torn tail, which was never synced, is truncated; a journal with corrupt records stays as it
@@ -104,9 +111,11 @@
             self.folder.join(JOURNAL_FILE),
             self.folder.join(NEXT_JOURNAL_FILE),
         );
-        let mut file = File::create(&next)?;
-        file.write_all(&bytes)?;
-        file.sync_all()?;
+        if let Err(e) = write_file(&next, &bytes) {
+            // A part of the new journal would keep the room that the old one needs.
+            let _missing = std::fs::remove_file(&next).is_err();
+            return Err(e);
+        }
         std::fs::rename(&next, &path)?;
         sync_folder(&self.folder)?;
         self.file = OpenOptions::new().append(true).open(&path)?;
--- a/crates/dotterelrudder_daemon/src/control/mod.rs
+++ b/crates/dotterelrudder_daemon/src/control/mod.rs
@@ -3,12 +3,18 @@
 
 mod actor;
 mod daemon;
+mod journal_disk;
 mod journal_file;
+mod journal_write;
+mod journal_writer;
 mod operator_api;
 mod replica;
 mod replication_status;
 
 pub use daemon::run;
+pub use journal_disk::JournalDisk;
 pub use journal_file::JournalFile;
+pub use journal_write::JournalWrite;
+pub use journal_writer::JournalWriter;
 pub use replica::Replica;
 pub use replication_status::ReplicationStatus;
--- a/crates/dotterelrudder_daemon/src/control/replica.rs
+++ b/crates/dotterelrudder_daemon/src/control/replica.rs
@@ -14,6 +14,7 @@
 use dotterelrudder_control::ControlStatus;
 use dotterelrudder_control::FreePartsOrder;
 use dotterelrudder_control::Input;
+use dotterelrudder_control::Recovered;
 use dotterelrudder_control::StoreReport;
 use dotterelrudder_types::Clock;
 use dotterelrudder_types::ErrorKind;
@@ -37,8 +38,9 @@
 use super::actor::ControlActor;
 use super::actor::ControlMessage;
 use super::actor::ControlState;
-use super::actor::JournalWrite;
 use super::JournalFile;
+use super::JournalWrite;
+use super::JournalWriter;
 use super::ReplicationStatus;
 use crate::link::LinkHub;
 use crate::metrics::Metrics;
@@ -80,8 +82,8 @@
         log: Logger,
     ) -> Result<Self, String> {
         let folder_path = folder.display();
-        let opened = JournalFile::open(folder).map_err(|e| format!("{folder_path}: {e}"));
-        let (journal, recovered) = opened?;
+        let opened = open_journal(folder, &log).await;
+        let (journal, recovered) = opened.map_err(|e| format!("{folder_path}: {e}"))?;
         if let Some(damage) = &recovered.damage {
             warn!(log, "journal is damaged";
                 "file" => %folder_path, "damage" => format!("{damage:?}"));
@@ -217,36 +219,54 @@
 /// Delay before a failed journal write is retried.
 const DISK_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Opens the journal. Waits while its disk is full, so that the process doesn't end for that.
+///
+/// # Errors
+///
+/// Returns any other error of the file system.
+async fn open_journal(folder: &Path, log: &Logger) -> std::io::Result<(JournalFile, Recovered)> {
+    let mut waits = false;
+    loop {
+        match JournalFile::open(folder) {
+            Err(e) if e.kind() == std::io::ErrorKind::StorageFull => {
+                if !waits {
+                    crit!(log, "journal cannot be opened, retrying until it can";
+                        "folder" => %folder.display(), "error" => e.to_string());
+                }
+                waits = true;
+                tokio::time::sleep(DISK_RETRY_DELAY).await;
+            }
+            opened => return opened,
+        }
+    }
+}
+
 /// Runs the journal thread: writes all queued changes as one batch with one sync. A failed batch is
 /// retried until it succeeds; meanwhile this replica acknowledges nothing, and the other replicas
 /// continue.
 fn write_journal(
-    mut journal: JournalFile,
+    journal: JournalFile,
     queue: &Receiver<JournalWrite>,
     actor: &ActorRef<ControlMessage>,
     log: &Logger,
 ) {
+    let mut writer = JournalWriter::new(journal);
     while let Ok(first) = queue.recv() {
         let began = Instant::now();
         let mut batch = vec![first];
         batch.extend(queue.try_iter());
         let mut failing = false;
         let sequence = loop {
-            match write_batch(&mut journal, &batch) {
+            match writer.write(&mut batch) {
                 Ok(sequence) => break sequence,
-                Err(e) => {
-                    if !failing {
-                        crit!(log, "journal cannot be written, retrying until it can";
-                            "error" => e.to_string());
-                    }
+                Err(e) if !failing => {
                     failing = true;
-                    std::thread::sleep(DISK_RETRY_DELAY);
-                    if let Err(e) = journal.truncate_to_synced() {
-                        crit!(log, "journal cannot be truncated to its last synced length";
-                            "error" => e.to_string());
-                    }
+                    crit!(log, "journal cannot be written, retrying until it can";
+                        "error" => e.to_string());
                 }
+                Err(_) => {}
             }
+            std::thread::sleep(DISK_RETRY_DELAY);
         };
         if failing {
             warn!(log, "journal can be written again";
@@ -259,21 +279,3 @@
         let _stopped = actor.send_message(synced).is_err();
     }
 }
-
-fn write_batch(journal: &mut JournalFile, batch: &[JournalWrite]) -> std::io::Result<u64> {
-    let mut last = 0;
-    for write in batch {
-        match write {
-            JournalWrite::Append { sequence, bytes } => {
-                journal.append(bytes)?;
-                last = *sequence;
-            }
-            JournalWrite::Rewrite { sequence, records } => {
-                journal.rewrite(records)?;
-                last = *sequence;
-            }
-        }
-    }
-    journal.sync()?;
-    Ok(last)
-}
