--- a/crates/dotterelrudder_control/tests/support/cluster.rs
+++ b/crates/dotterelrudder_control/tests/support/cluster.rs
@@ -11,6 +11,7 @@
 use dotterelrudder_control::Output;
 use dotterelrudder_control::RaftTiming;
 use dotterelrudder_types::InstanceName;
+use dotterelrudder_wire::CommandResult;
 use dotterelrudder_wire::Message;
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
@@ -35,6 +36,9 @@
     pub disk: Vec<u8>,
     starts: u64,
     pub frozen: bool,
+    /// Whether the disk refuses writes; the records then wait in `unwritten`.
+    is_full: bool,
+    unwritten: Vec<Output>,
     /// When its planned stop began, and whether it is removed or starts again at its end.
     stopping: Option<(Duration, AfterStop)>,
     /// When it starts again.
@@ -60,6 +64,8 @@
     added: usize,
     /// Draws the order in which instances and messages take their turn; `None` for a fixed order.
     pub order: Option<ChaCha8Rng>,
+    /// The commands that were answered with success, by their tags.
+    pub answered: BTreeSet<u64>,
     /// The terms of all entries that some instance committed, by index.
     committed: BTreeMap<u64, u64>,
     /// Entries that two instances committed with different terms.
@@ -84,6 +90,7 @@
             target,
             added: 0,
             order: None,
+            answered: BTreeSet::new(),
             committed: BTreeMap::new(),
             conflicts: Vec::new(),
         };
@@ -166,6 +173,13 @@
         let mut synced = None;
         for output in out {
             match output {
+                Output::Persist { .. } | Output::Rewrite { .. } if self.instances[of].is_full => {
+                    let instance = self.instances.get_mut(of).expect("an instance");
+                    instance.unwritten.push(output);
+                }
+                Output::Answer { tag, result } if !matches!(result, CommandResult::Refused(_)) => {
+                    self.answered.insert(tag);
+                }
                 Output::Persist { sequence, record } => {
                     let instance = self.instances.get_mut(of).expect("an instance");
                     record.encode(&mut instance.disk);
@@ -266,11 +280,22 @@
         self.instances.get_mut(of).expect("an instance").frozen = frozen;
     }
 
+    /// Sets whether the disk of an instance refuses writes; what waits is written once it has room.
+    pub fn set_full(&mut self, of: &InstanceName, is_full: bool) {
+        let instance = self.instances.get_mut(of).expect("an instance");
+        instance.is_full = is_full;
+        if !is_full {
+            let unwritten = std::mem::take(&mut instance.unwritten);
+            self.carry_out(of, unwritten);
+        }
+    }
+
     /// Ends the process; the disk stays.
     pub fn kill(&mut self, of: &InstanceName) {
         let instance = self.instances.get_mut(of).expect("an instance");
         (instance.core, instance.frozen) = (None, false);
         instance.stopping = None;
+        instance.unwritten.clear();
     }
 
     /// Ends the process and loses its disk; it starts again after `down`.
