--- a/crates/dotterelrudder_control/src/raft/hand_over.rs
+++ b/crates/dotterelrudder_control/src/raft/hand_over.rs
@@ -58,12 +58,13 @@
         }
         self.stopping_members.insert(from, now);
         self.tick_membership(now);
-        let keeps_vote = !self.is_voter(from) || !self.can_replace_voter(now);
-        if keeps_vote && !self.membership_change_in_flight() {
+        let waits_for_successor = self.is_voter(from) && self.can_replace_voter(now);
+        if !waits_for_successor && !self.membership_change_in_flight() {
             self.send(from, RaftMessage::MayStop);
         }
     }
 
+    /// Records the leader's reply; one from an earlier leader counts for nothing.
     pub(super) fn on_may_stop(&mut self, from: u64) {
         self.may_stop |= self.leader == Some(from);
     }
--- a/crates/dotterelrudder_control/src/raft/membership.rs
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -177,10 +177,11 @@
     ///    target, which would turn a tolerated loss of a disk into the loss of the quorum.
     fn next_members(&self, now: Duration) -> Option<Vec<Member>> {
         let ready = self.ready_learners(now);
-        let replaced = self.members.iter().find(|m| {
-            let is_successor = |l: &&Member| l.instance == m.instance && l.id != m.id;
-            ready.iter().copied().any(|l| is_successor(&l))
-        });
+        let has_new_identity = |m: &&Member| {
+            let mut learners = ready.iter();
+            learners.any(|l| l.instance == m.instance && l.id != m.id)
+        };
+        let replaced = self.members.iter().find(has_new_identity);
         if let Some(replaced) = replaced {
             return Some(self.without(replaced.id));
         }
--- a/crates/dotterelrudder_daemon/src/control/replica.rs
+++ b/crates/dotterelrudder_daemon/src/control/replica.rs
@@ -194,8 +194,8 @@
         free_order_receiver.take()
     }
 
-    /// Hands over the leadership and the vote of this replica before a planned stop. Returns after
-    /// [`HAND_OVER_TIMEOUT`] at the latest; the replica then stops with its vote.
+    /// Hands over the leadership and the vote of this replica before a planned stop. Returns after some
+    /// seconds at the latest; the replica then stops with its vote.
     pub async fn prepare_stop(&self) {
         self.send_to_actor(ControlMessage::Stop);
         let began = Instant::now();
--- a/crates/dotterelrudder_daemon/src/gateway/upstream.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::head_limit::HeadLimit;
 use super::send_mark::SendMark;
 use super::upstream_socket::UnreadCheck;
 use super::upstream_socket::UpstreamSocket;
@@ -53,6 +54,7 @@
 pub(super) struct UpstreamConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     unread_check: UnreadCheck,
+    head_limit: HeadLimit,
     _driver: AbortOnDrop,
     /// The address of the server.
     pub(super) address: SocketAddr,
@@ -102,7 +104,8 @@
             .set_tcp_keepalive(&probes)
             .map_err(|e| e.to_string())?;
         let unread_check = UnreadCheck::default();
-        let socket = UpstreamSocket::new(tcp, unread_check.clone());
+        let head_limit = HeadLimit::default();
+        let socket = UpstreamSocket::new(tcp, unread_check.clone(), head_limit.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(head_bytes)
             .handshake(TokioIo::new(socket))
@@ -115,6 +118,7 @@
         Ok(Self {
             sender,
             unread_check,
+            head_limit,
             _driver: AbortOnDrop(driver),
             address,
             keep_alive: None,
@@ -144,10 +148,11 @@
         mark: &SendMark,
     ) -> Result<Response<Incoming>, SendError> {
         self.unread_check.arm();
+        self.head_limit.arm();
         mark.given_to(&self.unread_check);
         match self.sender.try_send_request(req).await {
             Ok(response) => {
-                self.unread_check.head_arrived();
+                self.head_limit.head_arrived();
                 Ok(response)
             }
             Err(_) if self.unread_check.has_failed() => Err(SendError::NotSent),
--- a/crates/dotterelrudder_daemon/src/gateway/upstream_socket.rs
+++ b/crates/dotterelrudder_daemon/src/gateway/upstream_socket.rs
@@ -3,9 +3,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::task::ready;
@@ -18,6 +16,8 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use super::head_limit::HeadLimit;
+
 /// The check is not due: bytes may have been written since it was armed.
 const PASSED: u8 = 0;
 /// The next write looks for unread bytes first. Nothing was written yet.
@@ -26,47 +26,18 @@
 /// request was withdrawn.
 const FAILED: u8 = 2;
 
-/// The bytes that may be read before the head of a response is complete, interim responses included.
-/// The HTTP library reads any number of those without a pause, which would starve all other tasks.
-const MAX_BYTES_BEFORE_HEAD: usize = 1024 * 1024;
-
-/// Controls the checks of an [`UpstreamSocket`] for unread bytes, and for a response whose head does not
-/// come; clones share it.
+/// Controls the check of an [`UpstreamSocket`] for unread bytes; clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct UnreadCheck {
     state: Arc<AtomicU8>,
-    /// The bytes read since the check was armed, as long as no head arrived.
-    read_before_head: Arc<AtomicUsize>,
-    has_head: Arc<AtomicBool>,
 }
 
 impl UnreadCheck {
     /// Makes the socket check for unread bytes before its next write.
     pub fn arm(&self) {
-        self.read_before_head.store(0, Ordering::Release);
-        self.has_head.store(false, Ordering::Release);
         self.state.store(DUE, Ordering::Release);
     }
 
-    /// Records that the head of the response arrived.
-    pub fn head_arrived(&self) {
-        self.has_head.store(true, Ordering::Release);
-    }
-
-    /// Counts bytes that were read.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if they are too many for a response without a complete head.
-    fn record_read(&self, bytes: usize) -> io::Result<()> {
-        let before = self.read_before_head.fetch_add(bytes, Ordering::AcqRel);
-        if before + bytes <= MAX_BYTES_BEFORE_HEAD || self.has_head.load(Ordering::Acquire) {
-            return Ok(());
-        }
-        let detail = format!("no response head within {MAX_BYTES_BEFORE_HEAD} bytes");
-        Err(io::Error::new(io::ErrorKind::InvalidData, detail))
-    }
-
     /// Returns whether the socket wrote nothing since the check was armed, and never will.
     pub fn has_failed(&self) -> bool {
         self.state.load(Ordering::Acquire) == FAILED
@@ -105,15 +76,17 @@
 pub struct UpstreamSocket {
     tcp: TcpStream,
     check: UnreadCheck,
+    head_limit: HeadLimit,
     write_state: WriteState,
 }
 
 impl UpstreamSocket {
     /// Wraps a connected stream.
-    pub fn new(tcp: TcpStream, check: UnreadCheck) -> Self {
+    pub fn new(tcp: TcpStream, check: UnreadCheck, head_limit: HeadLimit) -> Self {
         Self {
             tcp,
             check,
+            head_limit,
             write_state: WriteState::Flushed,
         }
     }
@@ -183,7 +156,7 @@
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.tcp).poll_read(cx, buf))?;
         let read = buf.filled().len() - before;
-        self.check.record_read(read)?;
+        self.head_limit.record(read)?;
         if read == 0 && buf.remaining() > 0 {
             self.early_end()?;
         }
--- a/crates/dotterelrudder_daemon/src/http_client.rs
+++ b/crates/dotterelrudder_daemon/src/http_client.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioExecutor;
 
 use crate::response_limits::ResponseLimits;
-use crate::response_limits::ResponseShare;
+use crate::response_share::ResponseShare;
 
 /// Largest body of a response that a client reads without further settings, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
--- a/crates/dotterelrudder_daemon/src/lib.rs
+++ b/crates/dotterelrudder_daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod response_limits;
+pub mod response_share;
 pub mod settings;
 pub mod side;
 pub mod start;
--- a/crates/dotterelrudder_daemon/tests/upstream_socket.rs
+++ b/crates/dotterelrudder_daemon/tests/upstream_socket.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dotterelrudder_daemon::gateway::HeadLimit;
 use dotterelrudder_daemon::gateway::UnreadCheck;
 use dotterelrudder_daemon::gateway::UpstreamSocket;
 use http::Request;
@@ -58,7 +59,7 @@
     runtime.block_on(async {
         let tcp = tokio::net::TcpStream::connect(address).await.unwrap();
         let check = UnreadCheck::default();
-        let socket = UpstreamSocket::new(tcp, check.clone());
+        let socket = UpstreamSocket::new(tcp, check.clone(), HeadLimit::default());
         let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await.unwrap();
         let driver = tokio::spawn(connection);
         let request = || {
@@ -104,7 +105,7 @@
         let tcp = tokio::net::TcpStream::connect(address).await.unwrap();
         let (mut server, _) = listener.accept().expect("a connection");
         let check = UnreadCheck::default();
-        let mut socket = UpstreamSocket::new(tcp, check.clone());
+        let mut socket = UpstreamSocket::new(tcp, check.clone(), HeadLimit::default());
         check.arm();
         socket.write_all(b"a").await.unwrap();
         assert!(!check.withdraw(), "a written request was withdrawn");
@@ -154,7 +155,7 @@
     let tcp = tokio::net::TcpStream::connect(address).await;
     let tcp = tcp.expect("a connection");
     let check = UnreadCheck::default();
-    let socket = UpstreamSocket::new(tcp, check.clone());
+    let socket = UpstreamSocket::new(tcp, check.clone(), HeadLimit::default());
     let handshake = http1::handshake(TokioIo::new(socket)).await;
     let (mut sender, connection) = handshake.expect("a connection");
     let driver = tokio::spawn(connection);
@@ -201,7 +202,7 @@
         let address = listener.local_addr().expect("an address");
         let tcp = tokio::net::TcpStream::connect(address).await.unwrap();
         let (mut server, _) = listener.accept().expect("a connection");
-        let mut socket = UpstreamSocket::new(tcp, UnreadCheck::default());
+        let mut socket = UpstreamSocket::new(tcp, UnreadCheck::default(), HeadLimit::default());
         server.write_all(b"a part").expect("a part of a response");
         let reset = SockRef::from(&server).set_linger(Some(Duration::ZERO));
         reset.expect("the socket resets");
