Announce a planned stop to a new leader before it can count on the replica

Two of 6,000 walks with fresh seeds (6603, 6927) ended the quorum: a learner that was about to stop, and had been told that it may, was promoted by a leader that was elected in its last 300 ms.

Cause: a stopping replica announces itself at each heartbeat interval; the new leader counted it as ready before the next announcement.

Change: the announcement goes out before the reply to the new leader's first message, on which readiness depends.

Measured: both seeds failed before and are kept as regression seeds.

--- a/crates/dotterelrudder_control/src/raft/election.rs
+++ b/crates/dotterelrudder_control/src/raft/election.rs
@@ -166,8 +166,13 @@
         if term < self.term {
             return false;
         }
+        let is_new = self.leader != Some(from);
         self.become_follower(term, Some(from), now);
         self.last_leader_contact = Some(now);
+        if is_new {
+            // Before the reply to this message, on which the leader may count this replica as ready.
+            self.announce_stop(now);
+        }
         true
     }
 
--- a/crates/dotterelrudder_control/src/raft/hand_over.rs
+++ b/crates/dotterelrudder_control/src/raft/hand_over.rs
@@ -43,6 +43,14 @@
         if !self.stopping || sent_at.is_some_and(|at| now < at + self.timing.heartbeat) {
             return;
         }
+        self.announce_stop(now);
+    }
+
+    /// Tells the leader, or the next one, if this replica is about to stop.
+    pub(super) fn announce_stop(&mut self, now: Duration) {
+        if !self.stopping {
+            return;
+        }
         self.hand_over_sent_at = Some(now);
         if self.is_leader() {
             self.transfer_leadership(now);
--- a/crates/dotterelrudder_control/tests/member_changes.rs
+++ b/crates/dotterelrudder_control/tests/member_changes.rs
@@ -21,6 +21,8 @@
 /// The time after the last return in which the deployment recovers, and returns to its usual voters.
 const RECOVER: Duration = Duration::from_secs(12);
 const SEEDS: u64 = 150;
+/// Seeds that failed: a learner that was about to stop was promoted by a new leader that did not know.
+const REGRESSIONS: &[u64] = &[6603, 6927];
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -274,7 +276,9 @@
     let number = |name| std::env::var(name).ok().and_then(|s| s.parse::<u64>().ok());
     let first = number("WALK_FIRST").unwrap_or(0);
     let seeds = first..first + number("WALK_SEEDS").unwrap_or(SEEDS);
-    let walks = seeds.flat_map(|seed| [walk(seed, TARGET_VOTERS), walk(seed, 5)]);
+    let walks = seeds
+        .chain(REGRESSIONS.iter().copied())
+        .flat_map(|seed| [walk(seed, TARGET_VOTERS), walk(seed, 5)]);
     let failed: Vec<String> = walks.filter_map(Result::err).collect();
     assert!(failed.is_empty(), "{} failed, {}", failed.len(), failed[0]);
 }
