Wait for the disks of the voters before another election

Cause: a vote counts once the candidate's and then the voter's disk have synced it, while the election timeout of 0.6 to 1.2 s goes on at both. The next candidate asked for votes of a new term before those of the last one arrived.

Change: no election starts while the replica's own term or vote waits for its sync, and the timeout doubles, twice at most, while elections in which the replica took part stay without a leader. The first election after a loss is as early as before.

The simulated cluster has disks whose syncs take time, late messages and stalls now.

--- a/crates/dotterelrudder_control/src/raft/election.rs
+++ b/crates/dotterelrudder_control/src/raft/election.rs
@@ -11,9 +11,31 @@
 use super::Raft;
 use super::RaftRole;
 
+/// How often the election timeout is doubled at most while elections stay undecided.
+const MAX_ELECTION_DOUBLINGS: u32 = 2;
+
 impl Raft {
+    /// Schedules the next election. A replica that is about to stop lets the others go first. A vote
+    /// counts once the disks of the candidate and of the voter have synced it: with a fixed timeout,
+    /// disks that take longer would let no candidate win.
+    pub(super) fn schedule_election(&mut self, now: Duration) {
+        let undecided = self.undecided_elections.saturating_sub(1);
+        let doublings = undecided.min(MAX_ELECTION_DOUBLINGS) + u32::from(self.stopping);
+        self.schedule_election_after(self.timing.election * (1 << doublings), now);
+    }
+
+    /// Starts an election, unless the term and the vote of the current one still wait for their
+    /// sync: a new election would only queue another record behind them.
+    pub(super) fn on_election_timeout(&mut self, now: Duration) {
+        if self.hard_state_sequence > self.synced_sequence {
+            self.schedule_election(now);
+        } else {
+            self.start_pre_vote(now);
+        }
+    }
+
     /// Requests pre-votes from the voters, without raising the term.
-    pub(super) fn start_pre_vote(&mut self, now: Duration) {
+    fn start_pre_vote(&mut self, now: Duration) {
         self.schedule_election(now);
         if !self.confirmed || !self.is_voter(self.id) {
             return;
@@ -33,6 +55,7 @@
         self.voted_for = self.id;
         self.persist_hard_state();
         self.leader = None;
+        self.undecided_elections += 1;
         self.schedule_election(now);
         self.role = RaftRole::Candidate {
             votes: BTreeSet::from([self.id]),
@@ -95,6 +118,7 @@
         if granted && self.voted_for == 0 {
             self.voted_for = from;
             self.persist_hard_state();
+            self.undecided_elections += 1;
             self.schedule_election(now);
         }
         let reply = RaftMessage::VoteReply {
@@ -158,6 +182,7 @@
         // paper), so that a new leader appends one at once.
         self.propose(Command::Noop, now);
         self.tick_leader(now);
+        self.undecided_elections = 0;
     }
 
     /// Becomes or stays a follower of the leader `from`. Returns false, and changes nothing, if the
@@ -172,6 +197,7 @@
         if is_new {
             // Before the reply to this message, on which the leader may count this replica as ready.
             self.announce_stop(now);
+        self.undecided_elections = 0;
         }
         true
     }
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -103,6 +103,10 @@
     election_at: Duration,
     persist_sequence: u64,
     synced_sequence: u64,
+    /// In how many elections this replica stood or voted since it last had a leader.
+    undecided_elections: u32,
+    /// The number of the newest record of the term and the vote.
+    hard_state_sequence: u64,
     /// The record number and the index of each entry that is not yet synced.
     unsynced_entries: VecDeque<(u64, u64)>,
     synced_index: u64,
@@ -161,6 +165,8 @@
             unsynced_entries: VecDeque::new(),
             awaiting_sync: VecDeque::new(),
             round_times: VecDeque::new(),
+            undecided_elections: 0,
+            hard_state_sequence: 0,
             confirmed: false,
             boot_confirmations: BTreeSet::new(),
             boot_rejections: BTreeSet::new(),
@@ -334,7 +340,7 @@
         if self.is_leader() {
             self.tick_leader(now);
         } else if now >= self.election_at {
-            self.start_pre_vote(now);
+            self.on_election_timeout(now);
         }
     }
 
@@ -481,6 +487,7 @@
     fn append_entry(&mut self, entry: LogEntry) {
         let index = entry.index;
         let drops_entries = index <= self.log.last_index();
+        self.hard_state_sequence = self.persist_sequence;
         if drops_entries {
             self.log.truncate_from(index);
             self.synced_index = self.synced_index.min(index - 1);
@@ -496,12 +503,6 @@
         }
     }
 
-    /// Schedules the next election. A replica that is about to stop lets the others go first.
-    fn schedule_election(&mut self, now: Duration) {
-        let delay = self.timing.election * if self.stopping { 2 } else { 1 };
-        self.schedule_election_after(delay, now);
-    }
-
     /// Sets the election timeout to a random time between `min_timeout` and twice that, so that
     /// replicas rarely start elections at the same time.
     fn schedule_election_after(&mut self, min_timeout: Duration, now: Duration) {
--- /dev/null
+++ b/crates/dotterelrudder_control/tests/slow_disks.rs
@@ -0,0 +1,47 @@
+//! Elections and restarts while every sync of a disk takes as long as an election timeout or longer.
+
+mod support;
+
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use support::cluster::name;
+use support::cluster::Cluster;
+use support::cluster::CATCH_UP;
+use support::cluster::TARGET_VOTERS;
+
+/// The time after the last return in which the deployment recovers.
+const RECOVER: Duration = Duration::from_secs(12);
+/// How long a machine without power is down.
+const DOWN: Duration = Duration::from_millis(100);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Starts three instances and a spare one, whose disks then need `sync_time` for each sync.
+fn with_slow_disks(sync_time: Duration, seed: u64) -> Cluster {
+    let mut cluster = Cluster::new();
+    cluster.add();
+    cluster.run(CATCH_UP);
+    cluster.order = Some(ChaCha8Rng::seed_from_u64(seed));
+    cluster.sync_time = sync_time;
+    cluster.run(CATCH_UP);
+    cluster
+}
+
+// No candidate waited until the other replicas had synced their votes: there was no leader for good.
+#[test]
+fn no_leader_is_elected_while_syncs_take_longer_than_an_election() {
+    for sync_time in [300, 500, 600, 700, 900].map(ms) {
+        for seed in 0..8 {
+            let mut cluster = with_slow_disks(sync_time, seed);
+            (0..TARGET_VOTERS).for_each(|n| cluster.lose_power(&name(n), DOWN));
+            cluster.run(DOWN + RECOVER);
+            let leads = cluster.leader().is_some();
+            assert!(leads, "{sync_time:?}, seed {seed}: {}", cluster.describe());
+        }
+    }
+}
--- a/crates/dotterelrudder_control/tests/support/cluster.rs
+++ b/crates/dotterelrudder_control/tests/support/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::time::Duration;
 
 use dotterelrudder_control::read_journal;
@@ -14,6 +15,7 @@
 use dotterelrudder_wire::CommandResult;
 use dotterelrudder_wire::Message;
 use rand::seq::SliceRandom;
+use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
 /// The voters of the smallest deployment that bears a loss.
@@ -23,6 +25,8 @@
 pub const CATCH_UP: Duration = Duration::from_secs(4);
 /// The time that the remaining replicas have to elect a leader after a loss.
 pub const CONTACT: Duration = Duration::from_secs(3);
+/// The period of a quota of processor time.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
 /// The bounds of a planned stop, as the daemon has them.
 const MIN_STOP_WAIT: Duration = Duration::from_millis(300);
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -39,11 +43,23 @@
     /// Whether the disk refuses writes; the records then wait in `unwritten`.
     is_full: bool,
     unwritten: Vec<Output>,
+    /// The records of the running sync, and when it ends.
+    syncing: Option<(Duration, Vec<Output>)>,
     /// When its planned stop began, and whether it is removed or starts again at its end.
     stopping: Option<(Duration, AfterStop)>,
     /// When it starts again.
     start_at: Option<Duration>,
-    inbox: Vec<(InstanceName, Message)>,
+    /// The messages on their way to it, with their senders and times of arrival.
+    inbox: Vec<(Duration, InstanceName, Message)>,
+}
+
+/// How an instance ends that is removed for good without a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Crash {
+    /// The process ends; its peers see their connections close.
+    Process,
+    /// The machine loses power; its connections fall silent.
+    Power,
 }
 
 /// What follows on the end of a process that was stopped as planned.
@@ -55,7 +71,7 @@
     Starts(Duration),
 }
 
-/// Control instances on a network without delay, with disks that sync at once.
+/// Control instances on a simulated network, with simulated disks.
 pub struct Cluster {
     pub instances: BTreeMap<InstanceName, Instance>,
     pub cut: BTreeSet<(InstanceName, InstanceName)>,
@@ -64,6 +80,14 @@
     added: usize,
     /// Draws the order in which instances and messages take their turn; `None` for a fixed order.
     pub order: Option<ChaCha8Rng>,
+    /// How long a sync of a disk takes.
+    pub sync_time: Duration,
+    /// The longest delay of a message; needs `order`.
+    pub max_message_delay: Duration,
+    /// Whether no instance runs for a drawn part of each [`QUOTA_PERIOD`]; needs `order`.
+    pub has_quota: bool,
+    /// Since when and until when no instance runs.
+    stall: Range<Duration>,
     /// The commands that were answered with success, by their tags.
     pub answered: BTreeSet<u64>,
     /// The terms of all entries that some instance committed, by index.
@@ -90,6 +114,10 @@
             target,
             added: 0,
             order: None,
+            sync_time: Duration::ZERO,
+            max_message_delay: Duration::ZERO,
+            has_quota: false,
+            stall: Duration::ZERO..Duration::ZERO,
             answered: BTreeSet::new(),
             committed: BTreeMap::new(),
             conflicts: Vec::new(),
@@ -170,42 +198,75 @@
     }
 
     fn carry_out(&mut self, of: &InstanceName, out: Vec<Output>) {
-        let mut synced = None;
         for output in out {
             match output {
-                Output::Persist { .. } | Output::Rewrite { .. } if self.instances[of].is_full => {
+                Output::Persist { .. } | Output::Rewrite { .. } => {
                     let instance = self.instances.get_mut(of).expect("an instance");
                     instance.unwritten.push(output);
                 }
                 Output::Answer { tag, result } if !matches!(result, CommandResult::Refused(_)) => {
                     self.answered.insert(tag);
                 }
+                Output::Send { to, message } => self.send(of, &to, message),
+                _ => {}
+            }
+        }
+        self.begin_sync(of);
+    }
+
+    /// Puts a message on its way, behind those that its sender sent before.
+    fn send(&mut self, from: &InstanceName, to: &InstanceName, message: Message) {
+        let is_cut = self.cut.contains(&(from.clone(), to.clone()));
+        let longest = self.max_message_delay.as_millis() as u64;
+        let delay = match &mut self.order {
+            Some(rng) if longest > 0 => Duration::from_millis(rng.random_range(0..=longest)),
+            _ => Duration::ZERO,
+        };
+        let receiver = self.instances.get_mut(to);
+        if let Some(receiver) = receiver.filter(|r| r.core.is_some() && !is_cut) {
+            let mut earlier = receiver.inbox.iter().filter(|(_, sender, _)| sender == from);
+            let last = earlier.next_back().map_or(Duration::ZERO, |(at, ..)| *at);
+            let at = last.max(self.now + delay);
+            receiver.inbox.push((at, from.clone(), message));
+        }
+    }
+
+    /// Begins to sync what is unwritten, unless a sync runs or the disk is full.
+    fn begin_sync(&mut self, of: &InstanceName) {
+        let ends = self.now + self.sync_time;
+        let instance = self.instances.get_mut(of).expect("an instance");
+        if instance.is_full || instance.syncing.is_some() || instance.unwritten.is_empty() {
+            return;
+        }
+        instance.syncing = Some((ends, std::mem::take(&mut instance.unwritten)));
+        self.end_sync(of);
+    }
+
+    /// Ends the running sync if it is due, and begins the next one.
+    fn end_sync(&mut self, of: &InstanceName) {
+        let instance = self.instances.get_mut(of).expect("an instance");
+        let Some((_, records)) = instance.syncing.take_if(|(ends, _)| *ends <= self.now) else {
+            return;
+        };
+        let mut synced = 0;
+        for record in records {
+            match record {
                 Output::Persist { sequence, record } => {
-                    let instance = self.instances.get_mut(of).expect("an instance");
                     record.encode(&mut instance.disk);
-                    synced = Some(sequence);
+                    synced = sequence;
                 }
                 Output::Rewrite { sequence, records } => {
-                    let instance = self.instances.get_mut(of).expect("an instance");
                     instance.disk.clear();
                     for record in records {
                         record.encode(&mut instance.disk);
                     }
-                    synced = Some(sequence);
-                }
-                Output::Send { to, message } => {
-                    let is_cut = self.cut.contains(&(of.clone(), to.clone()));
-                    let receiver = self.instances.get_mut(&to);
-                    if let Some(receiver) = receiver.filter(|r| r.core.is_some() && !is_cut) {
-                        receiver.inbox.push((of.clone(), message));
-                    }
+                    synced = sequence;
                 }
                 _ => {}
             }
         }
-        if let Some(sequence) = synced {
-            self.handle(of, Input::Synced { sequence });
-        }
+        self.handle(of, Input::Synced { sequence: synced });
+        self.begin_sync(of);
     }
 
     pub fn run(&mut self, time: Duration) {
@@ -213,6 +274,9 @@
         while self.now < until {
             self.now += TICK;
             self.end_stops();
+            if self.is_stalled() {
+                continue;
+            }
             let mut turns: Vec<InstanceName> = self.instances.keys().cloned().collect();
             if let Some(rng) = &mut self.order {
                 turns.shuffle(rng);
@@ -224,15 +288,29 @@
                     instance.inbox.clear();
                     continue;
                 }
-                for (from, message) in std::mem::take(&mut instance.inbox) {
+                let due = instance.inbox.extract_if(.., |(at, ..)| *at <= self.now);
+                for (_, from, message) in due.collect::<Vec<_>>() {
                     self.handle(&of, Input::Message { from, message });
                 }
+                self.end_sync(&of);
                 self.handle(&of, Input::Tick);
                 self.record_committed(&of);
             }
         }
     }
 
+    /// Returns whether the instances wait for the next period of their quota.
+    fn is_stalled(&mut self) -> bool {
+        let Some(rng) = self.order.as_mut().filter(|_| self.has_quota) else {
+            return false;
+        };
+        if self.now >= self.stall.end {
+            let runs_for = QUOTA_PERIOD.mul_f64(rng.random_range(0.2..=1.0));
+            self.stall = self.now + runs_for..self.now + QUOTA_PERIOD;
+        }
+        self.stall.contains(&self.now)
+    }
+
     /// Records the entries that an instance committed since the last call.
     fn record_committed(&mut self, of: &InstanceName) {
         let Some(core) = self.instances[of].core.as_ref() else {
@@ -285,19 +363,28 @@
         let instance = self.instances.get_mut(of).expect("an instance");
         instance.is_full = is_full;
         if !is_full {
-            let unwritten = std::mem::take(&mut instance.unwritten);
-            self.carry_out(of, unwritten);
+            self.begin_sync(of);
         }
     }
 
-    /// Ends the process; the disk stays.
+    /// Ends the process without a word to its peers; the disk stays.
     pub fn kill(&mut self, of: &InstanceName) {
         let instance = self.instances.get_mut(of).expect("an instance");
         (instance.core, instance.frozen) = (None, false);
-        instance.stopping = None;
+        (instance.stopping, instance.syncing) = (None, None);
         instance.unwritten.clear();
     }
 
+    /// Removes the instance for good, without a planned stop.
+    pub fn crash(&mut self, of: &InstanceName, crash: Crash) {
+        if crash == Crash::Process {
+            for peer in self.peers_of(of) {
+                self.handle(&peer, Input::Closed { peer: of.clone() });
+            }
+        }
+        self.remove(of);
+    }
+
     /// Ends the process and loses its disk; it starts again after `down`.
     pub fn lose_disk(&mut self, of: &InstanceName, down: Duration) {
         self.kill(of);
