Give the voters time to sync their replies to the start check

A control instance that restarted beside a leader on disks that need half a second or more for a sync abandoned its identity, as if its disk was lost, and had no vote until it had joined again.

Cause: a leader's messages of one second without a confirmation count as proof that the voters that the log names were replaced. On slow disks the start itself has to be synced first, and each voter syncs a record before its reply.

Change: the second counts from the sync of the own start, and twice the time of that sync is added. With fast disks nothing changes.

--- a/crates/dotterelrudder_control/src/raft/boot.rs
+++ b/crates/dotterelrudder_control/src/raft/boot.rs
@@ -46,6 +46,9 @@
 
     /// Sends the start check to the other voters if it is due.
     pub(super) fn tick_boot(&mut self, now: Duration) {
+        if self.start_synced_at.is_none() && self.persist_sequence <= self.synced_sequence {
+            self.start_synced_at = Some(now);
+        }
         if self.confirmed
             || self
                 .boot_sent_at
@@ -71,10 +74,21 @@
     /// not confirm the disk in time: they may all have been replaced while this replica was away.
     pub fn overdue_start_check(&self, now: Duration) -> Option<RaftMessage> {
         let is_start_synced = self.persist_sequence <= self.synced_sequence;
-        let is_overdue = now.saturating_sub(self.started_at) > NAMED_VOTERS_TIMEOUT;
+        let is_overdue = self.is_start_check_overdue(self.started_at, now);
         (!self.confirmed && is_start_synced && is_overdue).then(|| self.start_check())
     }
 
+    /// Returns whether the voters that the log names had the time to answer the start check, of which
+    /// `since` is the begin at the earliest. They sync a record before their reply, and one may be in
+    /// their way: disks as slow as that of this replica prolong the time.
+    fn is_start_check_overdue(&self, since: Duration, now: Duration) -> bool {
+        let Some(synced_at) = self.start_synced_at else {
+            return false;
+        };
+        let syncs = 2 * (synced_at - self.started_at);
+        now > since.max(synced_at) + NAMED_VOTERS_TIMEOUT + syncs
+    }
+
     /// Abandons the identity if the disk is not confirmed: a leader's committed members exclude this
     /// replica, so that no quorum needs what the disk holds. A confirmed replica keeps its disk and
     /// asks to join again.
@@ -92,7 +106,7 @@
         let heard = self.heard_unconfirmed.filter(|h| now < h.last + gap);
         let first = heard.map_or(now, |h| h.first);
         self.heard_unconfirmed = Some(LeaderContact { first, last: now });
-        if !self.members.is_empty() && now > first + NAMED_VOTERS_TIMEOUT {
+        if !self.members.is_empty() && self.is_start_check_overdue(first, now) {
             self.out.push(RaftOutput::IdentityLost);
         }
     }
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -132,6 +132,8 @@
     /// Members that announced a planned stop to this leader, and when they last did.
     stopping_members: BTreeMap<u64, Duration>,
     started_at: Duration,
+    /// When the record of this start was synced.
+    start_synced_at: Option<Duration>,
     out: Vec<RaftOutput>,
 }
 
@@ -180,6 +182,7 @@
             may_stop: false,
             stopping_members: BTreeMap::new(),
             started_at: now,
+            start_synced_at: None,
             out: Vec::new(),
         };
         raft.recompute_members();
--- a/crates/dotterelrudder_control/tests/slow_disks.rs
+++ b/crates/dotterelrudder_control/tests/slow_disks.rs
@@ -45,3 +45,23 @@
         }
     }
 }
+
+// A replica that restarted abandoned its identity, as if its disk was lost, before the voters had synced
+// their replies to its start check.
+#[test]
+fn a_restart_on_a_slow_disk_counts_as_a_lost_disk() {
+    for sync_time in [500, 700, 1_000, 1_500].map(ms) {
+        for seed in 0..8 {
+            let mut cluster = with_slow_disks(sync_time, seed);
+            let restarted = cluster.follower();
+            let id_of = |cluster: &Cluster| {
+                let core = cluster.instances[&restarted].core.as_ref();
+                core.expect("it runs").raft().id()
+            };
+            let before = id_of(&cluster);
+            cluster.lose_power(&restarted, DOWN);
+            cluster.run(DOWN + RECOVER);
+            assert_eq!(id_of(&cluster), before, "{sync_time:?}, seed {seed}");
+        }
+    }
+}
