Record the sequence number of a hard state where it is written

The election timer of a replica then waited for the wrong record, or kept its longer timeout under the leader it had.

slow_disks passes before and after: its elections follow on a start, where both records are written one after the other.

--- a/crates/dotterelrudder_control/src/raft/election.rs
+++ b/crates/dotterelrudder_control/src/raft/election.rs
@@ -177,12 +177,12 @@
             heartbeat_at: now,
         };
         self.leader = Some(self.id);
+        self.undecided_elections = 0;
         self.round_times.clear();
         // Earlier entries commit only with an entry of the leader's own term (section 5.4.2 of the
         // paper), so that a new leader appends one at once.
         self.propose(Command::Noop, now);
         self.tick_leader(now);
-        self.undecided_elections = 0;
     }
 
     /// Becomes or stays a follower of the leader `from`. Returns false, and changes nothing, if the
@@ -192,12 +192,12 @@
             return false;
         }
         let is_new = self.leader != Some(from);
+        self.undecided_elections = 0;
         self.become_follower(term, Some(from), now);
         self.last_leader_contact = Some(now);
         if is_new {
             // Before the reply to this message, on which the leader may count this replica as ready.
             self.announce_stop(now);
-        self.undecided_elections = 0;
         }
         true
     }
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -484,13 +484,13 @@
             term: self.term,
             voted_for: self.voted_for,
         });
+        self.hard_state_sequence = self.persist_sequence;
     }
 
     /// Appends an entry; drops the entries at its index and after.
     fn append_entry(&mut self, entry: LogEntry) {
         let index = entry.index;
         let drops_entries = index <= self.log.last_index();
-        self.hard_state_sequence = self.persist_sequence;
         if drops_entries {
             self.log.truncate_from(index);
             self.synced_index = self.synced_index.min(index - 1);
--- a/crates/dotterelrudder_control/tests/support/cluster.rs
+++ b/crates/dotterelrudder_control/tests/support/cluster.rs
@@ -224,7 +224,10 @@
         };
         let receiver = self.instances.get_mut(to);
         if let Some(receiver) = receiver.filter(|r| r.core.is_some() && !is_cut) {
-            let mut earlier = receiver.inbox.iter().filter(|(_, sender, _)| sender == from);
+            let mut earlier = receiver
+                .inbox
+                .iter()
+                .filter(|(_, sender, _)| sender == from);
             let last = earlier.next_back().map_or(Duration::ZERO, |(at, ..)| *at);
             let at = last.max(self.now + delay);
             receiver.inbox.push((at, from.clone(), message));
