Replace a silent voter as soon as a learner can take its vote

Callers saw: a control instance was replaced, its successor had caught up, and the old one ended without SIGTERM. If another instance lost its disk or was replaced within the next 3 to 4 s, the configuration could not be read any more, for good.

Cause: a voter was replaced only after 3 s of silence, counted by a new leader from its own election. A learner that had lost its disk within the lease still counted as reachable and was promoted.

Change: a learner that has just answered takes the vote of a voter whose connection closed or that was silent for the lease (0.5 s). One entry changes both votes; until the leader has repeated it, elections and commits need majorities of the voters before and after (joint consensus). A new leader presumes the leader lost whose silence led to its election. A voter that is back gets its vote again. Voters of the last release don't know such a change: message set 5 tells them apart, and beside them the learner is promoted by one change and the voter dismissed by the next one.

Why this works: the log never counts a lost voter for longer than the notice of the loss and one commit, and never has an even number of voters in between, of which two lost ones would be final.

Ruled out: a shorter timeout alone (the leader's crash and the even number in between stay); an exchange by majorities of the new voters only ({1, 3} and {2, 4} don't overlap); an election once the connection to the leader closes (the leader may be cut off, and reads under its lease would go on).

--- a/crates/dotterelrudder_control/src/control_core/bootstrap.rs
+++ b/crates/dotterelrudder_control/src/control_core/bootstrap.rs
@@ -111,8 +111,9 @@
             id: new,
             ..Recovered::default()
         };
-        self.raft = Raft::new(recovered, self.settings.timing, self.seed, now);
-        self.raft.continue_sequence(sequence);
+        let mut raft = Raft::new(recovered, self.settings.timing, self.seed, now);
+        raft.continue_process(&self.raft);
+        self.raft = raft;
         out.push(Output::Rewrite {
             sequence,
             records: Vec::new(),
--- a/crates/dotterelrudder_control/src/control_core/mod.rs
+++ b/crates/dotterelrudder_control/src/control_core/mod.rs
@@ -173,7 +173,10 @@
         match input {
             Input::Tick => self.tick(now, out),
             Input::WallClock { at_ms } => self.wall_clock_ms = self.wall_clock_ms.max(at_ms),
-            Input::Opened { peer } => self.on_opened(peer, out),
+            Input::Opened { peer, message_set } => {
+                self.raft.set_message_set(peer.clone(), message_set);
+                self.on_opened(peer, now, out);
+            }
             Input::Closed { peer } => self.on_closed(&peer, now, out),
             Input::Message { from, message } => self.on_message(from, message, now, out),
             Input::Propose { tag, command } => {
@@ -327,7 +330,8 @@
         out.push(Output::Send { to: peer, message });
     }
 
-    fn on_opened(&mut self, peer: InstanceName, out: &mut Vec<Output>) {
+    fn on_opened(&mut self, peer: InstanceName, now: Duration, out: &mut Vec<Output>) {
+        self.raft.set_connected(&peer, true, now);
         self.subscribers.opened(&peer);
         if self.settings.peers.contains(&peer) {
             let revision = self.state.configuration().revision;
@@ -339,6 +343,7 @@
     }
 
     fn on_closed(&mut self, peer: &InstanceName, now: Duration, out: &mut Vec<Output>) {
+        self.raft.set_connected(peer, false, now);
         self.subscribers.closed(peer, now);
         self.fleet_publisher.remove_client(peer);
         for origin in self.proposals.take_forwarded_to(peer) {
--- a/crates/dotterelrudder_control/src/input.rs
+++ b/crates/dotterelrudder_control/src/input.rs
@@ -35,6 +35,8 @@
     Opened {
         /// The connected process.
         peer: InstanceName,
+        /// The newest kinds of messages that it can decode.
+        message_set: u32,
     },
     /// A connection to a process closed or timed out.
     Closed {
--- a/crates/dotterelrudder_control/src/raft/boot.rs
+++ b/crates/dotterelrudder_control/src/raft/boot.rs
@@ -30,7 +30,7 @@
 impl Raft {
     /// Confirms the disk without a check if there is no other voter that could confirm it.
     pub(super) fn confirm_if_sole_voter(&mut self) {
-        if self.members.is_empty() || !self.other_voters().is_empty() {
+        if self.members.is_empty() || !self.voting_peers().is_empty() {
             return;
         }
         self.confirmed = true;
@@ -57,7 +57,7 @@
             return;
         }
         self.boot_sent_at = Some(now);
-        for to in self.other_voters() {
+        for to in self.voting_peers() {
             self.send_synced(to, self.start_check());
         }
     }
@@ -160,7 +160,7 @@
         known_index: u64,
         member: bool,
     ) {
-        if self.confirmed || boot != self.boot || !self.is_voter(from) {
+        if self.confirmed || boot != self.boot || !self.voting_peers().contains(&from) {
             return;
         }
         let rolled_back = known_boot >= boot || known_index > self.log.last_index();
@@ -174,7 +174,7 @@
             &mut self.boot_rejections
         };
         replies.insert(from);
-        let others = self.other_voters().len();
+        let others = self.voting_peers().len();
         if self.boot_rejections.len() > others / 2 {
             self.out.push(RaftOutput::IdentityLost);
             return;
--- a/crates/dotterelrudder_control/src/raft/election.rs
+++ b/crates/dotterelrudder_control/src/raft/election.rs
@@ -67,7 +67,7 @@
     fn request_votes(&mut self, pre: bool, transfer: bool) {
         let term = if pre { self.term + 1 } else { self.term };
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
-        for to in self.other_voters() {
+        for to in self.voting_peers() {
             let message = RaftMessage::Vote {
                 term,
                 pre,
@@ -168,9 +168,14 @@
     fn become_leader(&mut self, now: Duration) {
         let next_index = self.log.last_index() + 1;
         let others = self.members.iter().filter(|m| m.id != self.id);
-        let progress: BTreeMap<_, _> = others
+        let mut progress: BTreeMap<_, _> = others
             .map(|m| (m.id, Progress::new(next_index, now)))
             .collect();
+        let lease_end = self.last_leader_contact.map(|at| at + self.timing.lease);
+        let last_leader = self.last_leader.and_then(|id| progress.get_mut(&id));
+        if let Some(last_leader) = last_leader {
+            last_leader.is_presumed_lost = lease_end.is_some_and(|at| at < now);
+        }
         self.role = RaftRole::Leader {
             progress,
             round: 0,
@@ -194,6 +199,7 @@
         let is_new = self.leader != Some(from);
         self.undecided_elections = 0;
         self.become_follower(term, Some(from), now);
+        self.last_leader = Some(from);
         self.last_leader_contact = Some(now);
         if is_new {
             // Before the reply to this message, on which the leader may count this replica as ready.
@@ -219,11 +225,8 @@
         let RaftRole::Leader { progress, .. } = &self.role else {
             return None;
         };
-        let is_suited = |id: u64| {
-            self.is_voter(id)
-                && !self.is_stopping(id, now)
-                && self.is_in_contact(id, now, self.timing.lease)
-        };
+        let is_suited =
+            |id: u64| self.is_voter(id) && !self.is_stopping(id, now) && !self.is_silent(id, now);
         let voters = progress.iter().filter(|(id, _)| is_suited(**id));
         let next = voters.max_by_key(|(_, p)| p.match_index);
         next.map(|(id, _)| *id)
--- a/crates/dotterelrudder_control/src/raft/hand_over.rs
+++ b/crates/dotterelrudder_control/src/raft/hand_over.rs
@@ -5,7 +5,7 @@
 
 use dotterelrudder_wire::RaftMessage;
 
-use super::membership::LOST_VOTER_TIMEOUT;
+use super::membership::RESTART_TIMEOUT;
 use super::Raft;
 
 impl Raft {
@@ -67,7 +67,8 @@
         self.stopping_members.insert(from, now);
         self.tick_membership(now);
         let waits_for_successor = self.is_voter(from) && self.can_replace_voter(now);
-        if !waits_for_successor && !self.membership_change_in_flight() {
+        let is_settled = self.replaced_voters.is_empty() && !self.membership_change_in_flight();
+        if !waits_for_successor && is_settled {
             self.send(from, RaftMessage::MayStop);
         }
     }
@@ -80,7 +81,7 @@
     /// Returns whether a member announced a planned stop to this leader, and did not start again.
     pub(super) fn is_stopping(&self, id: u64, now: Duration) -> bool {
         let announced = self.stopping_members.get(&id);
-        announced.is_some_and(|at| now <= *at + LOST_VOTER_TIMEOUT)
+        announced.is_some_and(|at| now <= *at + RESTART_TIMEOUT)
     }
 
     /// Returns whether a voter can be dismissed now or once a learner has caught up.
@@ -91,7 +92,7 @@
         let mut learners = self.members.iter().filter(|m| !m.voter);
         self.voter_count() > target
             || learners.any(|m| {
-                !self.is_stopping(m.id, now) && self.is_in_contact(m.id, now, LOST_VOTER_TIMEOUT)
+                !self.is_stopping(m.id, now) && self.is_in_contact(m.id, now, RESTART_TIMEOUT)
             })
     }
 }
--- a/crates/dotterelrudder_control/src/raft/membership.rs
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -1,21 +1,23 @@
 //! Membership of the replicated log: quorums, joins of learners, their promotion to voters, and the
-//! replacement of lost disks and of voters that are lost or about to stop. See
+//! replacement of lost disks and of voters that are out of contact or about to stop. See
 //! docs/design/replicated-log.md.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::Command;
+use dotterelrudder_wire::LogEntry;
 use dotterelrudder_wire::Member;
 use dotterelrudder_wire::RaftMessage;
+use dotterelrudder_wire::REPLACEMENT_MESSAGE_SET;
 
 use super::Progress;
 use super::Raft;
 use super::RaftRole;
 
-/// How long the leader must be without contact to a voter before it replaces the voter by a learner.
-/// Longer than a restart, so that a restarting voter keeps its vote.
-pub(super) const LOST_VOTER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a member may be out of contact and still be expected back soon. Longer than a restart.
+pub(super) const RESTART_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long the leader must be without contact to a learner before it removes the learner.
 const LOST_LEARNER_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -25,15 +27,42 @@
     }
 
     pub(super) fn other_voters(&self) -> Vec<u64> {
-        let voters = self.members.iter().filter(|m| m.voter && m.id != self.id);
-        voters.map(|m| m.id).collect()
+        let mut voters = voter_ids(&self.members);
+        voters.retain(|id| *id != self.id);
+        voters
     }
 
-    /// Returns whether the voters in `ids` are a majority of all voters.
+    /// Returns the other replicas whose votes may be needed: the voters, and those before a replacement
+    /// that is not concluded.
+    pub(super) fn voting_peers(&self) -> BTreeSet<u64> {
+        let voters = self.other_voters().into_iter();
+        let replaced = self.replaced_voters.iter().copied();
+        voters.chain(replaced.filter(|id| *id != self.id)).collect()
+    }
+
+    /// Returns the highest value that a quorum has reached, given that of each voter: a majority of the
+    /// voters and, while a replacement is not concluded, a majority of those before it. `None` if there
+    /// are no voters.
+    pub(super) fn quorum_value<T, F>(&self, value_of: F) -> Option<T>
+    where
+        T: Copy + Ord,
+        F: Fn(u64) -> T,
+    {
+        let voters = voter_ids(&self.members);
+        let sets = [&voters, &self.replaced_voters];
+        let needed = sets.iter().enumerate();
+        let needed = needed.filter(|(i, ids)| *i == 0 || !ids.is_empty());
+        let reached = needed.map(|(_, ids)| {
+            let mut values: Vec<T> = ids.iter().map(|id| value_of(*id)).collect();
+            values.sort_unstable_by(|a, b| b.cmp(a));
+            values.get(values.len() / 2).copied()
+        });
+        reached.min().flatten()
+    }
+
+    /// Returns whether the replicas in `ids` are a quorum.
     pub(super) fn is_quorum(&self, ids: &BTreeSet<u64>) -> bool {
-        let voters = self.members.iter().filter(|m| m.voter).count();
-        let counted = ids.iter().filter(|id| self.is_voter(**id)).count();
-        voters > 0 && counted > voters / 2
+        self.quorum_value(|id| ids.contains(&id)) == Some(true)
     }
 
     /// Returns the latest time since which a quorum, this leader included, has been in contact;
@@ -42,20 +71,12 @@
         let RaftRole::Leader { progress, .. } = &self.role else {
             return Duration::ZERO;
         };
-        let voters = self.members.iter().filter(|m| m.voter);
-        let mut contacts: Vec<Duration> = voters
-            .map(|m| {
-                if m.id == self.id {
-                    now
-                } else {
-                    progress
-                        .get(&m.id)
-                        .map_or(Duration::ZERO, |p| p.last_contact)
-                }
-            })
-            .collect();
-        contacts.sort_unstable_by(|a, b| b.cmp(a));
-        contacts.get(contacts.len() / 2).copied().unwrap_or(now)
+        let contact_of = |id| match progress.get(&id) {
+            _ if id == self.id => now,
+            Some(peer) => peer.last_contact,
+            None => Duration::ZERO,
+        };
+        self.quorum_value(contact_of).unwrap_or(now)
     }
 
     /// Returns the members by the last membership entry up to `index`.
@@ -75,6 +96,7 @@
     /// committed or not.
     pub(super) fn recompute_members(&mut self) {
         self.members = self.members_at(self.log.last_index());
+        self.replaced_voters = self.voters_before_replacement();
         let next_index = self.log.last_index() + 1;
         let RaftRole::Leader { progress, .. } = &mut self.role else {
             return;
@@ -91,6 +113,24 @@
         }
     }
 
+    /// Returns the voters before the newest change of members if it replaced one by another, since the
+    /// majorities before and after it need not overlap. Its repetition concludes it.
+    fn voters_before_replacement(&self) -> Vec<u64> {
+        let is_change = |e: &&LogEntry| matches!(e.command, Command::Members { .. });
+        let Some(change) = self.log.entries().iter().rev().find(is_change) else {
+            return Vec::new();
+        };
+        let before = voter_ids(&self.members_at(change.index - 1));
+        let after = voter_ids(&self.members);
+        let has_gone = before.iter().any(|id| !after.contains(id));
+        let is_new = after.iter().any(|id| !before.contains(id));
+        if has_gone && is_new {
+            before
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Returns whether a new membership change has to wait: until an entry of the leader's own term
     /// and the last membership entry are committed.
     pub(super) fn membership_change_in_flight(&self) -> bool {
@@ -137,45 +177,105 @@
         id == self.id || answered_at.is_some_and(|at| now <= at + limit)
     }
 
-    /// Returns whether a quorum of the voters in `members` is in contact now, so that a change to
-    /// these members is committed at once, and the loss of a disk does not catch it half-way.
-    fn is_live_quorum(&self, members: &[Member], now: Duration) -> bool {
+    /// Returns whether a member answered this leader within the lease, and nothing shows its loss.
+    fn is_reachable(&self, id: u64, now: Duration) -> bool {
         let RaftRole::Leader { progress, .. } = &self.role else {
             return false;
         };
         // A new leader counts every member as in contact until it had time to answer.
-        let has_answered =
-            |id| id == self.id || progress.get(&id).is_some_and(|p| p.match_index > 0);
-        let is_live = |m: &&Member| {
-            m.voter && has_answered(m.id) && self.is_in_contact(m.id, now, self.timing.lease)
+        let has_answered = |p: &Progress| !p.is_presumed_lost && p.match_index > 0;
+        let is_current = progress.get(&id).is_some_and(has_answered);
+        id == self.id || is_current && self.is_in_contact(id, now, self.timing.lease)
+    }
+
+    /// Returns whether a member did not answer this leader within the lease, or is presumed lost.
+    pub(super) fn is_silent(&self, id: u64, now: Duration) -> bool {
+        let RaftRole::Leader { progress, .. } = &self.role else {
+            return false;
+        };
+        let is_presumed_lost = progress.get(&id).is_some_and(|p| p.is_presumed_lost);
+        is_presumed_lost || !self.is_in_contact(id, now, self.timing.lease)
+    }
+
+    /// Returns whether all other voters are reachable.
+    fn are_all_reachable(&self, now: Duration) -> bool {
+        let others = self.other_voters();
+        others.iter().all(|id| self.is_reachable(*id, now))
+    }
+
+    /// Returns whether a quorum of the voters in `members` is in contact now, so that a change to
+    /// these members is committed at once, and the loss of a disk does not catch it half-way.
+    fn is_live_quorum(&self, members: &[Member], now: Duration) -> bool {
+        let voters = members.iter().filter(|m| m.voter);
+        let live = voters.clone().filter(|m| self.is_reachable(m.id, now));
+        2 * live.count() > voters.count()
+    }
+
+    /// Records the newest kinds of messages that an instance can decode, as
+    /// [`dotterelrudder_wire::MESSAGE_SET`] numbers them.
+    pub fn set_message_set(&mut self, instance: InstanceName, message_set: u32) {
+        self.message_sets.insert(instance, message_set);
+    }
+
+    /// Records that a connection to an instance opened or closed. A voter without one is replaced
+    /// before the lease is over: its process has most likely ended.
+    pub fn set_connected(&mut self, instance: &InstanceName, is_connected: bool, now: Duration) {
+        let RaftRole::Leader {
+            progress,
+            heartbeat_at,
+            ..
+        } = &mut self.role
+        else {
+            return;
         };
-        let voters = members.iter().filter(|m| m.voter).count();
-        2 * members.iter().filter(is_live).count() > voters
+        let of_instance = self.members.iter().filter(|m| m.instance == *instance);
+        for member in of_instance {
+            if let Some(peer) = progress.get_mut(&member.id) {
+                peer.is_presumed_lost = !is_connected;
+                // Asks the learners at once whether they can take the vote.
+                *heartbeat_at = now;
+            }
+        }
+    }
+
+    /// Proposes the next membership change if one is due, other than a replacement of a voter.
+    pub(super) fn tick_membership(&mut self, now: Duration) {
+        self.change_membership(None, now);
+    }
+
+    /// Promotes a learner that has just answered, if it is ready to replace a voter. One that was
+    /// heard of earlier may have been lost since: as a voter, it would have a part in the quorum.
+    pub(super) fn on_learner_answered(&mut self, id: u64, now: Duration) {
+        self.change_membership(Some(id), now);
     }
 
     /// Proposes the next membership change if one is due, and if the voters in contact can commit it.
     /// A proposed change takes effect at once, so that a leader without a quorum must not propose one.
     /// A leader that is about to stop leaves changes to the next one, if there is one.
-    pub(super) fn tick_membership(&mut self, now: Duration) {
+    fn change_membership(&mut self, answered: Option<u64>, now: Duration) {
         let is_leaving = self.stopping && self.next_leader(now).is_some();
         if is_leaving || self.membership_change_in_flight() || !self.is_fresh(now) {
             return;
         }
-        let members = self.next_members(now);
+        let members = self.next_members(answered, now);
         if let Some(members) = members.filter(|m| self.is_live_quorum(m, now)) {
             self.propose(Command::Members { members }, now);
         }
     }
 
-    /// Returns the members after the next change, if one is due. One member changes at a time:
+    /// Returns the members after the next change, if one is due:
     ///
-    /// 1. An identity that was lost with its disk is removed once the instance's new one is ready.
-    /// 2. Below the target number of voters, a learner that is ready becomes a voter.
-    /// 3. Above the target, a voter is dismissed.
-    /// 4. At the target, a learner becomes a voter in place of one that is about to stop or lost. It
-    ///    is promoted before the other one is dismissed: the log never has fewer voters than the
-    ///    target, which would turn a tolerated loss of a disk into the loss of the quorum.
-    fn next_members(&self, now: Duration) -> Option<Vec<Member>> {
+    /// 1. A replacement that is committed is concluded by its repetition.
+    /// 2. An identity that was lost with its disk is removed once the instance's new one is ready.
+    /// 3. Below the target number of voters, a learner that is ready becomes a voter.
+    /// 4. Above the target, a voter is dismissed.
+    /// 5. At the target, a learner that has just answered replaces a voter that is about to stop or
+    ///    silent. The log never has fewer voters than the target, which would turn a tolerated loss of
+    ///    a disk into the loss of the quorum.
+    fn next_members(&self, answered: Option<u64>, now: Duration) -> Option<Vec<Member>> {
+        if !self.replaced_voters.is_empty() {
+            return Some(self.members.clone());
+        }
         let ready = self.ready_learners(now);
         let has_new_identity = |m: &&Member| {
             let mut learners = ready.iter();
@@ -188,7 +288,11 @@
         let voters = self.voter_count();
         let change = match self.target_voters {
             Some(target) if voters > target => self.dismissed_voter(now),
-            Some(target) if voters == target => self.stand_in(&ready, now),
+            Some(target) if voters == target => {
+                let mut ready = ready.iter();
+                let learner = ready.find(|l| answered == Some(l.id));
+                learner.and_then(|l| self.stand_in(l, now))
+            }
             _ => ready.first().map(|l| self.with_vote(l.id, true)),
         };
         change.or_else(|| self.without_lost_learner(now))
@@ -203,44 +307,54 @@
             let is_current = |p: &Progress| p.match_index >= self.commit;
             !m.voter
                 && progress.get(&m.id).is_some_and(is_current)
-                && self.is_in_contact(m.id, now, self.timing.lease)
+                && self.is_reachable(m.id, now)
                 && !self.is_stopping(m.id, now)
         };
         self.members.iter().filter(is_ready).collect()
     }
 
-    /// Returns the members with the vote of a learner that replaces a voter, if one is about to stop
-    /// or lost. A member that was dismissed for its planned stop and is back gets its vote back: it
-    /// precedes the learner that voted in its place.
-    fn stand_in(&self, ready: &[&Member], now: Duration) -> Option<Vec<Member>> {
-        let learner = ready.first()?;
-        let mut others = self.members.iter().filter(|m| m.voter && m.id != self.id);
-        let is_needed = others
-            .clone()
-            .any(|m| self.is_stopping(m.id, now) || self.is_lost(m.id, now));
-        let all_live = others
-            .clone()
-            .all(|m| self.is_in_contact(m.id, now, self.timing.lease));
+    /// Returns the members with the vote of a learner in place of that of a voter that is about to stop
+    /// or silent. A member that was replaced and is back gets its vote back: it precedes the learner
+    /// that votes in its place.
+    fn stand_in(&self, learner: &Member, now: Duration) -> Option<Vec<Member>> {
+        let others = self.other_voters();
         let position = |id: u64| self.members.iter().position(|m| m.id == id);
-        let has_junior = others.any(|m| position(m.id) > position(learner.id));
-        (is_needed || all_live && has_junior).then(|| self.with_vote(learner.id, true))
+        let stopping = others.iter().find(|id| self.is_stopping(**id, now));
+        let silent = || others.iter().find(|id| self.is_silent(**id, now));
+        let junior = || {
+            let last = others.last();
+            last.filter(|id| position(**id) > position(learner.id) && self.are_all_reachable(now))
+        };
+        let replaced = *stopping.or_else(silent).or_else(junior)?;
+        let promoted = self.with_vote(learner.id, true);
+        let mut members = promoted.clone();
+        set_vote(&mut members, replaced, false);
+        Some(if self.know_replacements(&members) {
+            members
+        } else {
+            promoted
+        })
+    }
+
+    /// Returns whether all other voters in `members` need a majority of the earlier voters, too, while a
+    /// replacement is not concluded. With one of the last release, a learner is promoted first, and the
+    /// other voter dismissed by another change.
+    fn know_replacements(&self, members: &[Member]) -> bool {
+        let set_of = |m: &Member| self.message_sets.get(&m.instance).copied().unwrap_or(0);
+        let mut others = members.iter().filter(|m| m.voter && m.id != self.id);
+        others.all(|m| set_of(m) >= REPLACEMENT_MESSAGE_SET)
     }
 
     /// Returns the members without the vote of one voter too many: one that is about to stop, or
-    /// lost, or else the last one while all are in contact.
+    /// silent, or else the last one while all are reachable. It stays a member, and gets its vote back
+    /// when it returns.
     fn dismissed_voter(&self, now: Duration) -> Option<Vec<Member>> {
-        let others = self.members.iter().filter(|m| m.voter && m.id != self.id);
-        if let Some(stopping) = others.clone().find(|m| self.is_stopping(m.id, now)) {
-            return Some(self.with_vote(stopping.id, false));
-        }
-        if let Some(lost) = others.clone().find(|m| self.is_lost(m.id, now)) {
-            return Some(self.without(lost.id));
-        }
-        let all_live = others
-            .clone()
-            .all(|m| self.is_in_contact(m.id, now, self.timing.lease));
-        let last = others.clone().next_back().filter(|_| all_live)?;
-        Some(self.with_vote(last.id, false))
+        let others = self.other_voters();
+        let stopping = others.iter().find(|id| self.is_stopping(**id, now));
+        let silent = || others.iter().find(|id| self.is_silent(**id, now));
+        let last = || others.last().filter(|_| self.are_all_reachable(now));
+        let dismissed = stopping.or_else(silent).or_else(last)?;
+        Some(self.with_vote(*dismissed, false))
     }
 
     /// Returns the members without a learner that has been away for [`LOST_LEARNER_TIMEOUT`].
@@ -250,10 +364,6 @@
         Some(self.without(lost.id))
     }
 
-    fn is_lost(&self, id: u64, now: Duration) -> bool {
-        !self.is_in_contact(id, now, LOST_VOTER_TIMEOUT)
-    }
-
     fn without(&self, id: u64) -> Vec<Member> {
         let others = self.members.iter().filter(|m| m.id != id);
         others.cloned().collect()
@@ -261,9 +371,18 @@
 
     fn with_vote(&self, id: u64, voter: bool) -> Vec<Member> {
         let mut members = self.members.clone();
-        for member in members.iter_mut().filter(|m| m.id == id) {
-            member.voter = voter;
-        }
+        set_vote(&mut members, id, voter);
         members
     }
 }
+
+fn set_vote(members: &mut [Member], id: u64, voter: bool) {
+    for member in members.iter_mut().filter(|m| m.id == id) {
+        member.voter = voter;
+    }
+}
+
+fn voter_ids(members: &[Member]) -> Vec<u64> {
+    let voters = members.iter().filter(|m| m.voter);
+    voters.map(|m| m.id).collect()
+}
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -19,6 +19,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::Command;
 use dotterelrudder_wire::LogEntry;
 use dotterelrudder_wire::Member;
@@ -31,7 +32,7 @@
 use crate::Recovered;
 use boot::LeaderContact;
 use log::Log;
-use membership::LOST_VOTER_TIMEOUT;
+use membership::RESTART_TIMEOUT;
 use progress::Progress;
 pub use timing::RaftTiming;
 
@@ -93,20 +94,26 @@
     snapshot_members: Vec<Member>,
     /// The members by the newest membership entry of the log, committed or not.
     members: Vec<Member>,
+    /// The voters before a replacement that is not concluded; empty without one.
+    replaced_voters: Vec<u64>,
+    /// The newest kinds of messages that the instances of other replicas can decode.
+    message_sets: BTreeMap<InstanceName, u32>,
     commit: u64,
     applied: u64,
     role: RaftRole,
     leader: Option<u64>,
+    /// The last leader that this replica followed, and when it last heard from it.
+    last_leader: Option<u64>,
     last_leader_contact: Option<Duration>,
     /// The highest commit index that a leader sent.
     leader_commit: u64,
     election_at: Duration,
-    persist_sequence: u64,
-    synced_sequence: u64,
     /// In how many elections this replica stood or voted since it last had a leader.
     undecided_elections: u32,
     /// The number of the newest record of the term and the vote.
     hard_state_sequence: u64,
+    persist_sequence: u64,
+    synced_sequence: u64,
     /// The record number and the index of each entry that is not yet synced.
     unsynced_entries: VecDeque<(u64, u64)>,
     synced_index: u64,
@@ -155,20 +162,23 @@
             log,
             snapshot_members: members.clone(),
             members,
+            replaced_voters: Vec::new(),
+            message_sets: BTreeMap::new(),
             commit: index,
             applied: index,
             role: RaftRole::Follower,
             leader: None,
+            last_leader: None,
             last_leader_contact: None,
             leader_commit: 0,
             election_at: now,
+            undecided_elections: 0,
+            hard_state_sequence: 0,
             persist_sequence: 0,
             synced_sequence: 0,
             unsynced_entries: VecDeque::new(),
             awaiting_sync: VecDeque::new(),
             round_times: VecDeque::new(),
-            undecided_elections: 0,
-            hard_state_sequence: 0,
             confirmed: false,
             boot_confirmations: BTreeSet::new(),
             boot_rejections: BTreeSet::new(),
@@ -298,7 +308,7 @@
     /// removed from the members without receiving the entry that removed it.
     pub fn may_have_been_removed(&self, now: Duration) -> bool {
         let last_contact = self.last_leader_contact.unwrap_or(self.started_at);
-        let is_silent = now.saturating_sub(last_contact) > LOST_VOTER_TIMEOUT;
+        let is_silent = now.saturating_sub(last_contact) > RESTART_TIMEOUT;
         self.confirmed && !self.is_leader() && is_silent
     }
 
@@ -312,11 +322,12 @@
         self.persist_sequence
     }
 
-    /// Continues the record numbers of the replica that ran in this process before this one, and
-    /// counts its records as synced.
-    pub(crate) fn continue_sequence(&mut self, sequence: u64) {
-        self.persist_sequence += sequence;
-        self.synced_sequence = sequence;
+    /// Continues the record numbers of the replica that ran in this process before this one, counts
+    /// its records as synced, and keeps what it knew of the connected instances.
+    pub(crate) fn continue_process(&mut self, last: &Self) {
+        self.persist_sequence += last.persist_sequence;
+        self.synced_sequence = last.persist_sequence;
+        self.message_sets = last.message_sets.clone();
     }
 
     /// Appends a command to the log and returns its term and index, or `None` if this replica does
--- a/crates/dotterelrudder_control/src/raft/progress.rs
+++ b/crates/dotterelrudder_control/src/raft/progress.rs
@@ -11,6 +11,9 @@
     pub(super) match_index: u64,
     /// The time at which the leader sent the latest heartbeat round that the follower answered.
     pub(super) last_contact: Duration,
+    /// Whether there is more than its silence to show that the follower is lost: its connection closed,
+    /// or it led before and its silence led to the election of this leader.
+    pub(super) is_presumed_lost: bool,
     /// The time at which a snapshot was last sent; `None` once it is acknowledged.
     pub(super) snapshot_sent_at: Option<Duration>,
 }
@@ -21,6 +24,7 @@
             next_index,
             match_index: 0,
             last_contact: now,
+            is_presumed_lost: false,
             snapshot_sent_at: None,
         }
     }
--- a/crates/dotterelrudder_control/src/raft/replication.rs
+++ b/crates/dotterelrudder_control/src/raft/replication.rs
@@ -258,6 +258,7 @@
         if term != self.term {
             return;
         }
+        peer.is_presumed_lost = false;
         if let Some(sent_at) = sent_at {
             peer.last_contact = peer.last_contact.max(sent_at);
         }
@@ -270,8 +271,11 @@
         }
         let behind = peer.next_index <= last;
         self.advance_commit();
-        // A voter too many is dismissed as soon as its successor is in place.
-        if self.target_voters.is_some_and(|t| self.voter_count() > t) {
+        let has_one_too_many = self.target_voters.is_some_and(|t| self.voter_count() > t);
+        if !self.is_voter(from) {
+            self.on_learner_answered(from, now);
+        } else if has_one_too_many || !self.replaced_voters.is_empty() {
+            // The second step of a replacement follows as soon as the first one is committed.
             self.tick_membership(now);
         }
         if behind {
@@ -335,23 +339,17 @@
         self.out.push(RaftOutput::Restore(data));
     }
 
-    /// Commits the entries that a majority of the voters has synced, if this replica leads.
+    /// Commits the entries that a quorum has synced, if this replica leads.
     pub(super) fn advance_commit(&mut self) {
         let RaftRole::Leader { progress, .. } = &self.role else {
             return;
         };
-        let voters = self.members.iter().filter(|m| m.voter);
-        let mut synced: Vec<u64> = voters
-            .map(|m| {
-                if m.id == self.id {
-                    self.synced_index
-                } else {
-                    progress.get(&m.id).map_or(0, |p| p.match_index)
-                }
-            })
-            .collect();
-        synced.sort_unstable();
-        let Some(index) = synced.len().checked_sub(1).map(|n| synced[n / 2]) else {
+        let synced_by = |id| match progress.get(&id) {
+            _ if id == self.id => self.synced_index,
+            Some(peer) => peer.match_index,
+            None => 0,
+        };
+        let Some(index) = self.quorum_value(synced_by) else {
             return;
         };
         // Only entries of the leader's own term are committed by counting replicas (section 5.4.2
--- a/crates/dotterelrudder_control/tests/support/cluster.rs
+++ b/crates/dotterelrudder_control/tests/support/cluster.rs
@@ -14,6 +14,7 @@
 use dotterelrudder_types::InstanceName;
 use dotterelrudder_wire::CommandResult;
 use dotterelrudder_wire::Message;
+use dotterelrudder_wire::MESSAGE_SET;
 use rand::seq::SliceRandom;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -80,6 +81,8 @@
     added: usize,
     /// Draws the order in which instances and messages take their turn; `None` for a fixed order.
     pub order: Option<ChaCha8Rng>,
+    /// The newest kinds of messages that the instances can decode.
+    pub message_set: u32,
     /// How long a sync of a disk takes.
     pub sync_time: Duration,
     /// The longest delay of a message; needs `order`.
@@ -114,6 +117,7 @@
             target,
             added: 0,
             order: None,
+            message_set: MESSAGE_SET,
             sync_time: Duration::ZERO,
             max_message_delay: Duration::ZERO,
             has_quota: false,
@@ -175,6 +179,7 @@
             bootstrap: is_founder,
             voters: Some(self.target),
         };
+        let peers = settings.peers.clone();
         let seed = blake3::hash(format!("{of}{}", instance.starts).as_bytes());
         let seed = u64::from_le_bytes(*seed.as_bytes().first_chunk().expect("32 bytes"));
         let mut out = Vec::new();
@@ -182,6 +187,21 @@
         let core = ControlCore::new(settings, recovered, seed, now, &mut out);
         instance.core = Some(core);
         self.carry_out(of, out);
+        for peer in peers {
+            self.open_connection(of, &peer);
+            self.open_connection(&peer, of);
+        }
+    }
+
+    /// Tells an instance that its connection to a running peer opened.
+    fn open_connection(&mut self, of: &InstanceName, peer: &InstanceName) {
+        if self.instances[peer].core.is_some() {
+            let opened = Input::Opened {
+                peer: peer.clone(),
+                message_set: self.message_set,
+            };
+            self.handle(of, opened);
+        }
     }
 
     pub fn handle(&mut self, of: &InstanceName, input: Input) {
--- a/crates/dotterelrudder_daemon/src/control/actor.rs
+++ b/crates/dotterelrudder_daemon/src/control/actor.rs
@@ -172,7 +172,9 @@
 
 fn link_input(event: LinkEvent) -> Input {
     match event {
-        LinkEvent::Opened { peer, .. } => Input::Opened { peer },
+        LinkEvent::Opened {
+            peer, message_set, ..
+        } => Input::Opened { peer, message_set },
         LinkEvent::Closed { peer } => Input::Closed { peer },
         LinkEvent::Message { peer, message, .. } => Input::Message {
             from: peer,
--- a/crates/dotterelrudder_daemon/src/link/connection.rs
+++ b/crates/dotterelrudder_daemon/src/link/connection.rs
@@ -148,8 +148,6 @@
 /// to the same peer replaces it.
 pub(super) async fn run(hub: &LinkHub, peer: Hello, channel: Channel) {
     let pending_replies = Arc::new(AtomicI32::new(0));
-    let (connection_id, messages) = hub.register(&peer, pending_replies.clone());
-    info!(hub.log(), "link opened"; "peer" => peer.name.as_str());
     let Channel {
         tx,
         rx,
@@ -157,6 +155,8 @@
         ping,
         peer_message_set,
     } = channel;
+    let (connection_id, messages) = hub.register(&peer, peer_message_set, pending_replies.clone());
+    info!(hub.log(), "link opened"; "peer" => peer.name.as_str());
     let ended = tokio::select! {
         e = write_messages(hub, &peer.name, tx, messages, peer_message_set) => e,
         e = read_messages(hub, &peer.name, connection_id, rx, decoder, &pending_replies) => e,
--- a/crates/dotterelrudder_daemon/src/link/hub.rs
+++ b/crates/dotterelrudder_daemon/src/link/hub.rs
@@ -40,6 +40,8 @@
         data_centre: DataCentre,
         /// Random number that the peer generated at its start; it differs after a restart.
         incarnation: u64,
+        /// The newest kinds of messages that the peer can decode.
+        message_set: u32,
     },
     /// The connection to a peer ended, failed, timed out or was replaced by a newer one.
     Closed {
@@ -244,6 +246,7 @@
     pub(super) fn register(
         &self,
         peer: &Hello,
+        message_set: u32,
         pending_replies: Arc<AtomicI32>,
     ) -> (u64, UnboundedReceiver<Message>) {
         let connection_id = self
@@ -267,6 +270,7 @@
             role: peer.role,
             data_centre: peer.data_centre.clone(),
             incarnation: peer.incarnation,
+            message_set,
         });
         (connection_id, rx)
     }
--- a/crates/dotterelrudder_wire/src/hello.rs
+++ b/crates/dotterelrudder_wire/src/hello.rs
@@ -17,7 +17,11 @@
 /// The number of the newest kinds of messages that this process can decode. Peers tell it to each
 /// other in a header of the connection, which older peers ignore, and are sent no newer kinds; 0 is
 /// that of peers without the header.
-pub const MESSAGE_SET: u32 = 4;
+pub const MESSAGE_SET: u32 = 5;
+
+/// The message set from which on control replicas need a majority of the voters before and of those
+/// after a change of members that replaces a voter. Such a change is sent in no new kind of message.
+pub const REPLACEMENT_MESSAGE_SET: u32 = 5;
 
 /// The name of that header.
 pub const MESSAGE_SET_HEADER: &str = "message-set";
--- a/crates/dotterelrudder_wire/src/lib.rs
+++ b/crates/dotterelrudder_wire/src/lib.rs
@@ -74,6 +74,7 @@
 pub use hello::MESSAGE_SET;
 pub use hello::MESSAGE_SET_HEADER;
 pub use hello::PROTOCOL_VERSION;
+pub use hello::REPLACEMENT_MESSAGE_SET;
 pub use load_report::LoadReport;
 pub use message::Message;
 pub use raft_message::LogEntry;
