Log what a change of members and a planned stop wait for

`change of members held back` names the first missing condition of a change that is due, once it has lasted for 300 ms, and again when it differs. `ready to stop` names in order what the stop waited for.

--- a/crates/dotterelrudder_control/src/lib.rs
+++ b/crates/dotterelrudder_control/src/lib.rs
@@ -35,6 +35,7 @@
 pub use journal::Record;
 pub use journal::Recovered;
 pub use output::Output;
+pub use raft::ChangeBlocker;
 pub use raft::Raft;
 pub use raft::RaftOutput;
 pub use raft::RaftTiming;
--- a/crates/dotterelrudder_control/src/raft/membership.rs
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -26,6 +26,11 @@
         self.members.iter().any(|m| m.id == id && m.voter)
     }
 
+    pub(super) fn learner_ids(&self) -> impl Iterator<Item = u64> + '_ {
+        let learners = self.members.iter().filter(|m| !m.voter);
+        learners.map(|m| m.id)
+    }
+
     pub(super) fn other_voters(&self) -> Vec<u64> {
         let mut voters = voter_ids(&self.members);
         voters.retain(|id| *id != self.id);
@@ -178,7 +183,7 @@
     }
 
     /// Returns whether a member answered this leader within the lease, and nothing shows its loss.
-    fn is_reachable(&self, id: u64, now: Duration) -> bool {
+    pub(super) fn is_reachable(&self, id: u64, now: Duration) -> bool {
         let RaftRole::Leader { progress, .. } = &self.role else {
             return false;
         };
@@ -205,7 +210,7 @@
 
     /// Returns whether a quorum of the voters in `members` is in contact now, so that a change to
     /// these members is committed at once, and the loss of a disk does not catch it half-way.
-    fn is_live_quorum(&self, members: &[Member], now: Duration) -> bool {
+    pub(super) fn is_live_quorum(&self, members: &[Member], now: Duration) -> bool {
         let voters = members.iter().filter(|m| m.voter);
         let live = voters.clone().filter(|m| self.is_reachable(m.id, now));
         2 * live.count() > voters.count()
@@ -272,7 +277,7 @@
     /// 5. At the target, a learner that has just answered replaces a voter that is about to stop or
     ///    silent. The log never has fewer voters than the target, which would turn a tolerated loss of
     ///    a disk into the loss of the quorum.
-    fn next_members(&self, answered: Option<u64>, now: Duration) -> Option<Vec<Member>> {
+    pub(super) fn next_members(&self, answered: Option<u64>, now: Duration) -> Option<Vec<Member>> {
         if !self.replaced_voters.is_empty() {
             return Some(self.members.clone());
         }
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -6,6 +6,7 @@
 //! and the received messages, and carry out the [`RaftOutput`]s that it returns.
 
 mod boot;
+mod change_blocker;
 mod election;
 mod hand_over;
 mod log;
@@ -31,6 +32,7 @@
 use crate::Record;
 use crate::Recovered;
 use boot::LeaderContact;
+pub use change_blocker::ChangeBlocker;
 use log::Log;
 use membership::RESTART_TIMEOUT;
 use progress::Progress;
--- a/crates/dotterelrudder_daemon/src/control/actor.rs
+++ b/crates/dotterelrudder_daemon/src/control/actor.rs
@@ -30,6 +30,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use super::HeldChange;
 use super::JournalWrite;
 use super::ReplicationStatus;
 use crate::link::LinkEvent;
@@ -85,6 +86,7 @@
     pub(super) pending_proposals: HashMap<u64, oneshot::Sender<CommandResult>>,
     pub(super) next_tag: u64,
     pub(super) initial_outputs: Vec<Output>,
+    pub(super) held_change: HeldChange,
 }
 
 /// Drives a [`ControlCore`].
@@ -120,6 +122,7 @@
                 let at_ms = wall_ms(&state.clock);
                 state.handle_input(Input::WallClock { at_ms });
                 state.handle_input(Input::Tick);
+                state.log_held_change(now);
             }
             ControlMessage::Link(event) => {
                 if let LinkEvent::Opened {
@@ -184,6 +187,14 @@
 }
 
 impl ControlState {
+    /// Logs what a change of members waits for that is due and held back.
+    fn log_held_change(&mut self, now: Duration) {
+        let blocker = self.core.raft().change_blocker(now);
+        if let Some(blocker) = self.held_change.update(blocker, now) {
+            info!(self.log, "change of members held back"; "waits_for" => %blocker);
+        }
+    }
+
     /// Publishes the replication status to the daemon's other tasks if it changed.
     fn publish_replication_status(&mut self, now: Duration) {
         let replication_status = ReplicationStatus {
@@ -193,6 +204,7 @@
             controls: self.core.control_instances(),
             voters: self.core.voting_instances(),
             may_stop: self.core.may_stop(),
+            stop_blocker: self.core.raft().stop_blocker(now),
             stores: self.core.stores_to_read(now),
         };
         let term = self.core.raft().term();
--- a/crates/dotterelrudder_daemon/src/control/mod.rs
+++ b/crates/dotterelrudder_daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod actor;
 mod daemon;
+mod held_change;
 mod journal_disk;
 mod journal_file;
 mod journal_write;
@@ -12,6 +13,7 @@
 mod replication_status;
 
 pub use daemon::run;
+pub use held_change::HeldChange;
 pub use journal_disk::JournalDisk;
 pub use journal_file::JournalFile;
 pub use journal_write::JournalWrite;
--- a/crates/dotterelrudder_daemon/src/control/replica.rs
+++ b/crates/dotterelrudder_daemon/src/control/replica.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use dotterelrudder_control::ChangeBlocker;
 use dotterelrudder_control::ControlCore;
 use dotterelrudder_control::ControlSettings;
 use dotterelrudder_control::ControlStatus;
@@ -38,6 +39,7 @@
 use super::actor::ControlActor;
 use super::actor::ControlMessage;
 use super::actor::ControlState;
+use super::HeldChange;
 use super::JournalFile;
 use super::JournalWrite;
 use super::JournalWriter;
@@ -112,6 +114,7 @@
             pending_proposals: HashMap::new(),
             next_tag: 0,
             initial_outputs,
+            held_change: HeldChange::default(),
         };
         let spawned = Actor::spawn(None, ControlActor, state).await;
         let (actor, _handle) = spawned.map_err(|e| e.to_string())?;
@@ -199,17 +202,30 @@
     pub async fn prepare_stop(&self) {
         self.send_to_actor(ControlMessage::Stop);
         let began = Instant::now();
-        let mut replication_status = self.replication_status.clone();
-        let handed_over = replication_status.wait_for(|s| s.may_stop);
+        let mut blockers = Vec::new();
+        let handed_over = self.wait_for_hand_over(&mut blockers);
         let is_handed_over = timeout(HAND_OVER_TIMEOUT, handed_over).await.is_ok();
         let took = began.elapsed();
         tokio::time::sleep(MIN_STOP_WAIT.saturating_sub(took)).await;
         let status = self.replication_status();
+        let waited_for: Vec<String> = blockers.iter().map(ToString::to_string).collect();
         info!(self.log, "ready to stop"; "after_ms" => took.as_millis() as u64,
-            "settled" => is_handed_over, "leads" => status.leads,
+            "settled" => is_handed_over, "waited_for" => waited_for.join(", "), "leads" => status.leads,
             "voters" => format!("{:?}", status.voters));
     }
 
+    /// Waits until this replica may stop; records in order what it waited for.
+    async fn wait_for_hand_over(&self, blockers: &mut Vec<ChangeBlocker>) {
+        let mut replication_status = self.replication_status.clone();
+        let may_stop = |status: &ReplicationStatus| {
+            let blocker = status.stop_blocker;
+            blockers.extend(blocker.filter(|b| blockers.last() != Some(b)));
+            status.may_stop
+        };
+        // The actor ends only with the process.
+        let _stopped = replication_status.wait_for(may_stop).await.is_err();
+    }
+
     fn send_to_actor(&self, message: ControlMessage) {
         // The actor ends only with the process.
         let _stopped = self.actor.send_message(message).is_err();
--- a/crates/dotterelrudder_daemon/src/control/replication_status.rs
+++ b/crates/dotterelrudder_daemon/src/control/replication_status.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use dotterelrudder_control::ChangeBlocker;
 use dotterelrudder_types::InstanceName;
 
 /// Position of a control instance in the replicated log.
@@ -22,4 +23,6 @@
     pub voters: Vec<InstanceName>,
     /// Whether the vote was handed over before a planned stop, or can't be.
     pub may_stop: bool,
+    /// What a planned stop waits for.
+    pub stop_blocker: Option<ChangeBlocker>,
 }
