Promote a learner that lacks only the newest entries

Callers would see: a planned stop takes its full 5 s and the instance ends with its vote, or a crashed voter keeps its vote, although a successor waits: the next lost disk ends control. It needs a successor whose disk is slower than those of the voters, and changes that are logged one after the other. Not reported; found by the test.

Cause: a learner had caught up only if it had synced everything that was committed when its reply arrived, and the voters commit further entries while it syncs.

Change: it has to have synced what was committed an election timeout ago, or what is committed now under a new leader. Both majorities of a replacement commit it, so that a lagging learner loses nothing.

a_learner_with_a_slower_disk_never_gets_the_vote failed before ("it still runs: 50ms, planned true, leads false") and passes. Ruled out: the commit index when the answered heartbeat was sent, with which it still failed at 200 ms, since replies to heartbeats don't wait for the sync.

--- a/crates/dotterelrudder_control/src/raft/change_blocker.rs
+++ b/crates/dotterelrudder_control/src/raft/change_blocker.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use super::Raft;
-use super::RaftRole;
 
 /// The first condition that is missing for a change of members that is due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,7 +26,7 @@
     LearnerContact,
     /// The learners that answer are about to stop.
     LearnerStart,
-    /// No learner that answers has synced all committed entries.
+    /// No learner that answers has caught up with the committed entries.
     LearnerEntries,
     /// The voters after the change that are in contact would be no quorum.
     QuorumAfterChange,
@@ -89,13 +88,7 @@
 
     /// Returns what a change waits for that the leader could propose, if it had a suitable learner.
     fn learner_blocker(&self, now: Duration) -> Option<ChangeBlocker> {
-        let RaftRole::Leader { progress, .. } = &self.role else {
-            return None;
-        };
-        let has_entries = |id| {
-            let peer = progress.get(&id);
-            peer.is_some_and(|p| p.match_index >= self.commit)
-        };
+        let has_entries = |id| self.is_caught_up(id, now);
         let is_reachable = |id| self.is_reachable(id, now);
         let stays = |id| !self.is_stopping(id, now);
         let conditions: [(ChangeBlocker, &dyn Fn(u64) -> bool); 4] = [
--- a/crates/dotterelrudder_control/src/raft/election.rs
+++ b/crates/dotterelrudder_control/src/raft/election.rs
@@ -183,7 +183,7 @@
         };
         self.leader = Some(self.id);
         self.undecided_elections = 0;
-        self.round_times.clear();
+        self.rounds.clear();
         // Earlier entries commit only with an entry of the leader's own term (section 5.4.2 of the
         // paper), so that a new leader appends one at once.
         self.propose(Command::Noop, now);
--- a/crates/dotterelrudder_control/src/raft/membership.rs
+++ b/crates/dotterelrudder_control/src/raft/membership.rs
@@ -12,6 +12,7 @@
 use dotterelrudder_wire::RaftMessage;
 use dotterelrudder_wire::REPLACEMENT_MESSAGE_SET;
 
+use super::HeartbeatRound;
 use super::Progress;
 use super::Raft;
 use super::RaftRole;
@@ -107,10 +108,8 @@
             return;
         };
         progress.retain(|id, _| self.members.iter().any(|m| m.id == *id));
-        let last_round_at = self
-            .round_times
-            .back()
-            .map_or(Duration::ZERO, |(_, at)| *at);
+        let last_round = self.rounds.back();
+        let last_round_at = last_round.map_or(Duration::ZERO, |r| r.sent_at);
         for member in self.members.iter().filter(|m| m.id != self.id) {
             progress
                 .entry(member.id)
@@ -303,15 +302,23 @@
         change.or_else(|| self.without_lost_learner(now))
     }
 
-    /// Returns the learners that have synced all committed entries, are in contact and stay.
-    fn ready_learners(&self, now: Duration) -> Vec<&Member> {
+    /// Returns whether a member has synced what was committed an election timeout ago. It may lack later
+    /// entries: a disk that is slower than those of a quorum is always behind while entries are logged.
+    pub(super) fn is_caught_up(&self, id: u64, now: Duration) -> bool {
         let RaftRole::Leader { progress, .. } = &self.role else {
-            return Vec::new();
+            return false;
         };
+        let is_earlier = |r: &&HeartbeatRound| r.sent_at + self.timing.election <= now;
+        let earlier = self.rounds.iter().rev().find(is_earlier);
+        let commit = earlier.map_or(self.commit, |r| r.commit);
+        progress.get(&id).is_some_and(|p| p.match_index >= commit)
+    }
+
+    /// Returns the learners that have caught up, are in contact and stay.
+    fn ready_learners(&self, now: Duration) -> Vec<&Member> {
         let is_ready = |m: &&Member| {
-            let is_current = |p: &Progress| p.match_index >= self.commit;
             !m.voter
-                && progress.get(&m.id).is_some_and(is_current)
+                && self.is_caught_up(m.id, now)
                 && self.is_reachable(m.id, now)
                 && !self.is_stopping(m.id, now)
         };
--- a/crates/dotterelrudder_control/src/raft/mod.rs
+++ b/crates/dotterelrudder_control/src/raft/mod.rs
@@ -9,6 +9,7 @@
 mod change_blocker;
 mod election;
 mod hand_over;
+mod heartbeat_round;
 mod log;
 mod membership;
 mod progress;
@@ -33,6 +34,7 @@
 use crate::Recovered;
 use boot::LeaderContact;
 pub use change_blocker::ChangeBlocker;
+use heartbeat_round::HeartbeatRound;
 use log::Log;
 use membership::RESTART_TIMEOUT;
 use progress::Progress;
@@ -122,7 +124,7 @@
     /// Messages to send once a record is synced: record number, receiver, message.
     awaiting_sync: VecDeque<(u64, u64, RaftMessage)>,
     /// The numbers and send times of the last heartbeat rounds.
-    round_times: VecDeque<(u64, Duration)>,
+    rounds: VecDeque<HeartbeatRound>,
     /// Whether the peers confirmed that the disk was not rolled back.
     confirmed: bool,
     boot_confirmations: BTreeSet<u64>,
@@ -180,7 +182,7 @@
             synced_sequence: 0,
             unsynced_entries: VecDeque::new(),
             awaiting_sync: VecDeque::new(),
-            round_times: VecDeque::new(),
+            rounds: VecDeque::new(),
             confirmed: false,
             boot_confirmations: BTreeSet::new(),
             boot_rejections: BTreeSet::new(),
--- a/crates/dotterelrudder_control/src/raft/replication.rs
+++ b/crates/dotterelrudder_control/src/raft/replication.rs
@@ -5,6 +5,7 @@
 use dotterelrudder_wire::LogEntry;
 use dotterelrudder_wire::RaftMessage;
 
+use super::HeartbeatRound;
 use super::Raft;
 use super::RaftOutput;
 use super::RaftRole;
@@ -20,8 +21,8 @@
 const SNAPSHOT_CHUNK_BYTES: usize = 1024 * 1024;
 /// How long the leader waits for the acknowledgement of a snapshot before it sends it again.
 const SNAPSHOT_RESEND_DELAY: Duration = Duration::from_secs(2);
-/// The number of heartbeat rounds whose send times are kept, to date the replies.
-const MAX_ROUND_TIMES: usize = 128;
+/// The number of heartbeat rounds that are kept, to date the replies.
+const MAX_ROUNDS: usize = 128;
 
 impl Raft {
     /// Steps down if there was no contact with a quorum within the election timeout (check-quorum);
@@ -45,9 +46,13 @@
         *heartbeat_at = now + self.timing.heartbeat;
         *round += 1;
         let round = *round;
-        self.round_times.push_back((round, now));
-        if self.round_times.len() > MAX_ROUND_TIMES {
-            self.round_times.pop_front();
+        self.rounds.push_back(HeartbeatRound {
+            number: round,
+            sent_at: now,
+            commit: self.commit,
+        });
+        if self.rounds.len() > MAX_ROUNDS {
+            self.rounds.pop_front();
         }
         self.send_appends(true, now);
         self.tick_membership(now);
@@ -244,11 +249,7 @@
             return;
         }
         let last = self.log.last_index();
-        let sent_at = self
-            .round_times
-            .iter()
-            .find(|(r, _)| *r == round)
-            .map(|(_, at)| *at);
+        let round = self.rounds.iter().find(|r| r.number == round).copied();
         let RaftRole::Leader { progress, .. } = &mut self.role else {
             return;
         };
@@ -259,8 +260,8 @@
             return;
         }
         peer.is_presumed_lost = false;
-        if let Some(sent_at) = sent_at {
-            peer.last_contact = peer.last_contact.max(sent_at);
+        if let Some(round) = round {
+            peer.last_contact = peer.last_contact.max(round.sent_at);
         }
         if matched {
             peer.match_index = peer.match_index.max(index);
