--- a/crates/dotterelrudder_control/src/raft/boot.rs
+++ b/crates/dotterelrudder_control/src/raft/boot.rs
@@ -78,9 +78,9 @@
         (!self.confirmed && is_start_synced && is_overdue).then(|| self.start_check())
     }
 
-    /// Returns whether the voters that the log names had the time to answer the start check, of which
-    /// `since` is the begin at the earliest. They sync a record before their reply, and one may be in
-    /// their way: disks as slow as that of this replica prolong the time.
+    /// Returns whether the voters that the log names had the time to answer the start check, counted from
+    /// `since` or from its own sync. They reply after a sync, and another one may run before it: the time
+    /// grows with the syncs of this replica's own disk.
     fn is_start_check_overdue(&self, since: Duration, now: Duration) -> bool {
         let Some(synced_at) = self.start_synced_at else {
             return false;
--- a/crates/dotterelrudder_control/src/raft/change_blocker.rs
+++ b/crates/dotterelrudder_control/src/raft/change_blocker.rs
@@ -44,7 +44,7 @@
             Self::Learner => "a learner",
             Self::LearnerContact => "contact with a learner",
             Self::LearnerStart => "a learner that does not stop",
-            Self::LearnerEntries => "a learner with all committed entries",
+            Self::LearnerEntries => "a learner that has caught up",
             Self::QuorumAfterChange => "a quorum in contact after the change",
         })
     }
--- a/crates/dotterelrudder_daemon/src/control/held_change.rs
+++ b/crates/dotterelrudder_daemon/src/control/held_change.rs
@@ -18,7 +18,7 @@
 
 impl HeldChange {
     /// Records what a change that is due waits for now, `None` without one. Returns the blocker if it
-    /// has lasted for [`REPORT_DELAY`] and differs from the one returned last.
+    /// has lasted for a while and differs from the one returned last.
     pub fn update(
         &mut self,
         blocker: Option<ChangeBlocker>,
